--- /dev/null
+++ b/crates/core/src/facts.rs
@@ -0,0 +1,82 @@
+//! What the platform and the operators tell a node at its start.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+#[derive(Clone, Debug, Default)]
+pub struct Team {
+    pub cpus: f64,
+    pub cpus_max: f64,
+    pub gpus: f64,
+    pub gpus_max: f64,
+}
+
+/// An aim that the users set for a class of jobs.
+#[derive(Clone, Debug)]
+pub struct Objective {
+    pub kind: String,
+    pub class: Option<String>,
+    pub within: Option<Duration>,
+}
+
+/// The platform's facts; nothing here is a constant of ours.
+#[derive(Clone, Debug)]
+pub struct Facts {
+    pub label: String,
+    pub others: Vec<String>,
+    pub teams: BTreeMap<String, Team>,
+    pub objectives: Vec<Objective>,
+    pub report: Duration,
+    pub lease: Duration,
+    pub cancel: Duration,
+    pub txn_ops: usize,
+    pub value_bytes: usize,
+    pub list_lag: Duration,
+}
+
+/// The operators' own settings, with the defaults of the design.
+#[derive(Clone, Debug)]
+pub struct Policy {
+    /// How often the eSplash step runs.
+    pub speculation_period: Duration,
+    /// Straggler value per running task above which a machine is a straggler.
+    pub straggler_threshold: f64,
+    /// Finished tasks that a cell of the statistics needs.
+    pub cell_minimum: u32,
+    /// Levels that the clustering may form.
+    pub levels: usize,
+    pub speculation: bool,
+    /// Life of the lead's lease in the state service.
+    pub lead_ttl: Duration,
+    /// Free capacity kept ready, as a share of what is in use.
+    pub headroom_share: f64,
+    /// Least free capacity kept ready, in machines of the largest type.
+    pub headroom_machines: f64,
+    /// Room kept free on ordinary machines for services, in mean services seen.
+    pub service_reserve: f64,
+    /// How long a machine stays idle before it is returned.
+    pub idle: Duration,
+    /// Report intervals without a sign of life after which a machine is given up.
+    pub silent_reports: f64,
+    /// Machines looked at for one placement when many are known.
+    pub sample: usize,
+}
+
+impl Default for Policy {
+    fn default() -> Policy {
+        Policy {
+            speculation_period: Duration::from_secs(5),
+            straggler_threshold: 3.0,
+            cell_minimum: 5,
+            levels: 4,
+            speculation: true,
+            lead_ttl: Duration::from_millis(3000),
+            headroom_share: 0.15,
+            headroom_machines: 1.0,
+            service_reserve: 1.0,
+            idle: Duration::from_secs(25),
+            silent_reports: 2.5,
+            sample: 32,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet.rs
@@ -0,0 +1,778 @@
+//! Machines: what their workers report, what is ordered, and when a place is proven
+//! empty.
+//!
+//! Guards against a task on two machines at once. A place counts as empty only after a
+//! newer report from a worker that has seen our token, with the task gone or exited; a
+//! new session; a confirmed return of the machine; or the end of its lease. A start that
+//! went out directly and was not answered may still run late, so the exited entry that
+//! would stop it is kept until the order is resolved.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use rushyoke_wire::cloud::{Listed, MachineType, Phase as CloudPhase};
+use rushyoke_wire::job::{JobSpec, Kind};
+use rushyoke_wire::worker::{Cause, Order, Orders, Report, TaskReport, TaskState};
+
+use crate::io::*;
+use crate::jobs::*;
+use crate::node::Env;
+use crate::quota::Room;
+use crate::recover::Reign;
+
+/// Orders in one message; the rest goes with the next.
+const MAX_ORDERS: usize = 200;
+/// A stop that shows no effect is repeated after this time.
+const REPEAT_STOP: Duration = Duration::from_secs(1);
+/// After a direct order failed, the next one waits.
+const DIRECT_RETRY: Duration = Duration::from_secs(1);
+/// Allowance for clocks that drift apart, beside the published bound.
+const DRIFT: f64 = 1.002;
+const LAPSE_MARGIN: Duration = Duration::from_millis(250);
+/// Names of returned machines that are remembered, against late reports.
+const GONE_KEPT: usize = 1000;
+
+pub(crate) type TaskKey = (Name, u32);
+type Attempt = (String, u64);
+
+#[derive(Clone, Debug)]
+struct Direct {
+    session: u64,
+    starts: Vec<Attempt>,
+}
+
+/// An exited task that the worker still lists.
+#[derive(Clone, Debug)]
+struct Residue {
+    job: Name,
+    page: u32,
+    change: u64,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Machine {
+    pub name: Name,
+    pub addr: String,
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+    /// Set once a worker reported or answered.
+    pub up: bool,
+    /// When it was rented or first known.
+    pub known: Instant,
+    pub total: Room,
+    pub used: Room,
+    pub places: BTreeSet<TaskKey>,
+    session: u64,
+    seq: u64,
+    /// Session that surely ended with its lease.
+    lapsed: Option<u64>,
+    /// When it first showed that it has seen our token.
+    fenced: Option<Instant>,
+    pub heard: Instant,
+    answered: Option<Instant>,
+    pub taken_at: Option<Instant>,
+    direct: Option<Direct>,
+    direct_from: Option<Instant>,
+    unresolved: BTreeSet<Attempt>,
+    residue: BTreeMap<Attempt, Residue>,
+    strangers: Vec<(Attempt, bool)>,
+    /// Images believed to be cached, the most recently used last.
+    images: VecDeque<(String, f64)>,
+    cache_gb: f64,
+    /// It is being returned, or is about to be.
+    pub leaving: bool,
+    pub release_sent: Option<Instant>,
+    pub suspect: bool,
+    pub quarantined: bool,
+    /// Jobs whose tasks failed here since a task that started later completed.
+    strikes: BTreeMap<Name, Instant>,
+    pub idle_since: Option<Instant>,
+    full_until: Option<Instant>,
+    /// Room made for a job by stopping others.
+    pub claim: Option<(Name, Room, Instant)>,
+    pub straggler: bool,
+    pub level: usize,
+}
+
+impl Machine {
+    fn blank(name: Name, now: Instant) -> Machine {
+        Machine {
+            name,
+            addr: String::new(),
+            kind: String::new(),
+            zone: String::new(),
+            spot: false,
+            up: false,
+            known: now,
+            total: Room::default(),
+            used: Room::default(),
+            places: BTreeSet::new(),
+            session: 0,
+            seq: 0,
+            lapsed: None,
+            fenced: None,
+            heard: now,
+            answered: None,
+            taken_at: None,
+            direct: None,
+            direct_from: None,
+            unresolved: BTreeSet::new(),
+            residue: BTreeMap::new(),
+            strangers: Vec::new(),
+            images: VecDeque::new(),
+            cache_gb: 0.0,
+            leaving: false,
+            release_sent: None,
+            suspect: false,
+            quarantined: false,
+            strikes: BTreeMap::new(),
+            idle_since: Some(now),
+            full_until: None,
+            claim: None,
+            straggler: false,
+            level: 0,
+        }
+    }
+
+    /// Known from a record only: it may hold tasks.
+    pub fn inherited(name: Name, addr: String, now: Instant) -> Machine {
+        Machine { addr, up: true, ..Machine::blank(name, now) }
+    }
+
+    /// Rented, but not yet up.
+    pub fn rented(name: Name, kind: &MachineType, zone: &str, spot: bool, now: Instant) -> Machine {
+        let mut machine = Machine { kind: kind.name.clone(), zone: zone.into(), spot, ..Machine::blank(name, now) };
+        machine.set_type(Some(kind));
+        machine
+    }
+
+    pub fn set_type(&mut self, kind: Option<&MachineType>) {
+        if let Some(kind) = kind {
+            self.total = Room { cpus: kind.cpus, gpus: kind.gpus, memory_gb: kind.memory_gb };
+            self.cache_gb = kind.cache_gb;
+        }
+    }
+
+    pub fn hold(&mut self, key: TaskKey, spec: &JobSpec) {
+        if self.places.insert(key) {
+            self.used.add(Room::of(spec));
+            self.idle_since = None;
+        }
+    }
+
+    fn release(&mut self, key: &TaskKey, spec: &JobSpec, now: Instant) {
+        if self.places.remove(key) {
+            self.used.sub(Room::of(spec));
+            if self.places.is_empty() {
+                self.used = Room::default();
+                self.idle_since = Some(now);
+            }
+        }
+    }
+
+    /// Whether tasks may be placed here.
+    pub fn usable(&self, now: Instant) -> bool {
+        self.up
+            && self.fenced.is_some()
+            && !self.leaving
+            && !self.suspect
+            && !self.quarantined
+            && self.taken_at.is_none()
+            && self.full_until.is_none_or(|t| t <= now)
+    }
+
+    /// Whether the machine is expected to take tasks, now or once it is up.
+    pub fn counts(&self) -> bool {
+        !self.leaving && !self.suspect && !self.quarantined && self.taken_at.is_none()
+    }
+
+    pub fn has_image(&self, image: &str) -> bool {
+        self.images.iter().any(|(name, _)| name == image)
+    }
+
+    fn used_image(&mut self, image: &str, gb: f64) {
+        self.images.retain(|(name, _)| name != image);
+        self.images.push_back((image.to_owned(), gb));
+        while self.images.len() > 1 && self.images.iter().map(|(_, gb)| gb).sum::<f64>() > self.cache_gb {
+            self.images.pop_front();
+        }
+    }
+
+    /// Whether a start is on its way in a direct order just now.
+    fn on_its_way(&self, attempt: &Attempt) -> bool {
+        self.direct.as_ref().is_some_and(|d| d.starts.contains(attempt))
+    }
+
+    /// Whether a start that went out directly may still run.
+    fn unresolved(&self, attempt: &Attempt) -> bool {
+        self.unresolved.contains(attempt) || self.on_its_way(attempt)
+    }
+
+    /// When the worker's lease has surely ended if nothing more is answered.
+    fn lapse_at(&self, old_silent: Instant, lease: Duration) -> Instant {
+        let base = match (self.fenced, self.answered) {
+            // Once it has seen our token no answer of an earlier lead counts.
+            (Some(fenced), answered) => answered.map_or(fenced, |a| a.max(fenced)),
+            (None, answered) => answered.map_or(old_silent, |a| a.max(old_silent)),
+        };
+        base + lease.mul_f64(DRIFT) + LAPSE_MARGIN
+    }
+}
+
+/// Tells apart the ways in which a report came.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Via {
+    Report,
+    Direct,
+}
+
+impl Reign {
+    pub fn types_changed(&mut self, env: &Env) {
+        for machine in self.machines.values_mut() {
+            let kind = env.type_named(&machine.kind);
+            machine.set_type(kind);
+        }
+    }
+
+    /// A worker's report that this lead answers.
+    pub fn report(&mut self, env: &mut Env, req: Req, report: &Report) {
+        let now = env.steady();
+        let name = Name::from(report.machine.as_str());
+        let lapsed = self.machines.get(&name).is_some_and(|m| m.lapsed.is_some_and(|s| report.session <= s));
+        if lapsed || self.renting.is_gone(&name) {
+            // Its tasks were given up; an answer would keep them alive.
+            env.answer(req, Answer::later(503, "the lease of this session has ended"));
+            return;
+        }
+        let orders = if self.ready() {
+            self.take_report(env, &name, report);
+            let orders = self.orders_for(now, &name, Via::Report);
+            if let Some(machine) = self.machines.get_mut(&name) {
+                machine.answered = Some(now);
+            }
+            orders
+        } else {
+            Vec::new()
+        };
+        env.answer(req, Answer::json(200, &Orders { token: self.baton, session: None, orders }));
+    }
+
+    /// The outcome of direct orders.
+    pub fn ordered(&mut self, env: &mut Env, name: &Name, outcome: Outcome<(u16, Report)>) {
+        let now = env.steady();
+        let Some(machine) = self.machines.get_mut(name) else { return };
+        let Some(direct) = machine.direct.take() else { return };
+        match outcome {
+            Outcome::Answered((status, report)) if report.machine == **name => {
+                if status == 409 {
+                    // Nothing of it was executed, nor will be.
+                    let session = report.session;
+                    tracing::debug!(machine = &**name, session, token = report.token, "direct orders refused");
+                }
+                self.take_report(env, name, &report);
+                let Some(machine) = self.machines.get_mut(name) else { return };
+                if machine.fenced.is_none() {
+                    // It did not know the session; now it is known.
+                    self.urgent.insert(name.clone());
+                } else if status == 409 {
+                    machine.direct_from = Some(now + DIRECT_RETRY / 4);
+                    self.urgent.insert(name.clone());
+                }
+            }
+            Outcome::NotDone => machine.direct_from = Some(now + DIRECT_RETRY),
+            _ => {
+                machine.direct_from = Some(now + DIRECT_RETRY);
+                if machine.session == direct.session {
+                    machine.unresolved.extend(direct.starts);
+                }
+            }
+        }
+    }
+
+    fn take_report(&mut self, env: &mut Env, name: &Name, report: &Report) {
+        let now = env.steady();
+        if !self.machines.contains_key(name) {
+            tracing::info!(machine = &**name, spot = report.spot, zone = report.zone, "an unexpected machine reports");
+            self.machines.insert(name.clone(), Machine::blank(name.clone(), now));
+        }
+        let baton = self.baton;
+        let machine = self.machines.get_mut(name).expect("just inserted");
+        if (report.session, report.seq) <= (machine.session, machine.seq) {
+            return;
+        }
+        if !machine.up || machine.kind != report.kind {
+            tracing::debug!(machine = &**name, after_s = now.duration_since(machine.known).as_secs(), "up");
+            machine.up = true;
+            machine.idle_since.get_or_insert(now);
+            machine.kind = report.kind.clone();
+            machine.zone = report.zone.clone();
+            machine.spot = report.spot;
+            machine.set_type(env.type_named(&report.kind));
+            self.place_due = true;
+        }
+        machine.addr = report.addr.clone();
+        machine.heard = now;
+        machine.suspect = false;
+        machine.leaving &= machine.release_sent.is_some();
+        let new_session = report.session > machine.session && machine.session > 0;
+        machine.session = report.session;
+        machine.seq = report.seq;
+        if report.token < baton {
+            // An earlier lead may still command it: show it the token first.
+            self.urgent.insert(name.clone());
+            return;
+        }
+        let was_fenced = machine.fenced.is_some();
+        machine.fenced.get_or_insert(now);
+        if new_session && was_fenced {
+            self.session_ended(env, name);
+        }
+        let mut seen: BTreeSet<TaskKey> = BTreeSet::new();
+        let mut strangers = Vec::new();
+        let mut listed: BTreeSet<Attempt> = BTreeSet::new();
+        for task in &report.tasks {
+            let attempt: Attempt = (task.task.clone(), task.attempt);
+            let key = parse_task(&task.task).map(|(id, index)| (Name::from(id), index));
+            let ours = key.as_ref().is_some_and(|(job, index)| {
+                let place = self.jobs.get(job).and_then(|job| job.places.get(index));
+                place.is_some_and(|place| place.machine == *name && place.attempt == task.attempt)
+            });
+            if let (true, Some(key)) = (ours, key) {
+                seen.insert(key.clone());
+                self.task_seen(env, &key, task);
+            } else if !self.machines[name].residue.contains_key(&attempt) {
+                strangers.push((attempt.clone(), task.state == TaskState::Exited));
+            }
+            listed.insert(attempt);
+        }
+        let machine = self.machines.get_mut(name).expect("reported");
+        if strangers.iter().any(|(_, exited)| !exited) {
+            self.urgent.insert(name.clone());
+        }
+        machine.strangers = strangers;
+        machine.residue.retain(|attempt, _| listed.contains(attempt));
+        let missing: Vec<TaskKey> = machine.places.difference(&seen).cloned().collect();
+        for key in missing {
+            let place = &self.jobs[&key.0].places[&key.1];
+            // A start that was only ordered is repeated; what was there before, or came
+            // from a record, is proven gone.
+            if !matches!(place.stage, Stage::Planned | Stage::Ordered) {
+                tracing::debug!(job = &*key.0, task = key.1, machine = &**name, "not there");
+                self.place_empty(env, &key, now);
+            }
+        }
+        self.notice(env, name, report.notice_s);
+    }
+
+    /// A new session: the worker has dropped everything, and no order of the old
+    /// session is taken any more.
+    fn session_ended(&mut self, env: &mut Env, name: &Name) {
+        let now = env.steady();
+        let machine = self.machines.get_mut(name).expect("reported");
+        machine.unresolved.clear();
+        machine.residue.clear();
+        machine.images.clear();
+        tracing::info!(machine = &**name, session = machine.session, tasks = machine.places.len(), "new session");
+        for key in machine.places.clone() {
+            if self.jobs[&key.0].places[&key.1].sent {
+                self.place_empty(env, &key, now);
+            }
+        }
+    }
+
+    fn task_seen(&mut self, env: &mut Env, key: &TaskKey, report: &TaskReport) {
+        let now = env.steady();
+        let job = self.jobs.get_mut(&key.0).expect("placed");
+        let place = job.places.get_mut(&key.1).expect("placed");
+        let before = place.stage;
+        match report.state {
+            TaskState::Fetching => place.stage = Stage::Fetching,
+            TaskState::Saving => place.stage = Stage::Saving,
+            TaskState::Running => {
+                place.stage = Stage::Running;
+                if place.running.is_none() {
+                    place.running = Some(now);
+                    job.running += 1;
+                    let machine = self.machines.get_mut(&place.machine).expect("placed");
+                    machine.used_image(&job.spec.image, job.spec.image_gb);
+                }
+            }
+            TaskState::Exited => {
+                self.task_exited(env, key, report.why.unwrap_or(Cause::Error));
+                return;
+            }
+        }
+        if before != place.stage {
+            let (wanted, unsent) = (place.stop.is_some(), place.stop_sent.is_none());
+            if wanted && unsent {
+                self.urgent.insert(place.machine.clone());
+            }
+            self.note_progress(&key.0);
+        }
+    }
+
+    fn task_exited(&mut self, env: &mut Env, key: &TaskKey, why: Cause) {
+        let now = env.steady();
+        let job = self.jobs.get_mut(&key.0).expect("placed");
+        let place = job.places[&key.1].clone();
+        let mut again = now;
+        match why {
+            Cause::Done => {
+                job.set_done(key.1);
+                if let Some(since) = place.running {
+                    let run_s = now.duration_since(since).as_secs_f64();
+                    job.learn_run(run_s);
+                    self.speculation.finished(&key.0, &place.machine, run_s);
+                }
+                self.succeeded(&key.0, &place);
+            }
+            Cause::Stopped => {}
+            Cause::Error => again = self.failed(now, key, &place),
+            Cause::NoRoom => {
+                let machine = self.machines.get_mut(&place.machine).expect("placed");
+                machine.full_until = Some(now + Duration::from_secs(2));
+            }
+            Cause::Busy => again = now + Duration::from_secs(2),
+            Cause::Unknown => again = now + Duration::from_secs(5),
+        }
+        tracing::debug!(job = &*key.0, task = key.1, machine = &*place.machine, ?why, "exited");
+        self.place_empty(env, key, again);
+        let page = key.1 / PAGE;
+        let change = self.jobs[&key.0].pages[&page].change;
+        let machine = self.machines.get_mut(&place.machine).expect("placed");
+        let residue = Residue { job: key.0.clone(), page, change };
+        machine.residue.insert((format!("{}/{}", key.0, key.1), place.attempt), residue);
+        self.after_change(&key.0);
+    }
+
+    fn succeeded(&mut self, job: &Name, place: &Place) {
+        let machine = self.machines.get_mut(&place.machine).expect("placed");
+        machine.strikes.retain(|_, at| place.placed < *at);
+        // A job that works elsewhere clears itself of the failures it had.
+        let failed_on = self.jobs[job].failed_on.clone();
+        for name in failed_on.iter().filter(|name| **name != place.machine) {
+            if self.machines.get(name).is_some_and(|m| m.strikes.contains_key(job)) {
+                self.quarantine(name);
+            }
+        }
+    }
+
+    /// A task failed. Tells machines that fail every task apart from jobs that fail
+    /// everywhere; returns when the task may be tried again.
+    fn failed(&mut self, now: Instant, key: &TaskKey, place: &Place) -> Instant {
+        let job = self.jobs.get_mut(&key.0).expect("placed");
+        job.failed_on.insert(place.machine.clone());
+        job.failures += 1;
+        let works = job.done_count > 0
+            || job.places.values().any(|p| {
+                p.machine != place.machine
+                    && p.running.is_some_and(|t| now.duration_since(t) > Duration::from_secs(5))
+            });
+        let bad_job = !works && job.failed_on.len() >= 3;
+        let failures = job.failures;
+        let machine = self.machines.get_mut(&place.machine).expect("placed");
+        if !bad_job {
+            machine.strikes.insert(key.0.clone(), now);
+            if works || machine.strikes.len() >= 2 {
+                let name = place.machine.clone();
+                self.quarantine(&name);
+            }
+        }
+        let wait = if bad_job { 2f64.powi(failures.min(6) as i32 - 2).min(30.0) } else { 0.0 };
+        now + Duration::from_secs_f64(wait)
+    }
+
+    fn quarantine(&mut self, name: &Name) {
+        if let Some(machine) = self.machines.get_mut(name)
+            && !machine.quarantined
+        {
+            tracing::info!(machine = &**name, jobs = machine.strikes.len(), "quarantined: it fails the tasks it starts");
+            machine.quarantined = true;
+        }
+    }
+
+    /// The place of a task is proven empty.
+    pub fn place_empty(&mut self, env: &mut Env, key: &TaskKey, again: Instant) {
+        let now = env.steady();
+        let Some(job) = self.jobs.get_mut(&key.0) else { return };
+        let Some(place) = job.places.remove(&key.1) else { return };
+        if place.running.is_some() {
+            job.running -= 1;
+        }
+        let page = job.touch_page(key.1);
+        job.put_back(key.1, again);
+        self.quotas.sub(&job.spec);
+        if let Some(machine) = self.machines.get_mut(&place.machine) {
+            machine.release(key, &job.spec, now);
+        }
+        // A done task is urgent to keep; a place that is empty may stand a little longer.
+        let done = job.is_done(key.1);
+        self.records.page_changed(&key.0, page, done);
+        self.place_due = true;
+        self.note_progress(&key.0);
+        self.after_change(&key.0);
+    }
+
+    /// Orders a task to leave its machine. One that was never ordered just stays away.
+    pub fn stop_task(&mut self, env: &mut Env, job: &Name, task: u32, grace: f64) {
+        let Some(place) = self.jobs.get_mut(job).and_then(|job| job.places.get_mut(&task)) else { return };
+        if !place.sent {
+            let now = env.steady();
+            self.place_empty(env, &(job.clone(), task), now);
+            return;
+        }
+        if place.stop.is_none_or(|earlier| grace < earlier) {
+            place.stop = Some(grace);
+            place.stop_sent = None;
+            self.urgent.insert(place.machine.clone());
+        }
+    }
+
+    /// What the machine should be told now.
+    fn orders_for(&mut self, now: Instant, name: &Name, via: Via) -> Vec<Order> {
+        let mut orders = Vec::new();
+        let Some(machine) = self.machines.get(name) else { return orders };
+        if machine.fenced.is_none() {
+            return orders;
+        }
+        for key in &machine.places {
+            if orders.len() >= MAX_ORDERS {
+                break;
+            }
+            let place = self.jobs.get_mut(&key.0).and_then(|job| job.places.get_mut(&key.1)).expect("placed");
+            let task = format!("{}/{}", key.0, key.1);
+            let attempt = (task.clone(), place.attempt);
+            let stop = |grace_s| Order::Stop { task: task.clone(), attempt: place.attempt, grace_s };
+            match (place.stage, place.stop) {
+                (Stage::Planned | Stage::Inherited, _) => {}
+                (Stage::Ordered, None) => {
+                    let first = !place.sent;
+                    if first || (via == Via::Report && !machine.on_its_way(&attempt)) {
+                        place.sent = true;
+                        orders.push(Order::Start { task, attempt: place.attempt });
+                    }
+                }
+                // The start may have been lost or be late: started and stopped at once,
+                // the entry that remains keeps a late copy from running.
+                (Stage::Ordered, Some(_)) => {
+                    if via == Via::Report {
+                        orders.push(Order::Start { task: task.clone(), attempt: place.attempt });
+                        orders.push(stop(0.0));
+                        place.stop_sent = Some(now);
+                    }
+                }
+                (Stage::Fetching | Stage::Running | Stage::Saving, Some(grace)) => {
+                    let due = match place.stop_sent {
+                        None => true,
+                        Some(sent) => {
+                            via == Via::Report && place.stage != Stage::Saving && now.duration_since(sent) > REPEAT_STOP
+                        }
+                    };
+                    if due {
+                        orders.push(stop(grace));
+                        place.stop_sent = Some(now);
+                    }
+                }
+                (Stage::Fetching | Stage::Running | Stage::Saving, None) => {}
+            }
+        }
+        for ((task, attempt), exited) in &machine.strangers {
+            if orders.len() >= MAX_ORDERS {
+                break;
+            }
+            let (task, attempt) = (task.clone(), *attempt);
+            if !exited {
+                orders.push(Order::Stop { task, attempt, grace_s: 0.0 });
+            } else if via == Via::Report && !machine.unresolved(&(task.clone(), attempt)) {
+                orders.push(Order::Forget { task, attempt });
+            }
+        }
+        if via == Via::Report {
+            for (entry, residue) in &machine.residue {
+                if orders.len() >= MAX_ORDERS {
+                    break;
+                }
+                if !machine.unresolved(entry)
+                    && Reign::page_durable(&self.jobs, &residue.job, residue.page, residue.change)
+                {
+                    orders.push(Order::Forget { task: entry.0.clone(), attempt: entry.1 });
+                }
+            }
+        }
+        orders
+    }
+
+    /// Sends direct orders to the machines that should not wait for their report.
+    pub fn send_urgent(&mut self, env: &mut Env) {
+        let now = env.steady();
+        for name in std::mem::take(&mut self.urgent) {
+            let Some(machine) = self.machines.get(&name) else { continue };
+            if machine.direct.is_some() || machine.addr.is_empty() || !machine.up {
+                continue;
+            }
+            if machine.direct_from.is_some_and(|t| t > now) {
+                self.urgent.insert(name);
+                continue;
+            }
+            let probe = machine.fenced.is_none();
+            let orders = self.orders_for(now, &name, Via::Direct);
+            if orders.is_empty() && !probe {
+                continue;
+            }
+            self.direct(env, &name, orders);
+        }
+    }
+
+    fn direct(&mut self, env: &mut Env, name: &Name, orders: Vec<Order>) {
+        let machine = self.machines.get_mut(name).expect("known");
+        let starts = orders.iter().filter_map(|order| match order {
+            Order::Start { task, attempt } => Some((task.clone(), *attempt)),
+            _ => None,
+        });
+        let session = machine.session;
+        machine.direct = Some(Direct { session, starts: starts.collect() });
+        let body = Orders { token: self.baton, session: Some(session), orders };
+        env.order(name.clone(), machine.addr.clone(), body);
+    }
+
+    /// Once a second: leases that have ended, machines that fell silent.
+    pub fn check_silence(&mut self, env: &mut Env) {
+        let now = env.steady();
+        let lease = env.facts.lease;
+        let report = env.facts.report;
+        let late = report.mul_f64(1.25) + Duration::from_millis(750);
+        let give_up = report.mul_f64(env.policy.silent_reports);
+        let mut lapsed = Vec::new();
+        let mut silent = Vec::new();
+        let mut up = 0;
+        for machine in self.machines.values_mut().filter(|m| m.up) {
+            up += 1;
+            if machine.claim.as_ref().is_some_and(|(_, _, until)| *until <= now) {
+                machine.claim = None;
+            }
+            let quiet = now.duration_since(machine.heard);
+            if quiet > late && !machine.suspect {
+                machine.suspect = true;
+                tracing::debug!(machine = &*machine.name, "its report is overdue");
+            }
+            if now > machine.lapse_at(self.old_silent, lease) && quiet > lease && !machine.places.is_empty() {
+                lapsed.push(machine.name.clone());
+            }
+            if quiet > give_up && !machine.leaving {
+                silent.push(machine.name.clone());
+            }
+        }
+        for name in lapsed {
+            self.lease_lapsed(env, &name);
+        }
+        // Many silent at once: more likely the network, or this node, than the machines.
+        // Returning them would kill what still runs.
+        let many = silent.len() > 2 && silent.len() * 2 > up;
+        for name in silent.into_iter().filter(|_| !many) {
+            let machine = self.machines.get_mut(&name).expect("listed");
+            tracing::info!(machine = &*name, tasks = machine.places.len(), "silent; given up");
+            machine.leaving = true;
+        }
+        let probes: Vec<Name> = self
+            .machines
+            .values()
+            .filter(|m| m.suspect && m.direct.is_none() && !m.addr.is_empty())
+            .filter(|m| m.direct_from.is_none_or(|t| t <= now))
+            .map(|m| m.name.clone())
+            .collect();
+        for name in probes {
+            let orders = self.orders_for(now, &name, Via::Direct);
+            self.direct(env, &name, orders);
+        }
+    }
+
+    fn lease_lapsed(&mut self, env: &mut Env, name: &Name) {
+        let now = env.steady();
+        let machine = self.machines.get_mut(name).expect("listed");
+        tracing::info!(machine = &**name, tasks = machine.places.len(), "its lease has ended");
+        machine.lapsed = Some(machine.session);
+        machine.unresolved.clear();
+        machine.residue.clear();
+        for key in machine.places.clone() {
+            self.place_empty(env, &key, now);
+        }
+    }
+
+    /// The machine and everything on it are gone.
+    pub fn machine_gone(&mut self, env: &mut Env, name: &Name) {
+        let now = env.steady();
+        let Some(machine) = self.machines.get(name) else { return };
+        for key in machine.places.clone() {
+            self.place_empty(env, &key, now);
+        }
+        self.machines.remove(name);
+        self.renting.gone(name, GONE_KEPT);
+        self.place_due = true;
+    }
+
+    /// The cloud's list names this machine.
+    pub fn machine_listed(&mut self, env: &mut Env, listed: &Listed) {
+        let now = env.steady();
+        let name = Name::from(listed.id.as_str());
+        if self.renting.is_gone(&name) {
+            return;
+        }
+        if listed.phase == CloudPhase::Failed {
+            if self.machines.contains_key(&name) {
+                tracing::info!(machine = &*name, "failed, says the cloud");
+                self.machine_gone(env, &name);
+                self.renting.release_later(name);
+            }
+            return;
+        }
+        let machine = self.machines.entry(name.clone()).or_insert_with(|| {
+            let age = Duration::from_secs_f64(listed.age_s.clamp(0.0, 1e6));
+            let known = now.checked_sub(age).unwrap_or(now);
+            Machine { known, ..Machine::blank(name.clone(), now) }
+        });
+        if machine.kind.is_empty() {
+            machine.kind = listed.kind.clone();
+            machine.zone = listed.zone.clone();
+            machine.spot = listed.spot;
+            machine.set_type(env.type_named(&listed.kind));
+        }
+        if machine.addr.is_empty() {
+            machine.addr = listed.addr.clone();
+        }
+        if listed.phase == CloudPhase::Running && !machine.up && !machine.addr.is_empty() {
+            // Its worker may report to another node still: show it the token.
+            machine.up = true;
+            machine.heard = now;
+            self.urgent.insert(name);
+        }
+    }
+
+    /// The cloud takes a spot machine away: what saves is told to save, what cannot
+    /// finish in time is moved at once.
+    fn notice(&mut self, env: &mut Env, name: &Name, notice_s: Option<f64>) {
+        let now = env.steady();
+        let Some(left) = notice_s else { return };
+        let machine = self.machines.get_mut(name).expect("reported");
+        let left = Duration::from_secs_f64(left.clamp(0.0, 1e6));
+        if machine.taken_at.is_none() {
+            tracing::info!(machine = &**name, in_s = left.as_secs(), tasks = machine.places.len(), "to be taken");
+        }
+        machine.taken_at = Some(now + left);
+        let keys: Vec<TaskKey> = machine.places.iter().cloned().collect();
+        for (job, task) in keys {
+            let Some(owner) = self.jobs.get(&job) else { continue };
+            let spec = &owner.spec;
+            let place = &owner.places[&task];
+            let ran = place.running.map_or(0.0, |t| now.duration_since(t).as_secs_f64());
+            let finishes = spec.kind == Kind::Array
+                && place.running.is_some()
+                && (owner.mean_run_s - ran).max(0.0) + 1.0 < left.as_secs_f64();
+            if !finishes && place.stop.is_none() {
+                let saves = spec.checkpoint_s > 0.0 && place.running.is_some();
+                let grace = if saves { spec.save_s } else { 0.0 };
+                self.stop_task(env, &job, task, grace);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/io.rs
@@ -0,0 +1,129 @@
+//! Inputs and outputs of a node.
+
+use rushyoke_wire::cloud::{Listing, MachineType, Rental};
+use rushyoke_wire::job::JobSpec;
+use rushyoke_wire::peer::{PeerAsk, PeerTell};
+use rushyoke_wire::store::{Changes, Item, Page, Txn};
+use rushyoke_wire::worker::{Orders, Report};
+
+/// Names a request that waits for an answer of ours.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Req(pub u64);
+
+/// Names a call of ours that waits for an outcome.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Call(pub u64);
+
+/// What became of a call.
+#[derive(Clone, Debug)]
+pub enum Outcome<T> {
+    Answered(T),
+    /// It was surely not carried out and never will be.
+    NotDone,
+    /// It may have been carried out, or may be yet.
+    Unknown,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Urgency {
+    /// Leadership.
+    Lead,
+    /// What a user or a start waits for.
+    High,
+    /// All else.
+    Low,
+}
+
+#[derive(Clone, Debug)]
+pub enum StoreOp {
+    Get(String),
+    List { prefix: String, after: String },
+    Txn(Txn),
+    NewLease { ttl_ms: u64 },
+    Touch(u64),
+    EndLease(u64),
+    Watch { prefix: String, after: u64, wait_ms: u64 },
+}
+
+#[derive(Clone, Debug)]
+pub enum StoreAnswer {
+    Item(Option<Item>),
+    Page(Page),
+    Committed(u64),
+    Refused(Vec<String>),
+    Lease(u64),
+    LeaseLives,
+    NoSuchLease,
+    Changes(Changes),
+    /// The watch asked for changes that are no longer kept.
+    TooOld,
+    /// 429 or 503: not carried out.
+    Unavailable,
+}
+
+#[derive(Clone, Debug)]
+pub enum CloudOp {
+    Types,
+    Rent(Rental),
+    Release(Vec<String>),
+    List { after: Option<String> },
+}
+
+#[derive(Clone, Debug)]
+pub enum CloudAnswer {
+    Types(Vec<MachineType>),
+    Rented(Vec<String>),
+    Released,
+    Listing(Listing),
+    NoCapacity,
+    /// 429 or an outage: not carried out.
+    Unavailable,
+}
+
+#[derive(Clone, Debug)]
+pub enum Input {
+    Submit { req: Req, spec: Box<JobSpec> },
+    Status { req: Req, id: String },
+    Cancel { req: Req, id: String },
+    Ready { req: Req },
+    Report { req: Req, report: Box<Report> },
+    Peer { req: Req, ask: PeerAsk },
+    Store { call: Call, outcome: Outcome<StoreAnswer> },
+    Cloud { call: Call, outcome: Outcome<CloudAnswer> },
+    /// The status and report that a worker answered to direct orders.
+    Ordered { call: Call, outcome: Outcome<(u16, Report)> },
+    PeerTold { label: String, outcome: Outcome<PeerTell> },
+    Tick,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    pub status: u16,
+    pub body: Vec<u8>,
+    pub retry_after_s: Option<u32>,
+}
+
+impl Answer {
+    pub fn json<T: serde::Serialize>(status: u16, body: &T) -> Answer {
+        let body = serde_json::to_vec(body).expect("answers always encode");
+        Answer { status, body, retry_after_s: None }
+    }
+
+    pub fn error(status: u16, text: &str) -> Answer {
+        Answer::json(status, &serde_json::json!({ "error": text }))
+    }
+
+    /// Tells the client at once that it should come back.
+    pub fn later(status: u16, text: &str) -> Answer {
+        Answer { retry_after_s: Some(1), ..Answer::error(status, text) }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub enum Output {
+    Answer { req: Req, answer: Answer },
+    Store { call: Call, op: StoreOp, urgency: Urgency },
+    Cloud { call: Call, op: CloudOp },
+    Order { call: Call, addr: String, orders: Orders },
+    Peer { label: String, ask: PeerAsk },
+}
--- /dev/null
+++ b/crates/core/src/jobs.rs
@@ -0,0 +1,310 @@
+//! The lead's table of unfinished jobs: which tasks are done, where the others may be,
+//! and which wait. Also the form in which this stands in the state service.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Instant;
+
+use rushyoke_wire::job::JobSpec;
+use serde::{Deserialize, Serialize};
+
+pub type Name = Arc<str>;
+
+/// Tasks in one record. Even with every task on a machine of its own, a record stays
+/// below the store's limit for a value: 80 entries of a task, an attempt of up to 20
+/// digits and a machine with its address.
+pub const PAGE: u32 = 80;
+
+/// What stands under `job/<id>`: all that a user can be told after the end.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    pub state: RecordState,
+    pub tasks: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RecordState {
+    Open,
+    Done,
+    Cancelled,
+}
+
+/// What stands under `live/<id>` until no task of the job can run any more.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LiveRecord {
+    pub spec: JobSpec,
+    /// Time of day of the submission, in milliseconds since 1970.
+    pub at_ms: u64,
+    pub cancelled: bool,
+}
+
+/// What stands under `task/<id>/<page>`.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PageRecord {
+    /// Done tasks, as a bit map in hexadecimal, the page's first task in the lowest bit.
+    pub done: String,
+    /// Tasks that were restarted once by the eSplash step, counted within the page.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub again: Vec<u32>,
+    /// Machines named by `places`, with their addresses.
+    pub machines: Vec<(String, String)>,
+    /// Task within the page, index of its machine, attempt.
+    pub places: Vec<(u32, usize, u64)>,
+}
+
+pub fn job_key(id: &str) -> String {
+    format!("job/{id}")
+}
+
+pub fn live_key(id: &str) -> String {
+    format!("live/{id}")
+}
+
+pub fn page_key(id: &str, page: u32) -> String {
+    format!("task/{id}/{page}")
+}
+
+/// Splits `task/<id>/<page>`.
+pub fn parse_page_key(key: &str) -> Option<(&str, u32)> {
+    let (id, page) = key.strip_prefix("task/")?.rsplit_once('/')?;
+    Some((id, page.parse().ok()?))
+}
+
+/// Splits `wk-000412/3`.
+pub fn parse_task(task: &str) -> Option<(&str, u32)> {
+    let (id, index) = task.rsplit_once('/')?;
+    Some((id, index.parse().ok()?))
+}
+
+/// How far a placed task is known to have come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Its place is not yet durable; no order may name it.
+    Planned,
+    /// Durable; ordered, but not yet seen on the machine.
+    Ordered,
+    /// Read from a record of an earlier lead; it may or may not be there.
+    Inherited,
+    Fetching,
+    Running,
+    Saving,
+}
+
+/// The one place where a task may be.
+#[derive(Clone, Debug)]
+pub struct Place {
+    pub machine: Name,
+    pub attempt: u64,
+    pub stage: Stage,
+    pub placed: Instant,
+    pub running: Option<Instant>,
+    /// Set when the task must leave: the grace that it gets.
+    pub stop: Option<f64>,
+    /// When the last stop was sent.
+    pub stop_sent: Option<Instant>,
+    /// Whether any start was ever sent by this lead.
+    pub sent: bool,
+    /// The page's change that carries this place.
+    pub planned_change: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct PageState {
+    /// Version in the store; `None` while it must be read back.
+    pub version: Option<u64>,
+    /// Counts changes in memory.
+    pub change: u64,
+    /// The last change known to be durable.
+    pub durable: u64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub id: Name,
+    pub spec: JobSpec,
+    /// Order of submission as far as the clocks tell.
+    pub at_ms: u64,
+    pub version: u64,
+    pub cancelled: bool,
+    /// The change of `job/<id>` to done is durable or under way.
+    pub closing: bool,
+    pub done_count: u32,
+    done: Vec<u64>,
+    pub places: BTreeMap<u32, Place>,
+    /// First task that never had a place.
+    next: u32,
+    /// Tasks that wait for another attempt, and from when on.
+    returned: BTreeMap<u32, Instant>,
+    pub restarted: BTreeSet<u32>,
+    pub pages: HashMap<u32, PageState>,
+    /// Machines on which a task of this job failed.
+    pub failed_on: BTreeSet<Name>,
+    /// Tasks that failed since one last completed or ran for long.
+    pub failures: u32,
+    pub running: u32,
+    /// Expected run time of a task: the owner's estimate, then what was seen.
+    pub mean_run_s: f64,
+}
+
+impl Job {
+    pub fn new(spec: JobSpec, at_ms: u64, version: u64, cancelled: bool) -> Job {
+        Job {
+            id: Name::from(spec.id.as_str()),
+            done: vec![0; (spec.tasks as usize).div_ceil(64)],
+            mean_run_s: spec.estimate_s,
+            spec,
+            at_ms,
+            version,
+            cancelled,
+            closing: false,
+            done_count: 0,
+            places: BTreeMap::new(),
+            next: 0,
+            returned: BTreeMap::new(),
+            restarted: BTreeSet::new(),
+            pages: HashMap::new(),
+            failed_on: BTreeSet::new(),
+            failures: 0,
+            running: 0,
+        }
+    }
+
+    pub fn is_done(&self, task: u32) -> bool {
+        self.done[task as usize / 64] & (1 << (task % 64)) != 0
+    }
+
+    /// Marks a task done; false if it was already.
+    pub fn set_done(&mut self, task: u32) -> bool {
+        let fresh = !self.is_done(task);
+        if fresh {
+            self.done[task as usize / 64] |= 1 << (task % 64);
+            self.done_count += 1;
+        }
+        fresh
+    }
+
+    pub fn complete(&self) -> bool {
+        self.done_count == self.spec.tasks
+    }
+
+    /// Tasks that have neither a place nor an end.
+    pub fn waiting(&self) -> u32 {
+        if self.cancelled {
+            return 0;
+        }
+        self.spec.tasks - self.next + self.returned.len() as u32
+    }
+
+    /// Tasks not yet done.
+    pub fn open(&self) -> u32 {
+        self.spec.tasks - self.done_count
+    }
+
+    /// The next task that may start now.
+    pub fn peek(&self, now: Instant) -> Option<u32> {
+        if self.cancelled {
+            return None;
+        }
+        let again = self.returned.iter().find(|(_, from)| **from <= now).map(|(task, _)| *task);
+        again.or((self.next < self.spec.tasks).then_some(self.next))
+    }
+
+    /// Takes a task, as given by `peek`, out of the waiting ones.
+    pub fn take(&mut self, task: u32) {
+        if self.returned.remove(&task).is_none() && task == self.next {
+            self.next += 1;
+        }
+    }
+
+    /// Puts a task back among the waiting ones.
+    pub fn put_back(&mut self, task: u32, from: Instant) {
+        if !self.is_done(task) && task < self.next {
+            self.returned.insert(task, from);
+        }
+    }
+
+    pub fn touch_page(&mut self, task: u32) -> u32 {
+        let page = task / PAGE;
+        self.pages.entry(page).or_insert_with(|| PageState { version: Some(0), ..PageState::default() }).change += 1;
+        page
+    }
+
+    /// The record of one page as memory has it.
+    pub fn page_record(&self, page: u32, addr_of: impl Fn(&Name) -> String) -> PageRecord {
+        let first = page * PAGE;
+        let end = (first + PAGE).min(self.spec.tasks);
+        let mut record = PageRecord::default();
+        let mut bits = vec![0u8; PAGE as usize / 8];
+        for task in first..end {
+            if self.is_done(task) {
+                bits[(task - first) as usize / 8] |= 1 << ((task - first) % 8);
+            }
+        }
+        record.done = bits.iter().map(|b| format!("{b:02x}")).collect();
+        record.again = self.restarted.range(first..end).map(|t| t - first).collect();
+        for (task, place) in self.places.range(first..end) {
+            let known = record.machines.iter().position(|(name, _)| **name == *place.machine);
+            let index = known.unwrap_or_else(|| {
+                record.machines.push((place.machine.to_string(), addr_of(&place.machine)));
+                record.machines.len() - 1
+            });
+            record.places.push((task - first, index, place.attempt));
+        }
+        record
+    }
+
+    /// Takes over what an earlier lead wrote.
+    pub fn adopt_page(&mut self, page: u32, version: u64, record: &PageRecord, now: Instant) {
+        let first = page * PAGE;
+        self.pages.insert(page, PageState { version: Some(version), change: 0, durable: 0 });
+        for (i, pair) in record.done.as_bytes().chunks(2).enumerate() {
+            let byte = std::str::from_utf8(pair).ok().and_then(|t| u8::from_str_radix(t, 16).ok()).unwrap_or(0);
+            for bit in (0..8).filter(|bit| byte & (1 << bit) != 0) {
+                let task = first + i as u32 * 8 + bit;
+                if task < self.spec.tasks {
+                    self.set_done(task);
+                }
+            }
+        }
+        self.restarted.extend(record.again.iter().map(|t| first + t));
+        for (task, index, attempt) in &record.places {
+            let Some((machine, _)) = record.machines.get(*index) else { continue };
+            if first + task >= self.spec.tasks || self.is_done(first + task) {
+                continue;
+            }
+            let place = Place {
+                machine: Name::from(machine.as_str()),
+                attempt: *attempt,
+                stage: Stage::Inherited,
+                placed: now,
+                running: None,
+                stop: None,
+                stop_sent: None,
+                sent: true,
+                planned_change: 0,
+            };
+            self.places.insert(first + task, place);
+        }
+    }
+
+    /// Works out which tasks wait once all pages have been adopted.
+    pub fn settle(&mut self, now: Instant) {
+        let last_placed = self.places.keys().next_back().map_or(0, |t| t + 1);
+        let last_done = (0..self.spec.tasks).rev().find(|t| self.is_done(*t)).map_or(0, |t| t + 1);
+        self.next = last_placed.max(last_done);
+        for task in 0..self.next {
+            if !self.is_done(task) && !self.places.contains_key(&task) {
+                self.returned.insert(task, now);
+            }
+        }
+    }
+
+    /// Learns from a finished run.
+    pub fn learn_run(&mut self, run_s: f64) {
+        self.failures = 0;
+        let weight = if self.done_count <= 1 { 0.5 } else { 0.2 };
+        self.mean_run_s += (run_s - self.mean_run_s) * weight;
+    }
+}
+
--- /dev/null
+++ b/crates/core/src/lead.rs
@@ -0,0 +1,262 @@
+//! Leadership: one key on a short lease of the state service. Its version is the token
+//! (`baton`) under which the lead writes to the store and commands the workers.
+//!
+//! Guards against two leads acting at once: every write of a lead names the key's
+//! version, workers drop older tokens, and a lead that the store no longer confirms
+//! stops answering reports after a known time (`silence_allowance`).
+
+use std::time::{Duration, Instant};
+
+use rushyoke_wire::store::{Event, Item, Txn};
+use serde::{Deserialize, Serialize};
+
+use crate::facts::Facts;
+use crate::io::{Outcome, StoreAnswer, StoreOp, Urgency};
+use crate::node::{Node, Purpose};
+
+pub(crate) const LEAD_KEY: &str = "lead";
+
+const WATCH_MS: u64 = 20_000;
+const RETRY: Duration = Duration::from_millis(300);
+
+/// How long a lead goes on answering reports after the last confirmed renewal of its
+/// lease: a cancellation told elsewhere must still be over in time once it falls silent.
+pub(crate) fn silence_allowance(facts: &Facts) -> Duration {
+    let margin = Duration::from_secs(2) + facts.cancel / 100;
+    facts.cancel.saturating_sub(facts.lease).saturating_sub(margin)
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct HolderRecord {
+    label: String,
+    incarnation: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Holder {
+    record: HolderRecord,
+    version: u64,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) enum LeadCall {
+    Read,
+    Watch,
+    DropOwn,
+    Lease { sent: Instant },
+    Claim { lease: u64, sent: Instant },
+    Touch { sent: Instant },
+    End,
+}
+
+#[derive(Debug)]
+enum Phase {
+    /// The key must be read (again) from this time on.
+    Unread { from: Instant },
+    /// A call is under way.
+    Busy,
+    /// Another node holds the key; a watch is open.
+    Following,
+    Leading { lease: u64, confirmed: Instant, touching: bool, next_touch: Instant },
+}
+
+pub(crate) struct Election {
+    me: HolderRecord,
+    phase: Option<Phase>,
+    holder: Option<Holder>,
+    watching: bool,
+    /// The newest change that a watch has told: an answer to a read may be older.
+    seen: u64,
+}
+
+impl Election {
+    pub fn new(label: String, incarnation: u64) -> Election {
+        Election { me: HolderRecord { label, incarnation }, phase: None, holder: None, watching: false, seen: 0 }
+    }
+
+    /// Whether a lead may still answer reports.
+    pub fn entitled(&self, now: Instant, facts: &Facts) -> bool {
+        match &self.phase {
+            Some(Phase::Leading { confirmed, .. }) => now.duration_since(*confirmed) <= silence_allowance(facts),
+            _ => false,
+        }
+    }
+
+    /// The label of the node to which workers should go.
+    pub fn other_holder(&self) -> Option<String> {
+        let holder = self.holder.as_ref()?;
+        (holder.record.label != self.me.label).then(|| holder.record.label.clone())
+    }
+
+    fn read_at(&mut self, from: Instant) {
+        self.phase = Some(Phase::Unread { from });
+    }
+}
+
+impl Node {
+    pub(crate) fn election_lost(&mut self) {
+        let now = self.env.steady();
+        if let Some(Phase::Leading { lease, .. }) = self.election.phase {
+            self.env.store(Purpose::Lead(LeadCall::End), Urgency::Lead, StoreOp::EndLease(lease));
+        }
+        self.election.holder = None;
+        self.election.read_at(now + RETRY);
+    }
+
+    pub(crate) fn election_tick(&mut self) {
+        let now = self.env.steady();
+        match &mut self.election.phase {
+            None => self.read_holder(),
+            Some(Phase::Unread { from }) if *from <= now => self.read_holder(),
+            Some(Phase::Leading { lease, touching, next_touch, .. }) if !*touching && *next_touch <= now => {
+                *touching = true;
+                let lease = *lease;
+                self.env.store(Purpose::Lead(LeadCall::Touch { sent: now }), Urgency::Lead, StoreOp::Touch(lease));
+            }
+            _ => {}
+        }
+    }
+
+    fn read_holder(&mut self) {
+        self.election.phase = Some(Phase::Busy);
+        let op = StoreOp::List { prefix: LEAD_KEY.into(), after: String::new() };
+        self.env.store(Purpose::Lead(LeadCall::Read), Urgency::Lead, op);
+    }
+
+    fn watch_holder(&mut self, after: u64) {
+        if self.election.watching {
+            return;
+        }
+        self.election.watching = true;
+        let op = StoreOp::Watch { prefix: LEAD_KEY.into(), after, wait_ms: WATCH_MS };
+        self.env.store(Purpose::Lead(LeadCall::Watch), Urgency::Lead, op);
+    }
+
+    pub(crate) fn lead_outcome(&mut self, call: LeadCall, outcome: Outcome<StoreAnswer>) {
+        let now = self.env.steady();
+        match (call, outcome) {
+            (LeadCall::Read, Outcome::Answered(StoreAnswer::Page(page))) => {
+                self.watch_holder(page.revision);
+                if page.revision < self.election.seen {
+                    self.election.read_at(now);
+                } else if !matches!(self.election.phase, Some(Phase::Leading { .. })) {
+                    self.holder_found(page.rows.into_iter().find(|row| row.key == LEAD_KEY));
+                }
+            }
+            (LeadCall::Watch, Outcome::Answered(StoreAnswer::Changes(changes))) => {
+                self.election.watching = false;
+                self.watch_holder(changes.revision);
+                self.election.seen = self.election.seen.max(changes.revision);
+                for event in changes.events {
+                    self.holder_event(event);
+                }
+            }
+            (LeadCall::Watch, _) => {
+                self.election.watching = false;
+                if let Some(Phase::Leading { .. }) = self.election.phase {
+                    // Renewals and fenced writes tell a lead all it needs; the next
+                    // read after stepping down opens the watch again.
+                } else {
+                    self.election.read_at(now + RETRY);
+                }
+            }
+            (LeadCall::DropOwn, Outcome::Answered(StoreAnswer::Committed(_))) => self.compete(),
+            (LeadCall::Lease { sent }, Outcome::Answered(StoreAnswer::Lease(lease))) => {
+                let value = serde_json::to_value(&self.election.me).expect("holders always encode");
+                let txn = Txn::default().when(LEAD_KEY, 0).put_leased(LEAD_KEY, value, lease);
+                self.env.store(Purpose::Lead(LeadCall::Claim { lease, sent }), Urgency::Lead, StoreOp::Txn(txn));
+            }
+            (LeadCall::Claim { lease, sent }, Outcome::Answered(StoreAnswer::Committed(baton))) => {
+                self.election.holder = Some(Holder { record: self.election.me.clone(), version: baton });
+                let next_touch = now + self.env.policy.lead_ttl / 3;
+                self.election.phase = Some(Phase::Leading { lease, confirmed: sent, touching: false, next_touch });
+                self.begin_reign(baton);
+            }
+            (LeadCall::Claim { lease, .. }, Outcome::Answered(_)) => {
+                self.env.store(Purpose::Lead(LeadCall::End), Urgency::Low, StoreOp::EndLease(lease));
+                self.election.read_at(now);
+            }
+            (LeadCall::Touch { sent }, outcome) => self.touched(sent, outcome),
+            (LeadCall::End, _) => {}
+            // An unanswered claim may have been carried out, or may be yet: the key, once
+            // read, shows our label, and is dropped on its version like that of an
+            // earlier incarnation.
+            (LeadCall::Read | LeadCall::DropOwn | LeadCall::Lease { .. } | LeadCall::Claim { .. }, _) => {
+                if !matches!(self.election.phase, Some(Phase::Leading { .. })) {
+                    self.election.read_at(now + RETRY);
+                }
+            }
+        }
+    }
+
+    fn touched(&mut self, sent: Instant, outcome: Outcome<StoreAnswer>) {
+        let now = self.env.steady();
+        let ttl = self.env.policy.lead_ttl;
+        let Some(Phase::Leading { confirmed, touching, next_touch, .. }) = &mut self.election.phase else { return };
+        *touching = false;
+        match outcome {
+            Outcome::Answered(StoreAnswer::LeaseLives) => {
+                *confirmed = sent;
+                *next_touch = sent + ttl / 3;
+            }
+            Outcome::Answered(StoreAnswer::NoSuchLease) => self.step_down("the lease has ended"),
+            _ => *next_touch = now + RETRY,
+        }
+    }
+
+    fn holder_event(&mut self, event: Event) {
+        match event {
+            Event::Put { key, value, version } if key == LEAD_KEY => {
+                if self.token().is_some_and(|own| version > own) {
+                    self.step_down("the lead key has changed hands");
+                } else if self.token().is_some() {
+                    return;
+                }
+                if matches!(self.election.phase, Some(Phase::Following | Phase::Unread { .. })) {
+                    self.holder_found(Some(Item { key, value, version }));
+                }
+            }
+            Event::Delete { key, version } if key == LEAD_KEY => {
+                if self.token().is_some_and(|own| version > own) {
+                    self.step_down("the lead key is gone");
+                    return;
+                }
+                if self.token().is_none() {
+                    self.election.holder = None;
+                    if matches!(self.election.phase, Some(Phase::Following | Phase::Unread { .. })) {
+                        self.compete();
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn holder_found(&mut self, item: Option<Item>) {
+        let holder = item.and_then(|item| {
+            Some(Holder { record: serde_json::from_value(item.value).ok()?, version: item.version })
+        });
+        self.election.holder = holder;
+        match &self.election.holder {
+            None => self.compete(),
+            Some(holder) if holder.record.label == self.election.me.label => {
+                tracing::info!(version = holder.version, "dropping the lead key of an earlier incarnation");
+                let txn = Txn::default().when(LEAD_KEY, holder.version).delete(LEAD_KEY);
+                self.election.phase = Some(Phase::Busy);
+                self.env.store(Purpose::Lead(LeadCall::DropOwn), Urgency::Lead, StoreOp::Txn(txn));
+            }
+            Some(holder) => {
+                tracing::debug!(lead = holder.record.label, "following");
+                self.election.phase = Some(Phase::Following);
+            }
+        }
+    }
+
+    fn compete(&mut self) {
+        self.election.holder = None;
+        self.election.phase = Some(Phase::Busy);
+        let ttl_ms = self.env.policy.lead_ttl.as_millis() as u64;
+        let sent = self.env.steady();
+        self.env.store(Purpose::Lead(LeadCall::Lease { sent }), Urgency::Lead, StoreOp::NewLease { ttl_ms });
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,22 @@
+//! The scheduler of rushyoke as a state machine: inputs go in through [`Node::handle`],
+//! what to send, write and answer comes out. No I/O, no clock and no randomness of its
+//! own: the caller passes the steady clock's time, the time of day and a seed.
+
+mod facts;
+mod fleet;
+mod io;
+mod jobs;
+mod lead;
+mod node;
+mod place;
+mod preempt;
+mod quota;
+mod records;
+mod recover;
+mod rent;
+pub mod speculate;
+mod users;
+
+pub use facts::{Facts, Objective, Policy, Team};
+pub use io::{Answer, Call, CloudAnswer, CloudOp, Input, Outcome, Output, Req, StoreAnswer, StoreOp, Urgency};
+pub use node::{Node, Now};
--- /dev/null
+++ b/crates/core/src/node.rs
@@ -0,0 +1,431 @@
+//! A node: routes inputs to its concerns and owns what they share.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rushyoke_wire::cloud::MachineType;
+use rushyoke_wire::peer::{PeerAsk, PeerTell};
+use rushyoke_wire::worker::{Elsewhere, Report};
+
+use crate::facts::{Facts, Policy};
+use crate::io::*;
+use crate::jobs::Name;
+use crate::lead::{Election, LeadCall};
+use crate::records::RecordCall;
+use crate::recover::{LoadCall, Reign};
+use crate::rent::RentCall;
+use crate::users::{UserCall, Users};
+
+/// The caller's clocks.
+#[derive(Clone, Copy, Debug)]
+pub struct Now {
+    pub steady: Instant,
+    /// Time of day in milliseconds since 1970, for deadlines only.
+    pub wall_ms: u64,
+}
+
+/// Why a call was made, so that its outcome finds its way.
+#[derive(Clone, Debug)]
+pub(crate) enum Purpose {
+    Lead(LeadCall),
+    User(UserCall),
+    Load(LoadCall),
+    Record(RecordCall),
+    Rent(RentCall),
+    Order { machine: Name },
+    Types,
+    ReadTypes,
+    KeepTypes,
+}
+
+impl Purpose {
+    /// Whether the outcome concerns the present reign only.
+    fn of_reign(&self) -> bool {
+        matches!(self, Purpose::Load(_) | Purpose::Record(_) | Purpose::Rent(_) | Purpose::Order { .. })
+    }
+}
+
+/// What all concerns of a node use.
+pub(crate) struct Env {
+    pub now: Now,
+    pub facts: Arc<Facts>,
+    pub policy: Arc<Policy>,
+    pub rng: StdRng,
+    pub types: Arc<Vec<MachineType>>,
+    out: Vec<Output>,
+    calls: HashMap<Call, Purpose>,
+    next_call: u64,
+}
+
+impl Env {
+    pub fn steady(&self) -> Instant {
+        self.now.steady
+    }
+
+    fn call(&mut self, purpose: Purpose) -> Call {
+        self.next_call += 1;
+        let call = Call(self.next_call);
+        self.calls.insert(call, purpose);
+        call
+    }
+
+    pub fn store(&mut self, purpose: Purpose, urgency: Urgency, op: StoreOp) {
+        let call = self.call(purpose);
+        self.out.push(Output::Store { call, op, urgency });
+    }
+
+    pub fn cloud(&mut self, purpose: Purpose, op: CloudOp) {
+        let call = self.call(purpose);
+        self.out.push(Output::Cloud { call, op });
+    }
+
+    pub fn order(&mut self, machine: Name, addr: String, orders: rushyoke_wire::worker::Orders) {
+        let call = self.call(Purpose::Order { machine });
+        self.out.push(Output::Order { call, addr, orders });
+    }
+
+    pub fn answer(&mut self, req: Req, answer: Answer) {
+        self.out.push(Output::Answer { req, answer });
+    }
+
+    pub fn type_named(&self, name: &str) -> Option<&MachineType> {
+        self.types.iter().find(|t| t.name == name)
+    }
+}
+
+/// What is known of another controller.
+#[derive(Clone, Debug, Default)]
+struct Peer {
+    asked: Option<Instant>,
+    waiting: bool,
+    /// The last fresh answer: when its question was asked, and what it said.
+    told: Option<(Instant, PeerTell)>,
+}
+
+pub struct Node {
+    pub(crate) env: Env,
+    pub(crate) election: Election,
+    pub(crate) reign: Option<Reign>,
+    pub(crate) users: Users,
+    pub(crate) store: StoreHealth,
+    incarnation: u64,
+    peers: BTreeMap<String, Peer>,
+    types_asked: Option<Instant>,
+    types_wait: bool,
+    progress_sent: Option<Instant>,
+}
+
+/// How the state service has answered lately.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct StoreHealth {
+    pub last_ok: Option<Instant>,
+    pub failing_since: Option<Instant>,
+}
+
+impl StoreHealth {
+    fn note(&mut self, now: Instant, ok: bool) {
+        if ok {
+            self.last_ok = Some(now);
+            self.failing_since = None;
+        } else if self.failing_since.is_none() {
+            self.failing_since = Some(now);
+        }
+    }
+
+    /// Whether calls have failed for long enough to turn users away at once.
+    pub fn down(&self, now: Instant) -> bool {
+        self.failing_since.is_some_and(|t| now.duration_since(t) > Duration::from_millis(1500))
+    }
+}
+
+const PEER_PERIOD: Duration = Duration::from_millis(1000);
+const TYPES_PERIOD: Duration = Duration::from_secs(30);
+const TYPES_RETRY: Duration = Duration::from_secs(2);
+const TYPES_KEY: &str = "types";
+
+impl Node {
+    pub fn new(facts: Facts, policy: Policy, seed: u64, now: Now) -> Node {
+        let peers = facts.others.iter().map(|label| (label.clone(), Peer::default())).collect();
+        Node {
+            election: Election::new(facts.label.clone(), seed),
+            env: Env {
+                now,
+                facts: Arc::new(facts),
+                policy: Arc::new(policy),
+                rng: StdRng::seed_from_u64(seed),
+                types: Arc::new(Vec::new()),
+                out: Vec::new(),
+                calls: HashMap::new(),
+                next_call: 0,
+            },
+            reign: None,
+            users: Users::default(),
+            store: StoreHealth::default(),
+            incarnation: seed,
+            peers,
+            types_asked: None,
+            types_wait: false,
+            progress_sent: None,
+        }
+    }
+
+    /// The token with which this node acts, if it leads.
+    pub fn token(&self) -> Option<u64> {
+        self.reign.as_ref().map(|r| r.baton)
+    }
+
+    /// Takes one input; returns what is to be sent and answered.
+    pub fn handle(&mut self, now: Now, input: Input) -> Vec<Output> {
+        self.env.now = now;
+        match input {
+            Input::Submit { req, spec } => self.submit(req, *spec),
+            Input::Status { req, id } => self.status(req, id),
+            Input::Cancel { req, id } => self.cancel(req, id),
+            Input::Ready { req } => self.ready(req),
+            Input::Report { req, report } => self.report(req, &report),
+            Input::Peer { req, ask } => self.peer_asked(req, ask),
+            Input::Store { call, outcome } => self.store_outcome(call, outcome),
+            Input::Cloud { call, outcome } => self.cloud_outcome(call, outcome),
+            Input::Ordered { call, outcome } => self.ordered(call, outcome),
+            Input::PeerTold { label, outcome } => self.peer_told(&label, outcome),
+            Input::Tick => self.tick(),
+        }
+        if let Some(reign) = &mut self.reign {
+            reign.settle(&mut self.env);
+        }
+        std::mem::take(&mut self.env.out)
+    }
+
+    fn tick(&mut self) {
+        self.election_tick();
+        self.users_tick();
+        self.types_tick();
+        self.peers_tick();
+        if let Some(reign) = &mut self.reign {
+            reign.tick(&mut self.env);
+        }
+    }
+
+    fn store_outcome(&mut self, call: Call, outcome: Outcome<StoreAnswer>) {
+        let ok = !matches!(outcome, Outcome::NotDone | Outcome::Unknown | Outcome::Answered(StoreAnswer::Unavailable));
+        let Some(purpose) = self.env.calls.remove(&call) else { return };
+        if !matches!(purpose, Purpose::Lead(LeadCall::Watch) | Purpose::Load(LoadCall::Watch)) || ok {
+            self.store.note(self.env.steady(), ok);
+        }
+        match purpose {
+            Purpose::Lead(lead) => self.lead_outcome(lead, outcome),
+            Purpose::User(user) => self.user_outcome(user, outcome),
+            Purpose::Load(load) => {
+                if let Some(reign) = &mut self.reign {
+                    reign.loaded(&mut self.env, load, outcome);
+                }
+            }
+            Purpose::Record(record) => {
+                if let Some(reign) = &mut self.reign
+                    && reign.recorded(&mut self.env, record, outcome)
+                {
+                    self.step_down("a write was refused: another node leads");
+                }
+            }
+            Purpose::ReadTypes => {
+                if let Outcome::Answered(StoreAnswer::Item(Some(item))) = outcome
+                    && self.env.types.is_empty()
+                    && let Ok(types) = serde_json::from_value::<Vec<MachineType>>(item.value)
+                {
+                    self.env.types = Arc::new(types);
+                }
+            }
+            Purpose::KeepTypes | Purpose::Types | Purpose::Rent(_) | Purpose::Order { .. } => {}
+        }
+    }
+
+    fn cloud_outcome(&mut self, call: Call, outcome: Outcome<CloudAnswer>) {
+        match self.env.calls.remove(&call) {
+            Some(Purpose::Types) => {
+                self.types_wait = false;
+                if let Outcome::Answered(CloudAnswer::Types(types)) = outcome
+                    && !types.is_empty()
+                {
+                    self.keep_types(types);
+                }
+            }
+            Some(Purpose::Rent(rent)) => {
+                if let Some(reign) = &mut self.reign {
+                    reign.rented(&mut self.env, rent, outcome);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// A new set of machine types: the lead leaves it in the state service, so that a
+    /// node that starts while the cloud is down can still judge submissions.
+    fn keep_types(&mut self, types: Vec<MachineType>) {
+        let first = self.env.types.is_empty();
+        self.env.types = Arc::new(types);
+        if let Some(reign) = &mut self.reign {
+            reign.types_changed(&self.env);
+        }
+        if first || self.reign.is_some() {
+            let value = serde_json::to_value(&*self.env.types).expect("types always encode");
+            let txn = rushyoke_wire::store::Txn::default().put(TYPES_KEY, value);
+            self.env.store(Purpose::KeepTypes, Urgency::Low, StoreOp::Txn(txn));
+        }
+    }
+
+    fn types_tick(&mut self) {
+        let now = self.env.steady();
+        let period = match (self.env.types.is_empty(), self.reign.is_some()) {
+            (true, _) => TYPES_RETRY,
+            (false, true) => TYPES_PERIOD,
+            (false, false) => return,
+        };
+        if self.types_wait || self.types_asked.is_some_and(|t| now.duration_since(t) < period) {
+            return;
+        }
+        self.types_asked = Some(now);
+        self.types_wait = true;
+        self.env.cloud(Purpose::Types, CloudOp::Types);
+        if self.env.types.is_empty() {
+            self.env.store(Purpose::ReadTypes, Urgency::High, StoreOp::Get(TYPES_KEY.into()));
+        }
+    }
+
+    // Peers.
+
+    fn peers_tick(&mut self) {
+        let now = self.env.steady();
+        if self.progress_sent.is_some_and(|t| now.duration_since(t) < PEER_PERIOD) {
+            return;
+        }
+        self.progress_sent = Some(now);
+        let progress = self.reign.as_mut().map(Reign::take_progress).unwrap_or_default();
+        let token = self.token();
+        for (label, peer) in &mut self.peers {
+            if peer.waiting {
+                continue;
+            }
+            peer.asked = Some(now);
+            peer.waiting = true;
+            let ask = PeerAsk { label: self.env.facts.label.clone(), token, progress: progress.clone() };
+            self.env.out.push(Output::Peer { label: label.clone(), ask });
+        }
+    }
+
+    fn peer_asked(&mut self, req: Req, ask: PeerAsk) {
+        if ask.token.is_some() {
+            self.users.take_progress(ask.progress);
+        }
+        let tell = PeerTell {
+            label: self.env.facts.label.clone(),
+            incarnation: self.incarnation,
+            store_ok: self.store.last_ok.is_some() && !self.store.down(self.env.steady()),
+            token: self.token(),
+        };
+        let body = rushyoke_wire::peer::encode(&tell);
+        self.env.answer(req, Answer { status: 200, body, retry_after_s: None });
+        if let (Some(own), Some(theirs)) = (self.token(), ask.token)
+            && theirs > own
+        {
+            self.step_down("a peer leads with a higher token");
+        }
+    }
+
+    fn peer_told(&mut self, label: &str, outcome: Outcome<PeerTell>) {
+        let Some(peer) = self.peers.get_mut(label) else { return };
+        peer.waiting = false;
+        let (Outcome::Answered(tell), Some(asked)) = (outcome, peer.asked) else { return };
+        if tell.label != label {
+            return;
+        }
+        peer.told = Some((asked, tell));
+        self.judge_old_lead();
+    }
+
+    /// Once every other node has answered a question asked in this reign and none acts
+    /// with an older token, no earlier lead can renew any worker's lease again.
+    fn judge_old_lead(&mut self) {
+        let Some(reign) = &mut self.reign else { return };
+        let mut latest = reign.since;
+        for peer in self.peers.values() {
+            match &peer.told {
+                Some((asked, tell)) if *asked >= reign.since && tell.token.is_none_or(|t| t >= reign.baton) => {
+                    latest = latest.max(*asked);
+                }
+                _ => return,
+            }
+        }
+        reign.old_lead_silent(self.env.now.steady.max(latest));
+    }
+
+    fn ready(&mut self, req: Req) {
+        let now = self.env.steady();
+        // A node that alone has lost the state service sends its users elsewhere. While
+        // all have lost it, staying in the load balancer saves the time to get back in.
+        let peer_has_store = self.peers.values().any(|p| {
+            p.told.as_ref().is_some_and(|(asked, tell)| tell.store_ok && now.duration_since(*asked) < Duration::from_secs(4))
+        });
+        let answer = if self.env.types.is_empty() {
+            Answer::later(503, "machine types are not known yet")
+        } else if self.store.last_ok.is_none() || (self.store.down(now) && peer_has_store) {
+            Answer::later(503, "the state service does not answer this node")
+        } else {
+            Answer::json(200, &serde_json::json!({ "ready": true }))
+        };
+        self.env.answer(req, answer);
+    }
+
+    // Workers.
+
+    fn report(&mut self, req: Req, report: &Report) {
+        let now = self.env.steady();
+        if let Some(reign) = &mut self.reign {
+            if report.token > reign.baton {
+                self.step_down("a worker has seen a higher token");
+            } else if self.election.entitled(now, &self.env.facts) {
+                reign.report(&mut self.env, req, report);
+                return;
+            } else {
+                // Silent for too long: a new lead counts on our saying nothing more.
+                self.env.answer(req, Answer::later(503, "the state service does not answer"));
+                return;
+            }
+        }
+        let report_to = self.election.other_holder();
+        self.env.answer(req, Answer::json(421, &Elsewhere { report_to }));
+    }
+
+    fn ordered(&mut self, call: Call, outcome: Outcome<(u16, Report)>) {
+        let Some(Purpose::Order { machine }) = self.env.calls.remove(&call) else { return };
+        let Some(reign) = &mut self.reign else { return };
+        if let Outcome::Answered((_, report)) = &outcome
+            && report.token > reign.baton
+        {
+            self.step_down("a worker has seen a higher token");
+            return;
+        }
+        reign.ordered(&mut self.env, &machine, outcome);
+    }
+
+    // Reigns.
+
+    pub(crate) fn begin_reign(&mut self, baton: u64) {
+        let facts = &self.env.facts;
+        tracing::info!(baton, "leading from now on");
+        let silent = self.env.steady() + crate::lead::silence_allowance(facts);
+        let mut reign = Reign::new(baton, self.env.steady(), silent, &facts.teams);
+        reign.begin(&mut self.env);
+        self.reign = Some(reign);
+    }
+
+    pub(crate) fn step_down(&mut self, why: &str) {
+        if let Some(reign) = self.reign.take() {
+            tracing::info!(baton = reign.baton, why, "stepping down");
+        }
+        self.env.calls.retain(|_, purpose| !purpose.of_reign());
+        self.election_lost();
+    }
+}
--- /dev/null
+++ b/crates/core/src/place.rs
@@ -0,0 +1,256 @@
+//! Where waiting tasks go: the order of jobs and the choice of a machine.
+
+use std::cmp::Ordering;
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use rand::seq::IteratorRandom;
+use rushyoke_wire::job::{JobSpec, Kind, Priority};
+
+use crate::fleet::Machine;
+use crate::jobs::*;
+use crate::node::Env;
+use crate::quota::Room;
+use crate::recover::Reign;
+
+/// Tasks placed in one pass; the rest comes with the next.
+const PASS_TASKS: u32 = 256;
+/// Jobs looked at in one pass that find no machine.
+const PASS_MISSES: u32 = 64;
+
+/// A job's place in the queue; the smaller goes first.
+struct Turn {
+    job: Name,
+    /// Services of the highest priority never wait behind others.
+    class: u8,
+    priority: Priority,
+    /// What its team uses, as a share of its guarantee.
+    share: f64,
+    urgency: f64,
+}
+
+impl Turn {
+    fn order(&self, other: &Turn) -> Ordering {
+        self.class
+            .cmp(&other.class)
+            .then(other.priority.cmp(&self.priority))
+            .then(self.urgency.total_cmp(&other.urgency))
+            .then(self.share.total_cmp(&other.share))
+            .then_with(|| self.job.cmp(&other.job))
+    }
+}
+
+/// Whether a job's tasks may run on a machine like this.
+pub(crate) fn allowed(spec: &JobSpec, machine: &Machine) -> bool {
+    (!machine.spot || spec.spot)
+        && spec.types.as_ref().is_none_or(|types| types.contains(&machine.kind))
+        && spec.zone.as_ref().is_none_or(|zone| *zone == machine.zone)
+}
+
+impl Reign {
+    /// The jobs within their team's guarantee.
+    pub fn within_guarantee(&self) -> BTreeSet<Name> {
+        let mut jobs: Vec<&Job> = self.jobs.values().filter(|job| !job.cancelled).collect();
+        jobs.sort_by(|a, b| a.at_ms.cmp(&b.at_ms).then_with(|| a.id.cmp(&b.id)));
+        self.quotas.within(jobs.into_iter()).into_iter().collect()
+    }
+
+    /// Starts what can start. Places are planned here and ordered once they are durable.
+    pub fn place_pass(&mut self, env: &mut Env) {
+        let now = env.steady();
+        if self.jobs.values().all(|job| job.peek(now).is_none()) {
+            return;
+        }
+        let within = self.within_guarantee();
+        let mut turns: Vec<Turn> = Vec::new();
+        for job in self.jobs.values().filter(|job| job.peek(now).is_some()) {
+            let usage = self.quotas.usage(&job.spec.team);
+            let share = usage.map_or(0.0, |u| u.cpus / u.team.cpus.max(1.0));
+            let inside = within.contains(&job.id);
+            let class = match (job.spec.kind, job.spec.priority) {
+                (Kind::Service, Priority::Production) => 0,
+                _ if inside => 1,
+                _ => 2,
+            };
+            let urgency = self.urgency(env, job);
+            turns.push(Turn { job: job.id.clone(), class, priority: job.spec.priority, share, urgency });
+        }
+        turns.sort_by(Turn::order);
+        let mut left = PASS_TASKS;
+        let mut misses = 0;
+        for turn in turns {
+            if left == 0 || misses > PASS_MISSES {
+                self.place_due = true;
+                break;
+            }
+            let placed = self.place_job(env, &turn.job, left);
+            left -= placed;
+            let job = &self.jobs[&turn.job];
+            if job.peek(now).is_some() {
+                misses += 1;
+                if turn.class < 2 || job.spec.priority > Priority::BestEffort {
+                    self.make_room(env, &turn.job, &within);
+                }
+            }
+        }
+    }
+
+    /// When the job should be complete, in seconds from now, less what it still needs.
+    fn urgency(&self, env: &Env, job: &Job) -> f64 {
+        let age = (env.now.wall_ms.saturating_sub(job.at_ms)) as f64 / 1000.0;
+        match job.spec.deadline_s {
+            Some(deadline) => deadline - age - job.mean_run_s,
+            None => -age,
+        }
+    }
+
+    /// Places up to `most` tasks of a job; returns how many.
+    fn place_job(&mut self, env: &mut Env, name: &Name, most: u32) -> u32 {
+        let now = env.steady();
+        let mut placed = 0;
+        while placed < most {
+            let job = &self.jobs[name];
+            let Some(task) = job.peek(now) else { break };
+            let need = Room::of(&job.spec);
+            if self.quotas.usage(&job.spec.team).is_none_or(|usage| usage.headroom(need) == 0) {
+                break;
+            }
+            let Some(machine) = self.choose(env, job, need) else { break };
+            self.plan(name, task, &machine, now);
+            placed += 1;
+        }
+        placed
+    }
+
+    fn plan(&mut self, name: &Name, task: u32, machine: &Name, now: Instant) {
+        let attempt = self.attempt();
+        let job = self.jobs.get_mut(name).expect("chosen");
+        job.take(task);
+        let page = job.touch_page(task);
+        let planned_change = job.pages[&page].change;
+        let place = Place {
+            machine: machine.clone(),
+            attempt,
+            stage: Stage::Planned,
+            placed: now,
+            running: None,
+            stop: None,
+            stop_sent: None,
+            sent: false,
+            planned_change,
+        };
+        job.places.insert(task, place);
+        self.quotas.add(&job.spec);
+        let target = self.machines.get_mut(machine).expect("chosen");
+        target.hold((name.clone(), task), &job.spec);
+        if let Some((claimant, room, _)) = &mut target.claim
+            && claimant == name
+        {
+            room.sub(Room::of(&job.spec));
+            if room.cpus <= 1e-6 {
+                target.claim = None;
+            }
+        }
+        tracing::debug!(job = &**name, task, machine = &**machine, attempt, "placed");
+        self.records.page_changed(name, page, true);
+    }
+
+    /// Zones where one more task of the job may go; `None` for all.
+    pub fn zones_for(&self, job: &Job) -> Option<BTreeSet<String>> {
+        if !job.spec.one_zone && !job.spec.spread {
+            return None;
+        }
+        let zone_of = |place: &Place| self.machines.get(&place.machine).map(|m| m.zone.clone());
+        let mut counts: std::collections::BTreeMap<String, u32> = std::collections::BTreeMap::new();
+        for machine in self.machines.values() {
+            counts.entry(machine.zone.clone()).or_default();
+        }
+        let mut unknown = 0;
+        for place in job.places.values() {
+            match zone_of(place) {
+                Some(zone) if !zone.is_empty() => *counts.entry(zone).or_default() += 1,
+                // A machine known from a record only may be in any zone.
+                _ => unknown += 1,
+            }
+        }
+        if job.spec.one_zone {
+            if unknown > 0 {
+                return Some(BTreeSet::new());
+            }
+            let used: BTreeSet<String> = counts.iter().filter(|(_, n)| **n > 0).map(|(z, _)| z.clone()).collect();
+            if !used.is_empty() {
+                return Some(used);
+            }
+            let need = Room::of(&job.spec);
+            let room = |zone: &String| -> u32 {
+                let there = self.machines.values().filter(|m| m.zone == *zone && allowed(&job.spec, m));
+                there.map(|m| m.total.minus(m.used).times(need)).sum()
+            };
+            return counts.into_keys().max_by_key(|zone| room(zone)).map(|zone| BTreeSet::from([zone]));
+        }
+        let most = job.spec.tasks.div_ceil(2);
+        Some(counts.into_iter().filter(|(_, n)| n + unknown < most).map(|(zone, _)| zone).collect())
+    }
+
+    /// The best machine for one more task of a job.
+    fn choose(&self, env: &mut Env, job: &Job, need: Room) -> Option<Name> {
+        let now = env.steady();
+        let zones = self.zones_for(job);
+        let mut fitting: Vec<&Machine> = self
+            .machines
+            .values()
+            .filter(|m| m.usable(now) && allowed(&job.spec, m))
+            .filter(|m| zones.as_ref().is_none_or(|zones| zones.contains(&m.zone)))
+            .filter(|m| self.room_for(m, &job.id).holds(need))
+            .collect();
+        // With more machines than can be weighed for every task, a sample does.
+        let sample = env.policy.sample;
+        if fitting.len() > sample {
+            fitting = fitting.into_iter().sample(&mut env.rng, sample);
+        }
+        let service = job.spec.kind == Kind::Service;
+        if job.spec.priority < Priority::Production {
+            let reserve = self.renting.service_reserve(env);
+            let free: f64 = self.machines.values().filter(|m| !m.spot && m.usable(now)).map(|m| m.total.cpus - m.used.cpus).sum();
+            if free - need.cpus < reserve {
+                fitting.retain(|m| m.spot);
+            }
+        }
+        let cost = |machine: &Machine| -> f64 {
+            let kind = env.type_named(&machine.kind);
+            let rate = kind.map_or(1.0, |k| k.fetch_gb_per_s.max(0.01));
+            let fetch = if machine.has_image(&job.spec.image) { 0.0 } else { job.spec.image_gb / rate };
+            let free = machine.total.cpus - machine.used.cpus;
+            // The fuller machine first, so that others can be returned.
+            let packing = 2.0 * free / machine.total.cpus.max(1.0);
+            let mates = if service {
+                machine.places.range((job.id.clone(), 0)..=(job.id.clone(), u32::MAX)).count() as f64 * 5.0
+            } else {
+                0.0
+            };
+            let kind_cost = if job.spec.spot && !machine.spot { 3.0 } else { 0.0 };
+            let doubt = if job.failed_on.contains(&machine.name) { 60.0 } else { 0.0 };
+            let slow = if machine.straggler { 30.0 } else { 0.0 };
+            fetch + packing + mates + kind_cost + doubt + slow
+        };
+        fitting
+            .into_iter()
+            .map(|m| (cost(m), m))
+            .min_by(|(a, m), (b, n)| a.total_cmp(b).then_with(|| m.name.cmp(&n.name)))
+            .map(|(_, m)| m.name.clone())
+    }
+
+    /// Free room on a machine for this job: room made for another is left alone.
+    pub fn room_for(&self, machine: &Machine, job: &Name) -> Room {
+        let mut room = machine.total.minus(machine.used);
+        if let Some((claimant, claimed, _)) = &machine.claim
+            && claimant != job
+        {
+            room.sub(*claimed);
+        }
+        room
+    }
+}
+
+/// How long room that was made by stopping others is kept for the job.
+pub(crate) const CLAIM_FOR: Duration = Duration::from_secs(12);
--- /dev/null
+++ b/crates/core/src/preempt.rs
@@ -0,0 +1,126 @@
+//! Room for work that must not wait: stops tasks of lower priority, or work that other
+//! teams run beyond their guarantee when a team wants its own.
+
+use std::collections::BTreeSet;
+
+use rushyoke_wire::job::{Kind, Priority};
+
+use crate::fleet::TaskKey;
+use crate::jobs::*;
+use crate::node::Env;
+use crate::place::{CLAIM_FOR, allowed};
+use crate::quota::Room;
+use crate::recover::Reign;
+
+/// Machines on which one pass makes room for a job.
+const PER_PASS: usize = 4;
+
+struct Plan {
+    machine: Name,
+    victims: Vec<TaskKey>,
+    freed: Room,
+    tasks: u32,
+    lost_s: f64,
+}
+
+impl Reign {
+    pub fn make_room(&mut self, env: &mut Env, name: &Name, within: &BTreeSet<Name>) {
+        let job = &self.jobs[name];
+        let need = Room::of(&job.spec);
+        let quota = self.quotas.usage(&job.spec.team).map_or(0, |u| u.headroom(need));
+        let claimed: u32 = self
+            .machines
+            .values()
+            .filter_map(|m| m.claim.as_ref().filter(|(claimant, ..)| claimant == name))
+            .map(|(_, room, _)| room.times(need))
+            .sum();
+        let mut wanted = job.waiting().min(quota).saturating_sub(claimed);
+        for _ in 0..PER_PASS {
+            if wanted == 0 {
+                return;
+            }
+            let Some(plan) = self.best_plan(env, name, within, wanted) else { return };
+            tracing::debug!(job = &**name, machine = &*plan.machine, victims = plan.victims.len(), lost_s = plan.lost_s, "making room");
+            wanted = wanted.saturating_sub(plan.tasks);
+            let urgent = self.jobs[name].spec.priority == Priority::Production;
+            for (victim, task) in plan.victims {
+                let spec = &self.jobs[&victim].spec;
+                let grace = if urgent || spec.checkpoint_s == 0.0 { 0.0 } else { spec.save_s };
+                self.stop_task(env, &victim, task, grace);
+            }
+            let until = env.steady() + CLAIM_FOR;
+            let machine = self.machines.get_mut(&plan.machine).expect("planned");
+            machine.claim = Some((name.clone(), plan.freed, until));
+        }
+    }
+
+    fn may_stop(&self, victim: &Job, job: &Job, within: &BTreeSet<Name>) -> bool {
+        let inside = within.contains(&job.id);
+        let victim_inside = within.contains(&victim.id);
+        if victim.spec.kind == Kind::Service && victim.spec.priority == Priority::Production {
+            return false;
+        }
+        let lower = victim.spec.priority < job.spec.priority
+            && (job.spec.priority == Priority::Production || inside || !victim_inside);
+        let borrowed = inside
+            && !victim_inside
+            && victim.spec.team != job.spec.team
+            && self.quotas.usage(&victim.spec.team).is_some_and(|u| u.borrows());
+        lower || borrowed
+    }
+
+    /// The machine where the least work is lost for the room gained.
+    fn best_plan(&self, env: &Env, name: &Name, within: &BTreeSet<Name>, wanted: u32) -> Option<Plan> {
+        let now = env.steady();
+        let job = &self.jobs[name];
+        let need = Room::of(&job.spec);
+        let zones = self.zones_for(job);
+        let mut best: Option<Plan> = None;
+        for machine in self.machines.values() {
+            if !machine.usable(now) || machine.claim.is_some() || !allowed(&job.spec, machine) {
+                continue;
+            }
+            if zones.as_ref().is_some_and(|zones| !zones.contains(&machine.zone)) || !machine.total.holds(need) {
+                continue;
+            }
+            let mut victims: Vec<(f64, TaskKey, Room)> = Vec::new();
+            let mut freed = machine.total.minus(machine.used);
+            for key in &machine.places {
+                let owner = &self.jobs[&key.0];
+                let place = &owner.places[&key.1];
+                if place.stop.is_some() {
+                    // Its room comes free by itself.
+                    freed.add(Room::of(&owner.spec));
+                } else if self.may_stop(owner, job, within) {
+                    let ran = place.running.map_or(0.0, |t| now.duration_since(t).as_secs_f64());
+                    let lost = if owner.spec.checkpoint_s > 0.0 { ran % owner.spec.checkpoint_s } else { ran };
+                    victims.push(((lost + 1.0) * owner.spec.cpus, key.clone(), Room::of(&owner.spec)));
+                }
+            }
+            if freed.holds(need) {
+                continue;
+            }
+            victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let mut plan = Plan { machine: machine.name.clone(), victims: Vec::new(), freed, tasks: 0, lost_s: 0.0 };
+            for (lost, key, room) in victims {
+                if plan.freed.times(need) >= wanted {
+                    break;
+                }
+                plan.freed.add(room);
+                plan.lost_s += lost;
+                plan.victims.push(key);
+            }
+            plan.tasks = plan.freed.times(need).min(wanted);
+            let per_task = |plan: &Plan| plan.lost_s / f64::from(plan.tasks);
+            if plan.tasks > 0 && best.as_ref().is_none_or(|b| per_task(&plan) < per_task(b)) {
+                best = Some(plan);
+            }
+        }
+        // Only what the job will use is kept for it.
+        best.map(|mut plan| {
+            let tasks = f64::from(plan.tasks);
+            plan.freed = Room { cpus: need.cpus * tasks, gpus: need.gpus * tasks, memory_gb: need.memory_gb * tasks };
+            plan
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/quota.rs
@@ -0,0 +1,123 @@
+//! Team limits and guarantees. Whatever may be present on a machine counts, from the
+//! moment a place is planned until it is proven empty.
+
+use std::collections::BTreeMap;
+
+use rushyoke_wire::job::JobSpec;
+
+use crate::facts::Team;
+use crate::jobs::{Job, Name};
+
+/// Amounts compare with this slack, since sums of decimals are not exact.
+pub(crate) const SLACK: f64 = 1e-6;
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Room {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+}
+
+impl Room {
+    pub fn of(spec: &JobSpec) -> Room {
+        Room { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb }
+    }
+
+    pub fn add(&mut self, other: Room) {
+        self.cpus += other.cpus;
+        self.gpus += other.gpus;
+        self.memory_gb += other.memory_gb;
+    }
+
+    pub fn sub(&mut self, other: Room) {
+        self.cpus -= other.cpus;
+        self.gpus -= other.gpus;
+        self.memory_gb -= other.memory_gb;
+    }
+
+    pub fn minus(mut self, other: Room) -> Room {
+        self.sub(other);
+        self
+    }
+
+    pub fn holds(&self, need: Room) -> bool {
+        need.cpus <= self.cpus + SLACK && need.gpus <= self.gpus + SLACK && need.memory_gb <= self.memory_gb + SLACK
+    }
+
+    /// How many times `need` fits.
+    pub fn times(&self, need: Room) -> u32 {
+        let part = |have: f64, want: f64| if want > 0.0 { (have + SLACK) / want } else { f64::INFINITY };
+        let times = part(self.cpus, need.cpus).min(part(self.gpus, need.gpus)).min(part(self.memory_gb, need.memory_gb));
+        times.clamp(0.0, 1e6) as u32
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Usage {
+    pub team: Team,
+    pub cpus: f64,
+    pub gpus: f64,
+}
+
+impl Usage {
+    /// How many more tasks of this size the limit allows.
+    pub fn headroom(&self, need: Room) -> u32 {
+        let free = Room { cpus: self.team.cpus_max - self.cpus, gpus: self.team.gpus_max - self.gpus, memory_gb: 0.0 };
+        free.times(Room { memory_gb: 0.0, ..need })
+    }
+
+    /// Whether the team uses more than it is guaranteed.
+    pub fn borrows(&self) -> bool {
+        self.cpus > self.team.cpus + SLACK || self.gpus > self.team.gpus + SLACK
+    }
+}
+
+#[derive(Default)]
+pub(crate) struct Quotas {
+    teams: BTreeMap<String, Usage>,
+}
+
+impl Quotas {
+    pub fn new(teams: &BTreeMap<String, Team>) -> Quotas {
+        let teams = teams.iter().map(|(name, team)| {
+            (name.clone(), Usage { team: team.clone(), cpus: 0.0, gpus: 0.0 })
+        });
+        Quotas { teams: teams.collect() }
+    }
+
+    pub fn usage(&self, team: &str) -> Option<&Usage> {
+        self.teams.get(team)
+    }
+
+    pub fn add(&mut self, spec: &JobSpec) {
+        // A team that left the settings still counts what it has.
+        let usage = self.teams.entry(spec.team.clone()).or_default();
+        usage.cpus += spec.cpus;
+        usage.gpus += spec.gpus;
+    }
+
+    pub fn sub(&mut self, spec: &JobSpec) {
+        if let Some(usage) = self.teams.get_mut(&spec.team) {
+            usage.cpus -= spec.cpus;
+            usage.gpus -= spec.gpus;
+        }
+    }
+
+    /// The jobs that fit into their team's guarantee together with the team's earlier
+    /// unfinished jobs. `jobs` come in the order of submission.
+    pub fn within<'a>(&self, jobs: impl Iterator<Item = &'a Job>) -> Vec<Name> {
+        let mut sums: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
+        let mut within = Vec::new();
+        for job in jobs {
+            let Some(usage) = self.teams.get(&job.spec.team) else { continue };
+            let sum = sums.entry(&job.spec.team).or_default();
+            let tasks = f64::from(job.open());
+            sum.0 += tasks * job.spec.cpus;
+            sum.1 += tasks * job.spec.gpus;
+            if sum.0 <= usage.team.cpus + SLACK && sum.1 <= usage.team.gpus + SLACK {
+                within.push(job.id.clone());
+            }
+        }
+        within
+    }
+}
--- /dev/null
+++ b/crates/core/src/recover.rs
@@ -0,0 +1,366 @@
+//! A reign: the tables of a lead, empty at its start, and how they are filled from the
+//! state service. Guards a takeover: until the records are read no order is given, and
+//! until a machine has seen our token nothing it says proves a task absent.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use rushyoke_wire::peer::Progress;
+use rushyoke_wire::store::{Event, Item};
+
+use crate::facts::Team;
+use crate::fleet::Machine;
+use crate::io::*;
+use crate::jobs::*;
+use crate::node::{Env, Purpose};
+use crate::quota::Quotas;
+use crate::records::Records;
+use crate::rent::Renting;
+use crate::speculate::Speculation;
+
+const WATCH_MS: u64 = 20_000;
+const RETRY: Duration = Duration::from_millis(250);
+const LIVE: &str = "live/";
+const TASK: &str = "task/";
+
+#[derive(Clone, Debug)]
+pub(crate) enum LoadCall {
+    Jobs,
+    Pages,
+    Watch,
+}
+
+#[derive(Debug)]
+enum Load {
+    Jobs { after: String },
+    Pages { after: String },
+    Ready,
+}
+
+pub(crate) struct Reign {
+    pub baton: u64,
+    pub since: Instant,
+    /// From then on no earlier lead answers any worker.
+    pub old_silent: Instant,
+    load: Load,
+    waiting: bool,
+    retry: Option<Instant>,
+    watch_from: u64,
+    watching: bool,
+    /// Pages of jobs not (yet) known, kept until the load is complete.
+    loaded_pages: Vec<(Name, u32, u64, PageRecord)>,
+    pub jobs: BTreeMap<Name, Job>,
+    pub machines: BTreeMap<Name, Machine>,
+    pub quotas: Quotas,
+    pub records: Records,
+    pub renting: Renting,
+    pub speculation: Speculation,
+    /// Machines that have orders which should not wait for the next report.
+    pub urgent: BTreeSet<Name>,
+    /// Something changed that may let a task start.
+    pub place_due: bool,
+    pub placed_at: Option<Instant>,
+    next_attempt: u64,
+    last_second: Option<Instant>,
+    progress: BTreeSet<Name>,
+}
+
+impl Reign {
+    pub fn new(baton: u64, now: Instant, old_silent: Instant, teams: &BTreeMap<String, Team>) -> Reign {
+        Reign {
+            baton,
+            since: now,
+            old_silent,
+            load: Load::Jobs { after: String::new() },
+            waiting: false,
+            retry: None,
+            watch_from: 0,
+            watching: false,
+            loaded_pages: Vec::new(),
+            jobs: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            quotas: Quotas::new(teams),
+            records: Records::default(),
+            renting: Renting::default(),
+            speculation: Speculation::default(),
+            urgent: BTreeSet::new(),
+            place_due: false,
+            placed_at: None,
+            next_attempt: 0,
+            last_second: None,
+            progress: BTreeSet::new(),
+        }
+    }
+
+    pub fn ready(&self) -> bool {
+        matches!(self.load, Load::Ready)
+    }
+
+    pub fn begin(&mut self, env: &mut Env) {
+        self.read_on(env);
+    }
+
+    /// An attempt number that no other lead and no other start has.
+    pub fn attempt(&mut self) -> u64 {
+        self.next_attempt += 1;
+        (self.baton << 24) | self.next_attempt
+    }
+
+    /// Whether an attempt was started by this lead.
+    pub fn own_attempt(&self, attempt: u64) -> bool {
+        attempt >> 24 == self.baton
+    }
+
+    pub fn old_lead_silent(&mut self, from: Instant) {
+        if from < self.old_silent {
+            tracing::debug!("no earlier lead acts any more");
+            self.old_silent = from;
+        }
+    }
+
+    pub fn note_progress(&mut self, job: &Name) {
+        self.progress.insert(job.clone());
+    }
+
+    /// What changed since the last call, for the other nodes' displays.
+    pub fn take_progress(&mut self) -> Vec<Progress> {
+        let names: Vec<Name> = self.progress.iter().take(500).cloned().collect();
+        names
+            .into_iter()
+            .filter_map(|name| {
+                self.progress.remove(&name);
+                let job = self.jobs.get(&name)?;
+                Some(Progress { job: name.to_string(), done: job.done_count, running: job.running })
+            })
+            .collect()
+    }
+
+    fn read_on(&mut self, env: &mut Env) {
+        self.waiting = true;
+        let (call, op) = match &self.load {
+            Load::Jobs { after } => (LoadCall::Jobs, StoreOp::List { prefix: LIVE.into(), after: after.clone() }),
+            Load::Pages { after } => (LoadCall::Pages, StoreOp::List { prefix: TASK.into(), after: after.clone() }),
+            Load::Ready => {
+                self.waiting = false;
+                return;
+            }
+        };
+        env.store(Purpose::Load(call), Urgency::High, op);
+    }
+
+    fn watch(&mut self, env: &mut Env) {
+        if !self.watching {
+            self.watching = true;
+            let op = StoreOp::Watch { prefix: LIVE.into(), after: self.watch_from, wait_ms: WATCH_MS };
+            env.store(Purpose::Load(LoadCall::Watch), Urgency::High, op);
+        }
+    }
+
+    pub fn loaded(&mut self, env: &mut Env, call: LoadCall, outcome: Outcome<StoreAnswer>) {
+        match (call, outcome) {
+            (LoadCall::Jobs, Outcome::Answered(StoreAnswer::Page(page))) => {
+                self.waiting = false;
+                if let Load::Jobs { after } = &self.load
+                    && after.is_empty()
+                {
+                    self.watch_from = page.revision;
+                }
+                let last = page.rows.last().map(|row| row.key.clone());
+                for Item { key, value, version } in page.rows {
+                    self.live_changed(env, &key, value, version);
+                }
+                self.load = match last {
+                    Some(after) if page.more => Load::Jobs { after },
+                    _ => Load::Pages { after: String::new() },
+                };
+                self.read_on(env);
+            }
+            (LoadCall::Pages, Outcome::Answered(StoreAnswer::Page(page))) => {
+                self.waiting = false;
+                let last = page.rows.last().map(|row| row.key.clone());
+                for item in page.rows {
+                    self.page_read(item);
+                }
+                match last {
+                    Some(after) if page.more => {
+                        self.load = Load::Pages { after };
+                        self.read_on(env);
+                    }
+                    _ => self.complete_load(env),
+                }
+            }
+            (LoadCall::Watch, Outcome::Answered(StoreAnswer::Changes(changes))) => {
+                self.watching = false;
+                self.watch_from = changes.revision;
+                for event in changes.events {
+                    if let Event::Put { key, value, version } = event {
+                        self.live_changed(env, &key, value, version);
+                    }
+                }
+                self.watch(env);
+            }
+            (LoadCall::Watch, Outcome::Answered(StoreAnswer::TooOld)) => {
+                // What is read again is merged into what is known.
+                self.watching = false;
+                self.load = Load::Jobs { after: String::new() };
+                self.read_on(env);
+            }
+            (LoadCall::Watch, _) => {
+                self.watching = false;
+                self.retry = Some(env.steady() + RETRY);
+            }
+            _ => {
+                self.waiting = false;
+                self.retry = Some(env.steady() + RETRY);
+            }
+        }
+    }
+
+    fn page_read(&mut self, item: Item) {
+        let Some((id, page)) = parse_page_key(&item.key) else { return };
+        let id = Name::from(id);
+        match serde_json::from_value::<PageRecord>(item.value) {
+            Ok(record) => self.loaded_pages.push((id, page, item.version, record)),
+            Err(error) => tracing::error!(key = item.key, %error, "a record cannot be read"),
+        }
+    }
+
+    fn complete_load(&mut self, env: &mut Env) {
+        self.load = Load::Ready;
+        let now = env.steady();
+        let mut fresh: BTreeSet<Name> = BTreeSet::new();
+        for (id, page, version, record) in std::mem::take(&mut self.loaded_pages) {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                // Its job is over; the page was left when the lead changed.
+                self.records.drop_key(page_key(&id, page));
+                continue;
+            };
+            if job.pages.contains_key(&page) {
+                continue;
+            }
+            for (machine, addr) in &record.machines {
+                let name = Name::from(machine.as_str());
+                self.machines.entry(name.clone()).or_insert_with(|| Machine::inherited(name, addr.clone(), now));
+            }
+            job.adopt_page(page, version, &record, now);
+            fresh.insert(id);
+        }
+        for id in &fresh {
+            let job = self.jobs.get_mut(id).expect("a job whose page was read");
+            job.settle(now);
+            for (task, place) in &job.places {
+                let machine = self.machines.get_mut(&place.machine).expect("machines of records are known");
+                machine.hold((id.clone(), *task), &job.spec);
+                self.quotas.add(&job.spec);
+            }
+        }
+        for name in self.jobs.keys().cloned().collect::<Vec<_>>() {
+            self.after_change(&name);
+        }
+        let places: usize = self.jobs.values().map(|j| j.places.len()).sum();
+        tracing::info!(jobs = self.jobs.len(), places, machines = self.machines.len(), "records read");
+        // Machines that may hold something are shown the token at once.
+        self.urgent.extend(self.machines.keys().cloned());
+        self.place_due = true;
+        self.watch(env);
+    }
+
+    fn live_changed(&mut self, env: &mut Env, key: &str, value: serde_json::Value, version: u64) {
+        let Some(id) = key.strip_prefix(LIVE) else { return };
+        let record: LiveRecord = match serde_json::from_value(value) {
+            Ok(record) => record,
+            Err(error) => {
+                tracing::error!(key, %error, "a record cannot be read");
+                return;
+            }
+        };
+        let name = Name::from(id);
+        match self.jobs.get_mut(&name) {
+            Some(job) if job.version >= version => return,
+            Some(job) => {
+                job.version = version;
+                if record.cancelled {
+                    self.job_cancelled(env, &name);
+                }
+            }
+            None => {
+                tracing::debug!(job = id, tasks = record.spec.tasks, class = record.spec.class, "new job");
+                self.renting.saw_job(&record.spec, env.steady());
+                let job = Job::new(record.spec, record.at_ms, version, record.cancelled);
+                self.jobs.insert(name.clone(), job);
+            }
+        }
+        if self.ready() {
+            self.after_change(&name);
+            self.place_due = true;
+        }
+    }
+
+    /// A user cancelled: nothing of the job starts any more, all that is there must go.
+    pub fn job_cancelled(&mut self, env: &mut Env, name: &Name) {
+        let Some(job) = self.jobs.get_mut(name) else { return };
+        job.cancelled = true;
+        let tasks: Vec<u32> = job.places.keys().copied().collect();
+        for task in tasks {
+            self.stop_task(env, name, task, 0.0);
+        }
+        self.after_change(name);
+    }
+
+    /// Looks whether a job is over.
+    pub fn after_change(&mut self, name: &Name) {
+        let Some(job) = self.jobs.get(name) else { return };
+        let over = if job.cancelled { job.places.is_empty() } else { job.complete() };
+        if over {
+            self.records.close(name);
+        }
+    }
+
+    /// Forgets a job whose end is durable.
+    pub fn forget_job(&mut self, name: &Name) {
+        if let Some(job) = self.jobs.remove(name) {
+            for page in job.pages.keys() {
+                self.records.drop_key(page_key(name, *page));
+            }
+        }
+        self.speculation.forget(name);
+        self.progress.remove(name);
+    }
+
+    pub fn tick(&mut self, env: &mut Env) {
+        let now = env.steady();
+        if self.retry.is_some_and(|t| t <= now) {
+            self.retry = None;
+            if !self.ready() && !self.waiting {
+                self.read_on(env);
+            } else if self.ready() {
+                self.watch(env);
+            }
+        }
+        if !self.ready() {
+            return;
+        }
+        if self.last_second.is_none_or(|t| now.duration_since(t) >= Duration::from_secs(1)) {
+            self.last_second = Some(now);
+            self.check_silence(env);
+            self.rent_tick(env);
+            self.speculate_tick(env);
+            self.place_due = true;
+        }
+    }
+
+    /// Runs at the end of every input: places, writes and orders what has become due.
+    pub fn settle(&mut self, env: &mut Env) {
+        if !self.ready() {
+            return;
+        }
+        let now = env.steady();
+        if self.place_due && self.placed_at.is_none_or(|t| now.duration_since(t) >= Duration::from_millis(20)) {
+            self.place_due = false;
+            self.placed_at = Some(now);
+            self.place_pass(env);
+        }
+        self.flush(env);
+        self.send_urgent(env);
+    }
+}
--- /dev/null
+++ b/crates/core/src/rent.rs
@@ -0,0 +1,375 @@
+//! Renting and returning machines: capacity for what waits, some ahead of need, and
+//! back when it stands idle. Request names never repeat, since each holds the token.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use rushyoke_wire::cloud::{MachineType, Rental};
+use rushyoke_wire::job::{JobSpec, Kind, Priority};
+
+use crate::fleet::Machine;
+use crate::io::*;
+use crate::jobs::Name;
+use crate::node::{Env, Purpose};
+use crate::quota::Room;
+use crate::recover::Reign;
+
+/// Most machines in one rental, and in one return.
+const MOST_RENTED: u32 = 50;
+const MOST_RETURNED: usize = 100;
+/// A refused kind of machine is asked for again after this time.
+const REFUSED_FOR: Duration = Duration::from_secs(6);
+const RETRY: Duration = Duration::from_millis(1200);
+/// Boot times after which a machine is no longer counted on, and given up.
+const LATE_BOOT: f64 = 2.0;
+const LOST_BOOT: f64 = 5.0;
+/// Weight of a new job in the mean size of services.
+const LEARN: f64 = 0.2;
+
+#[derive(Clone, Debug)]
+pub(crate) enum RentCall {
+    Rent(Rental),
+    Release(Vec<Name>),
+    List,
+}
+
+/// Type, zone and whether spot.
+type Market = (String, String, bool);
+
+#[derive(Default)]
+pub(crate) struct Renting {
+    serial: u64,
+    /// Rentals without an answer; repeated under their name until there is one.
+    open: Vec<(Rental, Instant)>,
+    refused: BTreeMap<Market, Instant>,
+    returning: VecDeque<Name>,
+    return_retry: Option<Instant>,
+    return_open: bool,
+    gone: VecDeque<Name>,
+    listing: bool,
+    listed_at: Option<Instant>,
+    list_after: Option<String>,
+    /// Mean CPUs of a production service, learnt from those seen.
+    service_cpus: f64,
+}
+
+impl Renting {
+    pub fn is_gone(&self, name: &Name) -> bool {
+        self.gone.contains(name)
+    }
+
+    pub fn gone(&mut self, name: &Name, keep: usize) {
+        self.gone.push_back(name.clone());
+        while self.gone.len() > keep {
+            self.gone.pop_front();
+        }
+    }
+
+    pub fn release_later(&mut self, name: Name) {
+        if !self.returning.contains(&name) {
+            self.returning.push_back(name);
+        }
+    }
+
+    pub fn saw_job(&mut self, spec: &JobSpec, _now: Instant) {
+        if spec.kind == Kind::Service && spec.priority == Priority::Production {
+            let cpus = f64::from(spec.tasks) * spec.cpus;
+            let weight = if self.service_cpus == 0.0 { 1.0 } else { LEARN };
+            self.service_cpus += (cpus - self.service_cpus) * weight;
+        }
+    }
+
+    /// CPUs on ordinary machines that stay free for services.
+    pub fn service_reserve(&self, env: &Env) -> f64 {
+        self.service_cpus * env.policy.service_reserve
+    }
+}
+
+/// What is wanted or had of one kind, in machines of a type.
+fn machines_of(room: Room, kind: &MachineType) -> f64 {
+    let part = |want: f64, have: f64| if want <= 0.0 { 0.0 } else if have > 0.0 { want / have } else { f64::INFINITY };
+    part(room.cpus, kind.cpus).max(part(room.gpus, kind.gpus)).max(part(room.memory_gb, kind.memory_gb))
+}
+
+impl Reign {
+    /// Once a second.
+    pub fn rent_tick(&mut self, env: &mut Env) {
+        let now = env.steady();
+        self.repeat_rentals(env);
+        self.list(env);
+        if !env.types.is_empty() {
+            self.rent_what_is_missing(env);
+        }
+        self.return_idle(env, now);
+        self.send_returns(env, now);
+    }
+
+    fn list(&mut self, env: &mut Env) {
+        let now = env.steady();
+        let period = (env.facts.list_lag / 2).clamp(Duration::from_secs(2), Duration::from_secs(10));
+        let due = self.renting.listed_at.is_none_or(|t| now.duration_since(t) >= period);
+        if due && !self.renting.listing {
+            self.renting.listing = true;
+            self.renting.listed_at = Some(now);
+            let after = self.renting.list_after.clone();
+            env.cloud(Purpose::Rent(RentCall::List), CloudOp::List { after });
+        }
+    }
+
+    /// Demand that has no room yet, and what must be kept free, by kind of machine.
+    fn rent_what_is_missing(&mut self, env: &mut Env) {
+        let now = env.steady();
+        let mut team_left: BTreeMap<&str, f64> = BTreeMap::new();
+        let mut spot_need = Room::default();
+        let mut firm_need = Room::default();
+        let mut firm_zones: BTreeMap<String, Room> = BTreeMap::new();
+        for job in self.jobs.values() {
+            let waiting = job.waiting();
+            if waiting == 0 {
+                continue;
+            }
+            let need = Room::of(&job.spec);
+            let left = team_left.entry(&job.spec.team).or_insert_with(|| {
+                self.quotas.usage(&job.spec.team).map_or(0.0, |u| u.team.cpus_max - u.cpus)
+            });
+            let fit = if need.cpus > 0.0 { (*left / need.cpus).max(0.0) as u32 } else { waiting };
+            let tasks = f64::from(waiting.min(fit));
+            *left -= tasks * need.cpus;
+            let total = Room { cpus: need.cpus * tasks, gpus: need.gpus * tasks, memory_gb: need.memory_gb * tasks };
+            if job.spec.spot {
+                spot_need.add(total);
+            } else {
+                firm_need.add(total);
+                if let Some(zone) = &job.spec.zone {
+                    firm_zones.entry(zone.clone()).or_default().add(total);
+                }
+            }
+        }
+        let mut spot_free = Room::default();
+        let mut firm_free = Room::default();
+        let mut in_use = 0.0;
+        for machine in self.machines.values().filter(|m| m.counts()) {
+            let boot = env.type_named(&machine.kind).map_or(60.0, |k| k.boot_s);
+            if !machine.up && now.duration_since(machine.known).as_secs_f64() > boot * LATE_BOOT {
+                continue;
+            }
+            let free = machine.total.minus(machine.used);
+            in_use += machine.used.cpus;
+            if machine.spot { spot_free.add(free) } else { firm_free.add(free) }
+        }
+        for (rental, _) in &self.renting.open {
+            if let Some(kind) = env.type_named(&rental.kind) {
+                for _ in 0..rental.count {
+                    let room = Room { cpus: kind.cpus, gpus: kind.gpus, memory_gb: kind.memory_gb };
+                    if rental.spot { spot_free.add(room) } else { firm_free.add(room) }
+                }
+            }
+        }
+        let policy = env.policy.clone();
+        let largest = env.types.iter().map(|t| t.cpus).fold(0.0, f64::max);
+        let mut headroom = (in_use * policy.headroom_share).max(policy.headroom_machines * largest);
+        if self.jobs.is_empty() {
+            headroom = 0.0;
+        }
+        firm_need.cpus += self.renting.service_reserve(env);
+        spot_need.cpus += headroom;
+        // What ordinary machines have left over serves spot work too.
+        let firm_over = (firm_free.cpus - firm_need.cpus).max(0.0);
+        spot_need.cpus = (spot_need.cpus - firm_over).max(0.0);
+        let firm_missing = missing(firm_need, firm_free);
+        let spot_missing = missing(spot_need, spot_free);
+        self.rent_kind(env, firm_missing, false, true);
+        self.rent_kind(env, spot_missing, true, true);
+    }
+
+    /// Rents machines for `room`; spot work falls back on ordinary machines.
+    fn rent_kind(&mut self, env: &mut Env, room: Room, spot: bool, fall_back: bool) {
+        let now = env.steady();
+        if room.cpus <= 0.0 && room.gpus <= 0.0 && room.memory_gb <= 0.0 {
+            return;
+        }
+        self.renting.refused.retain(|_, until| *until > now);
+        let mut options: Vec<(f64, f64, Market)> = Vec::new();
+        for kind in env.types.iter() {
+            let count = machines_of(room, kind);
+            if !count.is_finite() {
+                continue;
+            }
+            let price = if spot { kind.spot_price.unwrap_or(f64::INFINITY) } else { kind.price };
+            for zone in &kind.zones {
+                let market = (kind.name.clone(), zone.clone(), spot);
+                let busy = self.renting.refused.contains_key(&market);
+                if price.is_finite() && !busy {
+                    options.push((price * count, count, market));
+                }
+            }
+        }
+        // Among equals the zone with the fewest machines, so that no zone holds all.
+        let there = |market: &Market| self.machines.values().filter(|m| m.zone == market.1).count();
+        options.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| there(&a.2).cmp(&there(&b.2))));
+        let Some((_, count, (kind, zone, spot))) = options.into_iter().next() else {
+            if spot && fall_back {
+                self.rent_kind(env, room, false, false);
+            }
+            return;
+        };
+        let count = (count.ceil() as u32).clamp(1, MOST_RENTED);
+        // Spread over the zones: one rental per second and kind takes a part.
+        let zones = env.type_named(&kind).map_or(1, |k| k.zones.len()).max(1) as u32;
+        let count = count.div_ceil(zones);
+        self.renting.serial += 1;
+        let request = format!("r-{}-{}", self.baton, self.renting.serial);
+        tracing::info!(request, kind, zone, spot, count, "renting");
+        let rental = Rental { request, kind, zone, spot, count };
+        self.send_rental(env, rental);
+    }
+
+    fn send_rental(&mut self, env: &mut Env, rental: Rental) {
+        self.renting.open.push((rental.clone(), env.steady()));
+        env.cloud(Purpose::Rent(RentCall::Rent(rental.clone())), CloudOp::Rent(rental));
+    }
+
+    fn repeat_rentals(&mut self, env: &mut Env) {
+        let now = env.steady();
+        let wait = Duration::from_secs(8);
+        let due: Vec<Rental> = self.renting.open.iter().filter(|(_, at)| now.duration_since(*at) > wait).map(|(r, _)| r.clone()).collect();
+        for rental in due {
+            self.renting.open.retain(|(r, _)| r.request != rental.request);
+            self.send_rental(env, rental);
+        }
+    }
+
+    pub fn rented(&mut self, env: &mut Env, call: RentCall, outcome: Outcome<CloudAnswer>) {
+        let now = env.steady();
+        match (call, outcome) {
+            (RentCall::Rent(rental), Outcome::Answered(CloudAnswer::Rented(names))) => {
+                let asked = self.renting.open.len();
+                self.renting.open.retain(|(r, _)| r.request != rental.request);
+                if self.renting.open.len() == asked {
+                    return; // answered before
+                }
+                if (names.len() as u32) < rental.count {
+                    let market = (rental.kind.clone(), rental.zone.clone(), rental.spot);
+                    self.renting.refused.insert(market, now + REFUSED_FOR);
+                }
+                tracing::info!(request = rental.request, machines = names.len(), "rented");
+                if let Some(kind) = env.type_named(&rental.kind).cloned() {
+                    for name in names {
+                        let name = Name::from(name.as_str());
+                        self.machines
+                            .entry(name.clone())
+                            .or_insert_with(|| Machine::rented(name, &kind, &rental.zone, rental.spot, now));
+                    }
+                }
+            }
+            (RentCall::Rent(rental), Outcome::Answered(CloudAnswer::NoCapacity)) => {
+                self.renting.open.retain(|(r, _)| r.request != rental.request);
+                tracing::info!(kind = rental.kind, zone = rental.zone, spot = rental.spot, "no capacity");
+                self.renting.refused.insert((rental.kind, rental.zone, rental.spot), now + REFUSED_FOR);
+            }
+            (RentCall::Rent(rental), Outcome::Answered(_) | Outcome::NotDone) => {
+                self.renting.open.retain(|(r, _)| r.request != rental.request);
+                self.renting.refused.insert((rental.kind, rental.zone, rental.spot), now + RETRY);
+            }
+            // Unanswered: it may have been carried out, so it is repeated by name.
+            (RentCall::Rent(_), Outcome::Unknown) => {}
+            (RentCall::Release(names), Outcome::Answered(CloudAnswer::Released)) => {
+                self.renting.return_open = false;
+                for name in names {
+                    tracing::info!(machine = &*name, "returned");
+                    self.machine_gone(env, &name);
+                }
+            }
+            (RentCall::Release(names), _) => {
+                self.renting.return_open = false;
+                self.renting.return_retry = Some(now + RETRY);
+                for name in names {
+                    self.renting.release_later(name);
+                }
+            }
+            (RentCall::List, Outcome::Answered(CloudAnswer::Listing(listing))) => {
+                self.renting.listing = false;
+                for listed in &listing.machines {
+                    self.machine_listed(env, listed);
+                }
+                let last = listing.machines.last().map(|m| m.id.clone());
+                self.renting.list_after = last.filter(|_| listing.more);
+                if self.renting.list_after.is_some() {
+                    self.renting.listed_at = None;
+                }
+            }
+            (RentCall::List, _) => self.renting.listing = false,
+        }
+    }
+
+    fn return_idle(&mut self, env: &mut Env, now: Instant) {
+        let policy = env.policy.clone();
+        let largest = env.types.iter().map(|t| t.cpus).fold(0.0, f64::max);
+        let mut lost = Vec::new();
+        let mut free = [0.0, 0.0];
+        let mut in_use = 0.0;
+        for machine in self.machines.values() {
+            let boot = env.type_named(&machine.kind).map_or(60.0, |k| k.boot_s.max(1.0));
+            let age = now.duration_since(machine.known).as_secs_f64();
+            if machine.leaving {
+                if machine.release_sent.is_none() {
+                    lost.push(machine.name.clone());
+                }
+            } else if !machine.up && !machine.kind.is_empty() && age > boot * LOST_BOOT {
+                tracing::info!(machine = &*machine.name, age_s = age, "never came up; given up");
+                lost.push(machine.name.clone());
+            } else if machine.quarantined && machine.places.is_empty() {
+                lost.push(machine.name.clone());
+            } else if machine.up && machine.counts() {
+                free[usize::from(machine.spot)] += machine.total.cpus - machine.used.cpus;
+                in_use += machine.used.cpus;
+            }
+        }
+        let headroom = (in_use * policy.headroom_share).max(policy.headroom_machines * largest);
+        let reserve = self.renting.service_reserve(env);
+        let mut idle: Vec<&Machine> = self
+            .machines
+            .values()
+            .filter(|m| m.up && m.counts() && m.places.is_empty())
+            .filter(|m| m.idle_since.is_some_and(|t| now.duration_since(t) > policy.idle))
+            .collect();
+        // The dearest first.
+        idle.sort_by_key(|m| m.spot);
+        for machine in idle {
+            let cpus = machine.total.cpus;
+            let spot = usize::from(machine.spot);
+            let keeps = if machine.spot {
+                free[0] - reserve + free[1] - cpus >= headroom
+            } else {
+                free[0] - cpus >= reserve && free[0] + free[1] - cpus >= reserve + headroom
+            };
+            if keeps {
+                free[spot] -= cpus;
+                lost.push(machine.name.clone());
+            }
+        }
+        for name in lost {
+            let machine = self.machines.get_mut(&name).expect("listed");
+            machine.leaving = true;
+            machine.release_sent = Some(now);
+            self.renting.release_later(name);
+        }
+    }
+
+    fn send_returns(&mut self, env: &mut Env, now: Instant) {
+        let renting = &mut self.renting;
+        if renting.return_open || renting.returning.is_empty() || renting.return_retry.is_some_and(|t| t > now) {
+            return;
+        }
+        let count = renting.returning.len().min(MOST_RETURNED);
+        let names: Vec<Name> = renting.returning.drain(..count).collect();
+        renting.return_open = true;
+        let list = names.iter().map(|n| n.to_string()).collect();
+        env.cloud(Purpose::Rent(RentCall::Release(names)), CloudOp::Release(list));
+    }
+}
+
+fn missing(need: Room, free: Room) -> Room {
+    let gap = need.minus(free);
+    Room { cpus: gap.cpus.max(0.0), gpus: gap.gpus.max(0.0), memory_gb: gap.memory_gb.max(0.0) }
+}
--- /dev/null
+++ b/crates/wire/src/job.rs
@@ -0,0 +1,150 @@
+//! Users' messages: submitting, querying and cancelling jobs.
+
+use serde::{Deserialize, Serialize};
+
+/// The most tasks that one job may have.
+pub const MAX_TASKS: u32 = 100_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    /// Independent tasks; each runs to completion.
+    #[serde(rename = "sweep")]
+    Array,
+    /// Replicas that run until the job is cancelled.
+    #[serde(rename = "standing")]
+    Service,
+}
+
+/// Ordered: a later one may displace an earlier one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Priority {
+    BestEffort,
+    #[serde(rename = "standard")]
+    Normal,
+    High,
+    Production,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    #[serde(rename = "name_id")]
+    pub id: String,
+    #[serde(rename = "lane")]
+    pub class: String,
+    #[serde(rename = "crew")]
+    pub team: String,
+    #[serde(rename = "shape")]
+    pub kind: Kind,
+    #[serde(rename = "rank")]
+    pub priority: Priority,
+    #[serde(rename = "loads")]
+    pub tasks: u32,
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+    #[serde(rename = "rigs", default)]
+    pub types: Option<Vec<String>>,
+    #[serde(rename = "yard", default)]
+    pub zone: Option<String>,
+    #[serde(rename = "together")]
+    pub one_zone: bool,
+    #[serde(rename = "scatter")]
+    pub spread: bool,
+    #[serde(rename = "borrowed")]
+    pub spot: bool,
+    #[serde(rename = "kit")]
+    pub image: String,
+    #[serde(rename = "size_gb")]
+    pub image_gb: f64,
+    #[serde(rename = "haul_s")]
+    pub estimate_s: f64,
+    #[serde(rename = "tally_s")]
+    pub checkpoint_s: f64,
+    #[serde(rename = "stow_s")]
+    pub save_s: f64,
+    #[serde(rename = "due_s", default)]
+    pub deadline_s: Option<f64>,
+}
+
+/// Whether `id` has the form that job ids always have.
+pub fn is_job_id(id: &str) -> bool {
+    id.strip_prefix("wk-").is_some_and(|rest| {
+        (1..=18).contains(&rest.len()) && rest.bytes().all(|b| b.is_ascii_digit())
+    })
+}
+
+impl JobSpec {
+    /// Parses and checks a submission; the error is one line for the user.
+    pub fn parse(body: &[u8]) -> Result<JobSpec, String> {
+        // A sequence would also deserialize into a struct; the protocol wants an object.
+        if body.iter().find(|b| !b.is_ascii_whitespace()) != Some(&b'{') {
+            return Err("the body is not a JSON object".into());
+        }
+        let spec: JobSpec = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+        spec.check()?;
+        Ok(spec)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        if !is_job_id(&self.id) {
+            return Err("name_id: must be wk- and digits".into());
+        }
+        if self.tasks == 0 || self.tasks > MAX_TASKS {
+            return Err(format!("loads: must be 1 to {MAX_TASKS}"));
+        }
+        for (name, text) in [("lane", &self.class), ("crew", &self.team), ("kit", &self.image)] {
+            if text.is_empty() || text.len() > 200 {
+                return Err(format!("{name}: must have 1 to 200 bytes"));
+            }
+        }
+        let amounts = [
+            ("cpus", self.cpus),
+            ("gpus", self.gpus),
+            ("memory_gb", self.memory_gb),
+            ("size_gb", self.image_gb),
+            ("haul_s", self.estimate_s),
+            ("tally_s", self.checkpoint_s),
+            ("stow_s", self.save_s),
+            ("due_s", self.deadline_s.unwrap_or(0.0)),
+        ];
+        for (name, amount) in amounts {
+            if !(0.0..=1e9).contains(&amount) {
+                return Err(format!("{name}: must be a number from 0 to 1e9"));
+            }
+        }
+        if self.cpus <= 0.0 && self.gpus <= 0.0 {
+            return Err("cpus: must be above 0".into());
+        }
+        Ok(())
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum JobStatus {
+    #[serde(rename = "pending")]
+    Queued,
+    Running,
+    Done,
+    Cancelled,
+}
+
+impl JobStatus {
+    /// Final states never change again.
+    pub fn is_final(self) -> bool {
+        matches!(self, JobStatus::Done | JobStatus::Cancelled)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobView {
+    #[serde(rename = "name_id")]
+    pub id: String,
+    #[serde(rename = "status")]
+    pub state: JobStatus,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub done: Option<u32>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub running: Option<u32>,
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,8 @@
+//! The messages of every interface of rushyoke. Rust names follow the project's
+//! vocabulary; the names on the wire are set by serde.
+
+pub mod cloud;
+pub mod job;
+pub mod peer;
+pub mod store;
+pub mod worker;
