--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -37,12 +37,21 @@
 #[derive(Clone, Debug)]
 pub enum StoreOp {
     Get(String),
-    List { prefix: String, after: String },
+    List {
+        prefix: String,
+        after: String,
+    },
     Txn(Txn),
-    NewLease { ttl_ms: u64 },
+    NewLease {
+        ttl_ms: u64,
+    },
     Touch(u64),
     EndLease(u64),
-    Watch { prefix: String, after: u64, wait_ms: u64 },
+    Watch {
+        prefix: String,
+        after: u64,
+        wait_ms: u64,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -82,17 +91,46 @@
 
 #[derive(Clone, Debug)]
 pub enum Input {
-    Submit { req: Req, spec: Box<JobSpec> },
-    Status { req: Req, id: String },
-    Cancel { req: Req, id: String },
-    Ready { req: Req },
-    Report { req: Req, report: Box<Report> },
-    Peer { req: Req, ask: PeerAsk },
-    Store { call: Call, outcome: Outcome<StoreAnswer> },
-    Cloud { call: Call, outcome: Outcome<CloudAnswer> },
+    Submit {
+        req: Req,
+        spec: Box<JobSpec>,
+    },
+    Status {
+        req: Req,
+        id: String,
+    },
+    Cancel {
+        req: Req,
+        id: String,
+    },
+    Ready {
+        req: Req,
+    },
+    Report {
+        req: Req,
+        report: Box<Report>,
+    },
+    Peer {
+        req: Req,
+        ask: PeerAsk,
+    },
+    Store {
+        call: Call,
+        outcome: Outcome<StoreAnswer>,
+    },
+    Cloud {
+        call: Call,
+        outcome: Outcome<CloudAnswer>,
+    },
     /// The status and report that a worker answered to direct orders.
-    Ordered { call: Call, outcome: Outcome<(u16, Report)> },
-    PeerTold { label: String, outcome: Outcome<PeerTell> },
+    Ordered {
+        call: Call,
+        outcome: Outcome<(u16, Report)>,
+    },
+    PeerTold {
+        label: String,
+        outcome: Outcome<PeerTell>,
+    },
     Tick,
 }
 
@@ -106,7 +144,11 @@
 impl Answer {
     pub fn json<T: serde::Serialize>(status: u16, body: &T) -> Answer {
         let body = serde_json::to_vec(body).expect("answers always encode");
-        Answer { status, body, retry_after_s: None }
+        Answer {
+            status,
+            body,
+            retry_after_s: None,
+        }
     }
 
     pub fn error(status: u16, text: &str) -> Answer {
@@ -115,15 +157,35 @@
 
     /// Tells the client at once that it should come back.
     pub fn later(status: u16, text: &str) -> Answer {
-        Answer { retry_after_s: Some(1), ..Answer::error(status, text) }
+        Answer {
+            retry_after_s: Some(1),
+            ..Answer::error(status, text)
+        }
     }
 }
 
 #[derive(Clone, Debug)]
 pub enum Output {
-    Answer { req: Req, answer: Answer },
-    Store { call: Call, op: StoreOp, urgency: Urgency },
-    Cloud { call: Call, op: CloudOp },
-    Order { call: Call, addr: String, orders: Orders },
-    Peer { label: String, ask: PeerAsk },
+    Answer {
+        req: Req,
+        answer: Answer,
+    },
+    Store {
+        call: Call,
+        op: StoreOp,
+        urgency: Urgency,
+    },
+    Cloud {
+        call: Call,
+        op: CloudOp,
+    },
+    Order {
+        call: Call,
+        addr: String,
+        orders: Orders,
+    },
+    Peer {
+        label: String,
+        ask: PeerAsk,
+    },
 }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -43,7 +43,10 @@
 /// Whether a job's tasks may run on a machine like this.
 pub(crate) fn allowed(spec: &JobSpec, machine: &Machine) -> bool {
     (!machine.spot || spec.spot)
-        && spec.types.as_ref().is_none_or(|types| types.contains(&machine.kind))
+        && spec
+            .types
+            .as_ref()
+            .is_none_or(|types| types.contains(&machine.kind))
         && spec.zone.as_ref().is_none_or(|zone| *zone == machine.zone)
 }
 
@@ -73,7 +76,13 @@
                 _ => 2,
             };
             let urgency = self.urgency(env, job);
-            turns.push(Turn { job: job.id.clone(), class, priority: job.spec.priority, share, urgency });
+            turns.push(Turn {
+                job: job.id.clone(),
+                class,
+                priority: job.spec.priority,
+                share,
+                urgency,
+            });
         }
         turns.sort_by(Turn::order);
         let mut left = PASS_TASKS;
@@ -112,10 +121,16 @@
             let job = &self.jobs[name];
             let Some(task) = job.peek(now) else { break };
             let need = Room::of(&job.spec);
-            if self.quotas.usage(&job.spec.team).is_none_or(|usage| usage.headroom(need) == 0) {
+            if self
+                .quotas
+                .usage(&job.spec.team)
+                .is_none_or(|usage| usage.headroom(need) == 0)
+            {
                 break;
             }
-            let Some(machine) = self.choose(env, job, need) else { break };
+            let Some(machine) = self.choose(env, job, need) else {
+                break;
+            };
             self.plan(name, task, &machine, now);
             placed += 1;
         }
@@ -177,19 +192,35 @@
             if unknown > 0 {
                 return Some(BTreeSet::new());
             }
-            let used: BTreeSet<String> = counts.iter().filter(|(_, n)| **n > 0).map(|(z, _)| z.clone()).collect();
+            let used: BTreeSet<String> = counts
+                .iter()
+                .filter(|(_, n)| **n > 0)
+                .map(|(z, _)| z.clone())
+                .collect();
             if !used.is_empty() {
                 return Some(used);
             }
             let need = Room::of(&job.spec);
             let room = |zone: &String| -> u32 {
-                let there = self.machines.values().filter(|m| m.zone == *zone && allowed(&job.spec, m));
+                let there = self
+                    .machines
+                    .values()
+                    .filter(|m| m.zone == *zone && allowed(&job.spec, m));
                 there.map(|m| m.total.minus(m.used).times(need)).sum()
             };
-            return counts.into_keys().max_by_key(|zone| room(zone)).map(|zone| BTreeSet::from([zone]));
+            return counts
+                .into_keys()
+                .max_by_key(|zone| room(zone))
+                .map(|zone| BTreeSet::from([zone]));
         }
         let most = job.spec.tasks.div_ceil(2);
-        Some(counts.into_iter().filter(|(_, n)| n + unknown < most).map(|(zone, _)| zone).collect())
+        Some(
+            counts
+                .into_iter()
+                .filter(|(_, n)| n + unknown < most)
+                .map(|(zone, _)| zone)
+                .collect(),
+        )
     }
 
     /// The best machine for one more task of a job.
@@ -211,7 +242,12 @@
         let service = job.spec.kind == Kind::Service;
         if job.spec.priority < Priority::Production {
             let reserve = self.renting.service_reserve(env);
-            let free: f64 = self.machines.values().filter(|m| !m.spot && m.usable(now)).map(|m| m.total.cpus - m.used.cpus).sum();
+            let free: f64 = self
+                .machines
+                .values()
+                .filter(|m| !m.spot && m.usable(now))
+                .map(|m| m.total.cpus - m.used.cpus)
+                .sum();
             if free - need.cpus < reserve {
                 fitting.retain(|m| m.spot);
             }
@@ -219,17 +255,33 @@
         let cost = |machine: &Machine| -> f64 {
             let kind = env.type_named(&machine.kind);
             let rate = kind.map_or(1.0, |k| k.fetch_gb_per_s.max(0.01));
-            let fetch = if machine.has_image(&job.spec.image) { 0.0 } else { job.spec.image_gb / rate };
+            let fetch = if machine.has_image(&job.spec.image) {
+                0.0
+            } else {
+                job.spec.image_gb / rate
+            };
             let free = machine.total.cpus - machine.used.cpus;
             // The fuller machine first, so that others can be returned.
             let packing = 2.0 * free / machine.total.cpus.max(1.0);
             let mates = if service {
-                machine.places.range((job.id.clone(), 0)..=(job.id.clone(), u32::MAX)).count() as f64 * 5.0
+                machine
+                    .places
+                    .range((job.id.clone(), 0)..=(job.id.clone(), u32::MAX))
+                    .count() as f64
+                    * 5.0
+            } else {
+                0.0
+            };
+            let kind_cost = if job.spec.spot && !machine.spot {
+                3.0
+            } else {
+                0.0
+            };
+            let doubt = if job.failed_on.contains(&machine.name) {
+                60.0
             } else {
                 0.0
             };
-            let kind_cost = if job.spec.spot && !machine.spot { 3.0 } else { 0.0 };
-            let doubt = if job.failed_on.contains(&machine.name) { 60.0 } else { 0.0 };
             let slow = if machine.straggler { 30.0 } else { 0.0 };
             fetch + packing + mates + kind_cost + doubt + slow
         };
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -27,7 +27,10 @@
     pub fn make_room(&mut self, env: &mut Env, name: &Name, within: &BTreeSet<Name>) {
         let job = &self.jobs[name];
         let need = Room::of(&job.spec);
-        let quota = self.quotas.usage(&job.spec.team).map_or(0, |u| u.headroom(need));
+        let quota = self
+            .quotas
+            .usage(&job.spec.team)
+            .map_or(0, |u| u.headroom(need));
         let claimed: u32 = self
             .machines
             .values()
@@ -39,13 +42,25 @@
             if wanted == 0 {
                 return;
             }
-            let Some(plan) = self.best_plan(env, name, within, wanted) else { return };
-            tracing::debug!(job = &**name, machine = &*plan.machine, victims = plan.victims.len(), lost_s = plan.lost_s, "making room");
+            let Some(plan) = self.best_plan(env, name, within, wanted) else {
+                return;
+            };
+            tracing::debug!(
+                job = &**name,
+                machine = &*plan.machine,
+                victims = plan.victims.len(),
+                lost_s = plan.lost_s,
+                "making room"
+            );
             wanted = wanted.saturating_sub(plan.tasks);
             let urgent = self.jobs[name].spec.priority == Priority::Production;
             for (victim, task) in plan.victims {
                 let spec = &self.jobs[&victim].spec;
-                let grace = if urgent || spec.checkpoint_s == 0.0 { 0.0 } else { spec.save_s };
+                let grace = if urgent || spec.checkpoint_s == 0.0 {
+                    0.0
+                } else {
+                    spec.save_s
+                };
                 self.stop_task(env, &victim, task, grace);
             }
             let until = env.steady() + CLAIM_FOR;
@@ -65,12 +80,21 @@
         let borrowed = inside
             && !victim_inside
             && victim.spec.team != job.spec.team
-            && self.quotas.usage(&victim.spec.team).is_some_and(|u| u.borrows());
+            && self
+                .quotas
+                .usage(&victim.spec.team)
+                .is_some_and(|u| u.borrows());
         lower || borrowed
     }
 
     /// The machine where the least work is lost for the room gained.
-    fn best_plan(&self, env: &Env, name: &Name, within: &BTreeSet<Name>, wanted: u32) -> Option<Plan> {
+    fn best_plan(
+        &self,
+        env: &Env,
+        name: &Name,
+        within: &BTreeSet<Name>,
+        wanted: u32,
+    ) -> Option<Plan> {
         let now = env.steady();
         let job = &self.jobs[name];
         let need = Room::of(&job.spec);
@@ -80,7 +104,11 @@
             if !machine.usable(now) || machine.claim.is_some() || !allowed(&job.spec, machine) {
                 continue;
             }
-            if zones.as_ref().is_some_and(|zones| !zones.contains(&machine.zone)) || !machine.total.holds(need) {
+            if zones
+                .as_ref()
+                .is_some_and(|zones| !zones.contains(&machine.zone))
+                || !machine.total.holds(need)
+            {
                 continue;
             }
             let mut victims: Vec<(f64, TaskKey, Room)> = Vec::new();
@@ -92,16 +120,32 @@
                     // Its room comes free by itself.
                     freed.add(Room::of(&owner.spec));
                 } else if self.may_stop(owner, job, within) {
-                    let ran = place.running.map_or(0.0, |t| now.duration_since(t).as_secs_f64());
-                    let lost = if owner.spec.checkpoint_s > 0.0 { ran % owner.spec.checkpoint_s } else { ran };
-                    victims.push(((lost + 1.0) * owner.spec.cpus, key.clone(), Room::of(&owner.spec)));
+                    let ran = place
+                        .running
+                        .map_or(0.0, |t| now.duration_since(t).as_secs_f64());
+                    let lost = if owner.spec.checkpoint_s > 0.0 {
+                        ran % owner.spec.checkpoint_s
+                    } else {
+                        ran
+                    };
+                    victims.push((
+                        (lost + 1.0) * owner.spec.cpus,
+                        key.clone(),
+                        Room::of(&owner.spec),
+                    ));
                 }
             }
             if freed.holds(need) {
                 continue;
             }
             victims.sort_by(|a, b| a.0.total_cmp(&b.0));
-            let mut plan = Plan { machine: machine.name.clone(), victims: Vec::new(), freed, tasks: 0, lost_s: 0.0 };
+            let mut plan = Plan {
+                machine: machine.name.clone(),
+                victims: Vec::new(),
+                freed,
+                tasks: 0,
+                lost_s: 0.0,
+            };
             for (lost, key, room) in victims {
                 if plan.freed.times(need) >= wanted {
                     break;
@@ -119,7 +163,11 @@
         // Only what the job will use is kept for it.
         best.map(|mut plan| {
             let tasks = f64::from(plan.tasks);
-            plan.freed = Room { cpus: need.cpus * tasks, gpus: need.gpus * tasks, memory_gb: need.memory_gb * tasks };
+            plan.freed = Room {
+                cpus: need.cpus * tasks,
+                gpus: need.gpus * tasks,
+                memory_gb: need.memory_gb * tasks,
+            };
             plan
         })
     }
--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -20,7 +20,11 @@
 
 impl Room {
     pub fn of(spec: &JobSpec) -> Room {
-        Room { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb }
+        Room {
+            cpus: spec.cpus,
+            gpus: spec.gpus,
+            memory_gb: spec.memory_gb,
+        }
     }
 
     pub fn add(&mut self, other: Room) {
@@ -41,13 +45,23 @@
     }
 
     pub fn holds(&self, need: Room) -> bool {
-        need.cpus <= self.cpus + SLACK && need.gpus <= self.gpus + SLACK && need.memory_gb <= self.memory_gb + SLACK
+        need.cpus <= self.cpus + SLACK
+            && need.gpus <= self.gpus + SLACK
+            && need.memory_gb <= self.memory_gb + SLACK
     }
 
     /// How many times `need` fits.
     pub fn times(&self, need: Room) -> u32 {
-        let part = |have: f64, want: f64| if want > 0.0 { (have + SLACK) / want } else { f64::INFINITY };
-        let times = part(self.cpus, need.cpus).min(part(self.gpus, need.gpus)).min(part(self.memory_gb, need.memory_gb));
+        let part = |have: f64, want: f64| {
+            if want > 0.0 {
+                (have + SLACK) / want
+            } else {
+                f64::INFINITY
+            }
+        };
+        let times = part(self.cpus, need.cpus)
+            .min(part(self.gpus, need.gpus))
+            .min(part(self.memory_gb, need.memory_gb));
         times.clamp(0.0, 1e6) as u32
     }
 }
@@ -62,8 +76,15 @@
 impl Usage {
     /// How many more tasks of this size the limit allows.
     pub fn headroom(&self, need: Room) -> u32 {
-        let free = Room { cpus: self.team.cpus_max - self.cpus, gpus: self.team.gpus_max - self.gpus, memory_gb: 0.0 };
-        free.times(Room { memory_gb: 0.0, ..need })
+        let free = Room {
+            cpus: self.team.cpus_max - self.cpus,
+            gpus: self.team.gpus_max - self.gpus,
+            memory_gb: 0.0,
+        };
+        free.times(Room {
+            memory_gb: 0.0,
+            ..need
+        })
     }
 
     /// Whether the team uses more than it is guaranteed.
@@ -80,9 +101,18 @@
 impl Quotas {
     pub fn new(teams: &BTreeMap<String, Team>) -> Quotas {
         let teams = teams.iter().map(|(name, team)| {
-            (name.clone(), Usage { team: team.clone(), cpus: 0.0, gpus: 0.0 })
+            (
+                name.clone(),
+                Usage {
+                    team: team.clone(),
+                    cpus: 0.0,
+                    gpus: 0.0,
+                },
+            )
         });
-        Quotas { teams: teams.collect() }
+        Quotas {
+            teams: teams.collect(),
+        }
     }
 
     pub fn usage(&self, team: &str) -> Option<&Usage> {
@@ -109,7 +139,9 @@
         let mut sums: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
         let mut within = Vec::new();
         for job in jobs {
-            let Some(usage) = self.teams.get(&job.spec.team) else { continue };
+            let Some(usage) = self.teams.get(&job.spec.team) else {
+                continue;
+            };
             let sum = sums.entry(&job.spec.team).or_default();
             let tasks = f64::from(job.open());
             sum.0 += tasks * job.spec.cpus;
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -49,7 +49,11 @@
 
 impl Records {
     pub fn page_changed(&mut self, job: &Name, page: u32, urgent: bool) {
-        let set = if urgent { &mut self.urgent } else { &mut self.dirty };
+        let set = if urgent {
+            &mut self.urgent
+        } else {
+            &mut self.dirty
+        };
         set.insert((job.clone(), page));
     }
 
@@ -78,11 +82,21 @@
         let ops = env.facts.txn_ops;
         let size_limit = 40 * 1024;
         let mut txn = Txn::default().when(LEAD_KEY, self.baton);
-        let mut batch = Batch { pages: Vec::new(), closed: Vec::new(), drops: Vec::new() };
+        let mut batch = Batch {
+            pages: Vec::new(),
+            closed: Vec::new(),
+            drops: Vec::new(),
+        };
         let mut conditioned: BTreeSet<Name> = BTreeSet::new();
         let mut size = 0;
         self.close_jobs(&mut txn, &mut batch, &mut conditioned, ops);
-        let order: Vec<(Name, u32)> = self.records.urgent.iter().chain(self.records.dirty.iter()).cloned().collect();
+        let order: Vec<(Name, u32)> = self
+            .records
+            .urgent
+            .iter()
+            .chain(self.records.dirty.iter())
+            .cloned()
+            .collect();
         for (name, page) in order {
             if txn.writes.len() >= ops || size > size_limit {
                 break;
@@ -96,19 +110,31 @@
                 continue;
             }
             let state = &job.pages[&page];
-            let Some(version) = state.version else { continue };
-            let record = job.page_record(page, |m| self.machines.get(m).map(|m| m.addr.clone()).unwrap_or_default());
+            let Some(version) = state.version else {
+                continue;
+            };
+            let record = job.page_record(page, |m| {
+                self.machines
+                    .get(m)
+                    .map(|m| m.addr.clone())
+                    .unwrap_or_default()
+            });
             size += 200 + record.places.len() * 30 + record.machines.len() * 40;
             if conditioned.insert(name.clone()) {
                 txn = txn.when(job_key(&name), job.version);
             }
             let key = page_key(&name, page);
             txn = txn.when(key.clone(), version);
-            txn = txn.put(key, serde_json::to_value(record).expect("records always encode"));
+            txn = txn.put(
+                key,
+                serde_json::to_value(record).expect("records always encode"),
+            );
             batch.pages.push((name, page, state.change));
         }
         while txn.writes.len() < ops {
-            let Some(key) = self.records.drops.pop_front() else { break };
+            let Some(key) = self.records.drops.pop_front() else {
+                break;
+            };
             txn = txn.delete(key.clone());
             batch.drops.push(key);
         }
@@ -120,27 +146,55 @@
             self.records.dirty.remove(&(name.clone(), *page));
         }
         self.records.in_flight = true;
-        let urgency = if batch.pages.is_empty() && batch.closed.is_empty() { Urgency::Low } else { Urgency::High };
-        env.store(Purpose::Record(RecordCall::Write(batch)), urgency, StoreOp::Txn(txn));
+        let urgency = if batch.pages.is_empty() && batch.closed.is_empty() {
+            Urgency::Low
+        } else {
+            Urgency::High
+        };
+        env.store(
+            Purpose::Record(RecordCall::Write(batch)),
+            urgency,
+            StoreOp::Txn(txn),
+        );
     }
 
-    fn close_jobs(&mut self, txn: &mut Txn, batch: &mut Batch, conditioned: &mut BTreeSet<Name>, ops: usize) {
+    fn close_jobs(
+        &mut self,
+        txn: &mut Txn,
+        batch: &mut Batch,
+        conditioned: &mut BTreeSet<Name>,
+        ops: usize,
+    ) {
         for _ in 0..self.records.closing.len() {
             if txn.writes.len() + 2 > ops {
                 break;
             }
             let name = self.records.closing.pop_front().expect("counted");
-            let Some(job) = self.jobs.get_mut(&name).filter(|job| !job.closing) else { continue };
-            let over = if job.cancelled { job.places.is_empty() } else { job.complete() };
+            let Some(job) = self.jobs.get_mut(&name).filter(|job| !job.closing) else {
+                continue;
+            };
+            let over = if job.cancelled {
+                job.places.is_empty()
+            } else {
+                job.complete()
+            };
             if !over {
                 continue;
             }
             job.closing = true;
             conditioned.insert(name.clone());
-            let mut next = std::mem::take(txn).when(job_key(&name), job.version).delete(live_key(&name));
+            let mut next = std::mem::take(txn)
+                .when(job_key(&name), job.version)
+                .delete(live_key(&name));
             if !job.cancelled {
-                let record = JobRecord { state: RecordState::Done, tasks: job.spec.tasks };
-                next = next.put(job_key(&name), serde_json::to_value(record).expect("records always encode"));
+                let record = JobRecord {
+                    state: RecordState::Done,
+                    tasks: job.spec.tasks,
+                };
+                next = next.put(
+                    job_key(&name),
+                    serde_json::to_value(record).expect("records always encode"),
+                );
             }
             *txn = next;
             batch.closed.push(name);
@@ -159,12 +213,19 @@
     }
 
     /// Returns true if the store showed that another node leads.
-    pub fn recorded(&mut self, env: &mut Env, call: RecordCall, outcome: Outcome<StoreAnswer>) -> bool {
+    pub fn recorded(
+        &mut self,
+        env: &mut Env,
+        call: RecordCall,
+        outcome: Outcome<StoreAnswer>,
+    ) -> bool {
         match call {
             RecordCall::Write(batch) => {
                 self.records.in_flight = false;
                 match outcome {
-                    Outcome::Answered(StoreAnswer::Committed(version)) => self.committed(batch, version),
+                    Outcome::Answered(StoreAnswer::Committed(version)) => {
+                        self.committed(batch, version)
+                    }
                     Outcome::Answered(StoreAnswer::Refused(failed)) => {
                         if failed.iter().any(|key| key == LEAD_KEY) {
                             return true;
@@ -191,7 +252,11 @@
                 match outcome {
                     Outcome::Answered(StoreAnswer::Item(item)) => {
                         // Memory holds what is true; only the version was in doubt.
-                        if let Some(state) = self.jobs.get_mut(&name).and_then(|job| job.pages.get_mut(&page)) {
+                        if let Some(state) = self
+                            .jobs
+                            .get_mut(&name)
+                            .and_then(|job| job.pages.get_mut(&page))
+                        {
                             state.version = Some(item.map_or(0, |item| item.version));
                         }
                     }
@@ -223,7 +288,11 @@
     }
 
     fn doubt_page(&mut self, name: &Name, page: u32) {
-        if let Some(state) = self.jobs.get_mut(name).and_then(|job| job.pages.get_mut(&page)) {
+        if let Some(state) = self
+            .jobs
+            .get_mut(name)
+            .and_then(|job| job.pages.get_mut(&page))
+        {
             state.version = None;
             self.records.reads.insert((name.clone(), Some(page)));
         }
@@ -255,7 +324,9 @@
 
     fn committed(&mut self, batch: Batch, version: u64) {
         for (name, page, change) in batch.pages {
-            let Some(job) = self.jobs.get_mut(&name) else { continue };
+            let Some(job) = self.jobs.get_mut(&name) else {
+                continue;
+            };
             let state = job.pages.get_mut(&page).expect("written pages are known");
             state.version = Some(version);
             state.durable = change;
@@ -276,7 +347,9 @@
 
     /// What the store says of a job whose version was not the one we know.
     fn job_read(&mut self, env: &mut Env, name: &Name, state: RecordState, version: u64) {
-        let Some(job) = self.jobs.get_mut(name) else { return };
+        let Some(job) = self.jobs.get_mut(name) else {
+            return;
+        };
         job.version = job.version.max(version);
         match state {
             RecordState::Done => self.forget_job(name),
@@ -295,7 +368,10 @@
     pub fn page_durable(jobs: &BTreeMap<Name, Job>, name: &Name, page: u32, change: u64) -> bool {
         match jobs.get(name) {
             None => true,
-            Some(job) => job.pages.get(&page).is_none_or(|state| state.durable >= change),
+            Some(job) => job
+                .pages
+                .get(&page)
+                .is_none_or(|state| state.durable >= change),
         }
     }
 }
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -66,12 +66,19 @@
 }
 
 impl Reign {
-    pub fn new(baton: u64, now: Instant, old_silent: Instant, teams: &BTreeMap<String, Team>) -> Reign {
+    pub fn new(
+        baton: u64,
+        now: Instant,
+        old_silent: Instant,
+        teams: &BTreeMap<String, Team>,
+    ) -> Reign {
         Reign {
             baton,
             since: now,
             old_silent,
-            load: Load::Jobs { after: String::new() },
+            load: Load::Jobs {
+                after: String::new(),
+            },
             waiting: false,
             retry: None,
             watch_from: 0,
@@ -130,7 +137,11 @@
             .filter_map(|name| {
                 self.progress.remove(&name);
                 let job = self.jobs.get(&name)?;
-                Some(Progress { job: name.to_string(), done: job.done_count, running: job.running })
+                Some(Progress {
+                    job: name.to_string(),
+                    done: job.done_count,
+                    running: job.running,
+                })
             })
             .collect()
     }
@@ -138,8 +149,20 @@
     fn read_on(&mut self, env: &mut Env) {
         self.waiting = true;
         let (call, op) = match &self.load {
-            Load::Jobs { after } => (LoadCall::Jobs, StoreOp::List { prefix: LIVE.into(), after: after.clone() }),
-            Load::Pages { after } => (LoadCall::Pages, StoreOp::List { prefix: TASK.into(), after: after.clone() }),
+            Load::Jobs { after } => (
+                LoadCall::Jobs,
+                StoreOp::List {
+                    prefix: LIVE.into(),
+                    after: after.clone(),
+                },
+            ),
+            Load::Pages { after } => (
+                LoadCall::Pages,
+                StoreOp::List {
+                    prefix: TASK.into(),
+                    after: after.clone(),
+                },
+            ),
             Load::Ready => {
                 self.waiting = false;
                 return;
@@ -151,7 +174,11 @@
     fn watch(&mut self, env: &mut Env) {
         if !self.watching {
             self.watching = true;
-            let op = StoreOp::Watch { prefix: LIVE.into(), after: self.watch_from, wait_ms: WATCH_MS };
+            let op = StoreOp::Watch {
+                prefix: LIVE.into(),
+                after: self.watch_from,
+                wait_ms: WATCH_MS,
+            };
             env.store(Purpose::Load(LoadCall::Watch), Urgency::High, op);
         }
     }
@@ -166,12 +193,19 @@
                     self.watch_from = page.revision;
                 }
                 let last = page.rows.last().map(|row| row.key.clone());
-                for Item { key, value, version } in page.rows {
+                for Item {
+                    key,
+                    value,
+                    version,
+                } in page.rows
+                {
                     self.live_changed(env, &key, value, version);
                 }
                 self.load = match last {
                     Some(after) if page.more => Load::Jobs { after },
-                    _ => Load::Pages { after: String::new() },
+                    _ => Load::Pages {
+                        after: String::new(),
+                    },
                 };
                 self.read_on(env);
             }
@@ -193,7 +227,12 @@
                 self.watching = false;
                 self.watch_from = changes.revision;
                 for event in changes.events {
-                    if let Event::Put { key, value, version } = event {
+                    if let Event::Put {
+                        key,
+                        value,
+                        version,
+                    } = event
+                    {
                         self.live_changed(env, &key, value, version);
                     }
                 }
@@ -202,7 +241,9 @@
             (LoadCall::Watch, Outcome::Answered(StoreAnswer::TooOld)) => {
                 // What is read again is merged into what is known.
                 self.watching = false;
-                self.load = Load::Jobs { after: String::new() };
+                self.load = Load::Jobs {
+                    after: String::new(),
+                };
                 self.read_on(env);
             }
             (LoadCall::Watch, _) => {
@@ -217,7 +258,9 @@
     }
 
     fn page_read(&mut self, item: Item) {
-        let Some((id, page)) = parse_page_key(&item.key) else { return };
+        let Some((id, page)) = parse_page_key(&item.key) else {
+            return;
+        };
         let id = Name::from(id);
         match serde_json::from_value::<PageRecord>(item.value) {
             Ok(record) => self.loaded_pages.push((id, page, item.version, record)),
@@ -240,7 +283,9 @@
             }
             for (machine, addr) in &record.machines {
                 let name = Name::from(machine.as_str());
-                self.machines.entry(name.clone()).or_insert_with(|| Machine::inherited(name, addr.clone(), now));
+                self.machines
+                    .entry(name.clone())
+                    .or_insert_with(|| Machine::inherited(name, addr.clone(), now));
             }
             job.adopt_page(page, version, &record, now);
             fresh.insert(id);
@@ -249,7 +294,10 @@
             let job = self.jobs.get_mut(id).expect("a job whose page was read");
             job.settle(now);
             for (task, place) in &job.places {
-                let machine = self.machines.get_mut(&place.machine).expect("machines of records are known");
+                let machine = self
+                    .machines
+                    .get_mut(&place.machine)
+                    .expect("machines of records are known");
                 machine.hold((id.clone(), *task), &job.spec);
                 self.quotas.add(&job.spec);
             }
@@ -258,7 +306,12 @@
             self.after_change(&name);
         }
         let places: usize = self.jobs.values().map(|j| j.places.len()).sum();
-        tracing::info!(jobs = self.jobs.len(), places, machines = self.machines.len(), "records read");
+        tracing::info!(
+            jobs = self.jobs.len(),
+            places,
+            machines = self.machines.len(),
+            "records read"
+        );
         // Machines that may hold something are shown the token at once.
         self.urgent.extend(self.machines.keys().cloned());
         self.place_due = true;
@@ -266,7 +319,9 @@
     }
 
     fn live_changed(&mut self, env: &mut Env, key: &str, value: serde_json::Value, version: u64) {
-        let Some(id) = key.strip_prefix(LIVE) else { return };
+        let Some(id) = key.strip_prefix(LIVE) else {
+            return;
+        };
         let record: LiveRecord = match serde_json::from_value(value) {
             Ok(record) => record,
             Err(error) => {
@@ -284,7 +339,12 @@
                 }
             }
             None => {
-                tracing::debug!(job = id, tasks = record.spec.tasks, class = record.spec.class, "new job");
+                tracing::debug!(
+                    job = id,
+                    tasks = record.spec.tasks,
+                    class = record.spec.class,
+                    "new job"
+                );
                 self.renting.saw_job(&record.spec, env.steady());
                 let job = Job::new(record.spec, record.at_ms, version, record.cancelled);
                 self.jobs.insert(name.clone(), job);
@@ -298,7 +358,9 @@
 
     /// A user cancelled: nothing of the job starts any more, all that is there must go.
     pub fn job_cancelled(&mut self, env: &mut Env, name: &Name) {
-        let Some(job) = self.jobs.get_mut(name) else { return };
+        let Some(job) = self.jobs.get_mut(name) else {
+            return;
+        };
         job.cancelled = true;
         let tasks: Vec<u32> = job.places.keys().copied().collect();
         for task in tasks {
@@ -309,8 +371,14 @@
 
     /// Looks whether a job is over.
     pub fn after_change(&mut self, name: &Name) {
-        let Some(job) = self.jobs.get(name) else { return };
-        let over = if job.cancelled { job.places.is_empty() } else { job.complete() };
+        let Some(job) = self.jobs.get(name) else {
+            return;
+        };
+        let over = if job.cancelled {
+            job.places.is_empty()
+        } else {
+            job.complete()
+        };
         if over {
             self.records.close(name);
         }
@@ -340,7 +408,10 @@
         if !self.ready() {
             return;
         }
-        if self.last_second.is_none_or(|t| now.duration_since(t) >= Duration::from_secs(1)) {
+        if self
+            .last_second
+            .is_none_or(|t| now.duration_since(t) >= Duration::from_secs(1))
+        {
             self.last_second = Some(now);
             self.check_silence(env);
             self.rent_tick(env);
@@ -355,7 +426,11 @@
             return;
         }
         let now = env.steady();
-        if self.place_due && self.placed_at.is_none_or(|t| now.duration_since(t) >= Duration::from_millis(20)) {
+        if self.place_due
+            && self
+                .placed_at
+                .is_none_or(|t| now.duration_since(t) >= Duration::from_millis(20))
+        {
             self.place_due = false;
             self.placed_at = Some(now);
             self.place_pass(env);
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -87,8 +87,18 @@
 
 /// What is wanted or had of one kind, in machines of a type.
 fn machines_of(room: Room, kind: &MachineType) -> f64 {
-    let part = |want: f64, have: f64| if want <= 0.0 { 0.0 } else if have > 0.0 { want / have } else { f64::INFINITY };
-    part(room.cpus, kind.cpus).max(part(room.gpus, kind.gpus)).max(part(room.memory_gb, kind.memory_gb))
+    let part = |want: f64, have: f64| {
+        if want <= 0.0 {
+            0.0
+        } else if have > 0.0 {
+            want / have
+        } else {
+            f64::INFINITY
+        }
+    };
+    part(room.cpus, kind.cpus)
+        .max(part(room.gpus, kind.gpus))
+        .max(part(room.memory_gb, kind.memory_gb))
 }
 
 impl Reign {
@@ -106,8 +116,12 @@
 
     fn list(&mut self, env: &mut Env) {
         let now = env.steady();
-        let period = (env.facts.list_lag / 2).clamp(Duration::from_secs(2), Duration::from_secs(10));
-        let due = self.renting.listed_at.is_none_or(|t| now.duration_since(t) >= period);
+        let period =
+            (env.facts.list_lag / 2).clamp(Duration::from_secs(2), Duration::from_secs(10));
+        let due = self
+            .renting
+            .listed_at
+            .is_none_or(|t| now.duration_since(t) >= period);
         if due && !self.renting.listing {
             self.renting.listing = true;
             self.renting.listed_at = Some(now);
@@ -130,12 +144,22 @@
             }
             let need = Room::of(&job.spec);
             let left = team_left.entry(&job.spec.team).or_insert_with(|| {
-                self.quotas.usage(&job.spec.team).map_or(0.0, |u| u.team.cpus_max - u.cpus)
+                self.quotas
+                    .usage(&job.spec.team)
+                    .map_or(0.0, |u| u.team.cpus_max - u.cpus)
             });
-            let fit = if need.cpus > 0.0 { (*left / need.cpus).max(0.0) as u32 } else { waiting };
+            let fit = if need.cpus > 0.0 {
+                (*left / need.cpus).max(0.0) as u32
+            } else {
+                waiting
+            };
             let tasks = f64::from(waiting.min(fit));
             *left -= tasks * need.cpus;
-            let total = Room { cpus: need.cpus * tasks, gpus: need.gpus * tasks, memory_gb: need.memory_gb * tasks };
+            let total = Room {
+                cpus: need.cpus * tasks,
+                gpus: need.gpus * tasks,
+                memory_gb: need.memory_gb * tasks,
+            };
             if job.spec.spot {
                 spot_need.add(total);
             } else {
@@ -155,13 +179,25 @@
             }
             let free = machine.total.minus(machine.used);
             in_use += machine.used.cpus;
-            if machine.spot { spot_free.add(free) } else { firm_free.add(free) }
+            if machine.spot {
+                spot_free.add(free)
+            } else {
+                firm_free.add(free)
+            }
         }
         for (rental, _) in &self.renting.open {
             if let Some(kind) = env.type_named(&rental.kind) {
                 for _ in 0..rental.count {
-                    let room = Room { cpus: kind.cpus, gpus: kind.gpus, memory_gb: kind.memory_gb };
-                    if rental.spot { spot_free.add(room) } else { firm_free.add(room) }
+                    let room = Room {
+                        cpus: kind.cpus,
+                        gpus: kind.gpus,
+                        memory_gb: kind.memory_gb,
+                    };
+                    if rental.spot {
+                        spot_free.add(room)
+                    } else {
+                        firm_free.add(room)
+                    }
                 }
             }
         }
@@ -195,7 +231,11 @@
             if !count.is_finite() {
                 continue;
             }
-            let price = if spot { kind.spot_price.unwrap_or(f64::INFINITY) } else { kind.price };
+            let price = if spot {
+                kind.spot_price.unwrap_or(f64::INFINITY)
+            } else {
+                kind.price
+            };
             for zone in &kind.zones {
                 let market = (kind.name.clone(), zone.clone(), spot);
                 let busy = self.renting.refused.contains_key(&market);
@@ -205,8 +245,16 @@
             }
         }
         // Among equals the zone with the fewest machines, so that no zone holds all.
-        let there = |market: &Market| self.machines.values().filter(|m| m.zone == market.1).count();
-        options.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| there(&a.2).cmp(&there(&b.2))));
+        let there = |market: &Market| {
+            self.machines
+                .values()
+                .filter(|m| m.zone == market.1)
+                .count()
+        };
+        options.sort_by(|a, b| {
+            a.0.total_cmp(&b.0)
+                .then_with(|| there(&a.2).cmp(&there(&b.2)))
+        });
         let Some((_, count, (kind, zone, spot))) = options.into_iter().next() else {
             if spot && fall_back {
                 self.rent_kind(env, room, false, false);
@@ -220,21 +268,38 @@
         self.renting.serial += 1;
         let request = format!("r-{}-{}", self.baton, self.renting.serial);
         tracing::info!(request, kind, zone, spot, count, "renting");
-        let rental = Rental { request, kind, zone, spot, count };
+        let rental = Rental {
+            request,
+            kind,
+            zone,
+            spot,
+            count,
+        };
         self.send_rental(env, rental);
     }
 
     fn send_rental(&mut self, env: &mut Env, rental: Rental) {
         self.renting.open.push((rental.clone(), env.steady()));
-        env.cloud(Purpose::Rent(RentCall::Rent(rental.clone())), CloudOp::Rent(rental));
+        env.cloud(
+            Purpose::Rent(RentCall::Rent(rental.clone())),
+            CloudOp::Rent(rental),
+        );
     }
 
     fn repeat_rentals(&mut self, env: &mut Env) {
         let now = env.steady();
         let wait = Duration::from_secs(8);
-        let due: Vec<Rental> = self.renting.open.iter().filter(|(_, at)| now.duration_since(*at) > wait).map(|(r, _)| r.clone()).collect();
+        let due: Vec<Rental> = self
+            .renting
+            .open
+            .iter()
+            .filter(|(_, at)| now.duration_since(*at) > wait)
+            .map(|(r, _)| r.clone())
+            .collect();
         for rental in due {
-            self.renting.open.retain(|(r, _)| r.request != rental.request);
+            self.renting
+                .open
+                .retain(|(r, _)| r.request != rental.request);
             self.send_rental(env, rental);
         }
     }
@@ -244,7 +309,9 @@
         match (call, outcome) {
             (RentCall::Rent(rental), Outcome::Answered(CloudAnswer::Rented(names))) => {
                 let asked = self.renting.open.len();
-                self.renting.open.retain(|(r, _)| r.request != rental.request);
+                self.renting
+                    .open
+                    .retain(|(r, _)| r.request != rental.request);
                 if self.renting.open.len() == asked {
                     return; // answered before
                 }
@@ -256,20 +323,33 @@
                 if let Some(kind) = env.type_named(&rental.kind).cloned() {
                     for name in names {
                         let name = Name::from(name.as_str());
-                        self.machines
-                            .entry(name.clone())
-                            .or_insert_with(|| Machine::rented(name, &kind, &rental.zone, rental.spot, now));
+                        self.machines.entry(name.clone()).or_insert_with(|| {
+                            Machine::rented(name, &kind, &rental.zone, rental.spot, now)
+                        });
                     }
                 }
             }
             (RentCall::Rent(rental), Outcome::Answered(CloudAnswer::NoCapacity)) => {
-                self.renting.open.retain(|(r, _)| r.request != rental.request);
-                tracing::info!(kind = rental.kind, zone = rental.zone, spot = rental.spot, "no capacity");
-                self.renting.refused.insert((rental.kind, rental.zone, rental.spot), now + REFUSED_FOR);
+                self.renting
+                    .open
+                    .retain(|(r, _)| r.request != rental.request);
+                tracing::info!(
+                    kind = rental.kind,
+                    zone = rental.zone,
+                    spot = rental.spot,
+                    "no capacity"
+                );
+                self.renting
+                    .refused
+                    .insert((rental.kind, rental.zone, rental.spot), now + REFUSED_FOR);
             }
             (RentCall::Rent(rental), Outcome::Answered(_) | Outcome::NotDone) => {
-                self.renting.open.retain(|(r, _)| r.request != rental.request);
-                self.renting.refused.insert((rental.kind, rental.zone, rental.spot), now + RETRY);
+                self.renting
+                    .open
+                    .retain(|(r, _)| r.request != rental.request);
+                self.renting
+                    .refused
+                    .insert((rental.kind, rental.zone, rental.spot), now + RETRY);
             }
             // Unanswered: it may have been carried out, so it is repeated by name.
             (RentCall::Rent(_), Outcome::Unknown) => {}
@@ -309,14 +389,20 @@
         let mut free = [0.0, 0.0];
         let mut in_use = 0.0;
         for machine in self.machines.values() {
-            let boot = env.type_named(&machine.kind).map_or(60.0, |k| k.boot_s.max(1.0));
+            let boot = env
+                .type_named(&machine.kind)
+                .map_or(60.0, |k| k.boot_s.max(1.0));
             let age = now.duration_since(machine.known).as_secs_f64();
             if machine.leaving {
                 if machine.release_sent.is_none() {
                     lost.push(machine.name.clone());
                 }
             } else if !machine.up && !machine.kind.is_empty() && age > boot * LOST_BOOT {
-                tracing::info!(machine = &*machine.name, age_s = age, "never came up; given up");
+                tracing::info!(
+                    machine = &*machine.name,
+                    age_s = age,
+                    "never came up; given up"
+                );
                 lost.push(machine.name.clone());
             } else if machine.quarantined && machine.places.is_empty() {
                 lost.push(machine.name.clone());
@@ -331,7 +417,10 @@
             .machines
             .values()
             .filter(|m| m.up && m.counts() && m.places.is_empty())
-            .filter(|m| m.idle_since.is_some_and(|t| now.duration_since(t) > policy.idle))
+            .filter(|m| {
+                m.idle_since
+                    .is_some_and(|t| now.duration_since(t) > policy.idle)
+            })
             .collect();
         // The dearest first.
         idle.sort_by_key(|m| m.spot);
@@ -358,18 +447,28 @@
 
     fn send_returns(&mut self, env: &mut Env, now: Instant) {
         let renting = &mut self.renting;
-        if renting.return_open || renting.returning.is_empty() || renting.return_retry.is_some_and(|t| t > now) {
+        if renting.return_open
+            || renting.returning.is_empty()
+            || renting.return_retry.is_some_and(|t| t > now)
+        {
             return;
         }
         let count = renting.returning.len().min(MOST_RETURNED);
         let names: Vec<Name> = renting.returning.drain(..count).collect();
         renting.return_open = true;
         let list = names.iter().map(|n| n.to_string()).collect();
-        env.cloud(Purpose::Rent(RentCall::Release(names)), CloudOp::Release(list));
+        env.cloud(
+            Purpose::Rent(RentCall::Release(names)),
+            CloudOp::Release(list),
+        );
     }
 }
 
 fn missing(need: Room, free: Room) -> Room {
     let gap = need.minus(free);
-    Room { cpus: gap.cpus.max(0.0), gpus: gap.gpus.max(0.0), memory_gb: gap.memory_gb.max(0.0) }
+    Room {
+        cpus: gap.cpus.max(0.0),
+        gpus: gap.gpus.max(0.0),
+        memory_gb: gap.memory_gb.max(0.0),
+    }
 }
--- /dev/null
+++ b/crates/rushyoke/src/budget.rs
@@ -0,0 +1,159 @@
+//! Budgets for calls to the outside: never more than this node's share of what the
+//! platform allows, the most urgent first, and a bounded queue.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use rushyoke_core::Urgency;
+
+/// Calls that wait; more are refused at once.
+const QUEUE: usize = 200;
+/// A call that waited for so long is refused.
+const PATIENCE: Duration = Duration::from_millis(1500);
+
+/// A bucket of tokens that fills steadily.
+struct Bucket {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    filled: Instant,
+}
+
+impl Bucket {
+    fn new(rate: f64, burst: f64, now: Instant) -> Bucket {
+        Bucket {
+            rate,
+            burst,
+            level: burst,
+            filled: now,
+        }
+    }
+
+    fn fill(&mut self, now: Instant) {
+        self.level = (self.level + now.duration_since(self.filled).as_secs_f64() * self.rate)
+            .min(self.burst);
+        self.filled = now;
+    }
+
+    /// A cost above the burst passes once the bucket is full.
+    fn has(&self, cost: f64) -> bool {
+        self.level >= cost.min(self.burst)
+    }
+}
+
+pub struct Queued<T> {
+    pub item: T,
+    urgency: Urgency,
+    writes: f64,
+    since: Instant,
+}
+
+/// Requests and writes per second, with a queue per urgency.
+pub struct Budget<T> {
+    requests: Bucket,
+    writes: Bucket,
+    queues: [VecDeque<Queued<T>>; 3],
+    rps: f64,
+    write_rps: f64,
+}
+
+impl<T> Budget<T> {
+    /// `seconds` worth of calls may go out in a burst.
+    pub fn new(rps: f64, write_rps: f64, seconds: f64, now: Instant) -> Budget<T> {
+        Budget {
+            requests: Bucket::new(rps, (rps * seconds).max(1.0), now),
+            writes: Bucket::new(write_rps, (write_rps * seconds).max(1.0), now),
+            queues: [VecDeque::new(), VecDeque::new(), VecDeque::new()],
+            rps,
+            write_rps,
+        }
+    }
+
+    /// Sets this node's share of the whole.
+    pub fn share(&mut self, share: f64) {
+        self.requests.rate = self.rps * share;
+        self.writes.rate = self.write_rps * share;
+    }
+
+    /// Queues a call; gives it back if the queue is full.
+    pub fn push(&mut self, item: T, urgency: Urgency, writes: usize, now: Instant) -> Option<T> {
+        let queue = &mut self.queues[urgency as usize];
+        if queue.len() >= QUEUE {
+            return Some(item);
+        }
+        queue.push_back(Queued {
+            item,
+            urgency,
+            writes: writes as f64,
+            since: now,
+        });
+        None
+    }
+
+    /// The next call that may go out.
+    pub fn next(&mut self, now: Instant) -> Option<T> {
+        self.requests.fill(now);
+        self.writes.fill(now);
+        for queue in &mut self.queues {
+            let Some(first) = queue.front() else { continue };
+            // Leadership never waits; what it uses is paid back by the others.
+            if first.urgency != Urgency::Lead
+                && !(self.requests.has(1.0) && self.writes.has(first.writes))
+            {
+                return None;
+            }
+            let first = queue.pop_front().expect("a first one");
+            self.requests.level -= 1.0;
+            self.writes.level -= first.writes;
+            return Some(first.item);
+        }
+        None
+    }
+
+    /// Calls that waited too long.
+    pub fn expired(&mut self, now: Instant) -> Vec<T> {
+        let mut expired = Vec::new();
+        for queue in &mut self.queues {
+            while queue
+                .front()
+                .is_some_and(|q| now.duration_since(q.since) > PATIENCE)
+            {
+                expired.extend(queue.pop_front().map(|q| q.item));
+            }
+        }
+        expired
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn leadership_passes_an_empty_bucket_and_the_rest_waits() {
+        let start = Instant::now();
+        let mut budget = Budget::new(2.0, 2.0, 1.0, start);
+        for n in 0..4 {
+            assert!(budget.push(n, Urgency::High, 1, start).is_none());
+        }
+        assert_eq!(
+            (budget.next(start), budget.next(start), budget.next(start)),
+            (Some(0), Some(1), None)
+        );
+        assert!(budget.push(9, Urgency::Lead, 0, start).is_none());
+        assert_eq!(budget.next(start), Some(9));
+        assert_eq!(budget.next(start + Duration::from_millis(600)), None);
+        assert_eq!(budget.next(start + Duration::from_millis(1100)), Some(2));
+        assert_eq!(budget.expired(start + Duration::from_secs(2)), vec![3]);
+    }
+
+    #[test]
+    fn a_full_queue_gives_the_call_back() {
+        let start = Instant::now();
+        let mut budget = Budget::new(1.0, 1.0, 1.0, start);
+        for n in 0..QUEUE {
+            assert!(budget.push(n, Urgency::Low, 0, start).is_none());
+        }
+        assert_eq!(budget.push(QUEUE, Urgency::Low, 0, start), Some(QUEUE));
+    }
+}
--- /dev/null
+++ b/crates/rushyoke/src/drive.rs
@@ -0,0 +1,257 @@
+//! The loop around the core: feeds it inputs and time, carries out what it returns.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use rushyoke_core::{
+    Answer, Call, CloudOp, Input, Node, Now, Outcome, Output, Req, StoreOp, Urgency,
+};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::LocalSet;
+
+use crate::budget::Budget;
+use crate::http::Http;
+use crate::outside;
+use crate::serve::{Asked, Server, Side};
+use crate::settings::Settings;
+use crate::stats::{Delay, Stats};
+
+const TICK: Duration = Duration::from_millis(50);
+/// Requests that wait for the core; more are turned away.
+const INBOX: usize = 512;
+/// Sockets kept back for our own calls.
+const OWN_SOCKETS: usize = 150;
+/// The lead's share of the state service's budget; the others share the rest.
+const LEAD_SHARE: f64 = 0.55;
+/// The lead alone uses the cloud, apart from the others' first look at the types.
+const CLOUD_SHARE: f64 = 0.8;
+
+struct Waiting {
+    answer: oneshot::Sender<Answer>,
+    submission: bool,
+    since: Instant,
+}
+
+struct Driver {
+    node: Node,
+    http: Http,
+    store: Budget<(Call, StoreOp)>,
+    cloud: Budget<(Call, CloudOp)>,
+    store_addr: SocketAddr,
+    cloud_addr: SocketAddr,
+    peers: HashMap<String, SocketAddr>,
+    waiting: HashMap<Req, Waiting>,
+    next_req: u64,
+    back: mpsc::UnboundedSender<Input>,
+    stats: Rc<RefCell<Stats>>,
+    others: usize,
+}
+
+fn now() -> Now {
+    let wall = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Now {
+        steady: Instant::now(),
+        wall_ms: wall.as_millis() as u64,
+    }
+}
+
+/// Serves until the process is killed.
+pub async fn run(settings: Settings) -> Result<(), String> {
+    LocalSet::new().run_until(serve(settings)).await
+}
+
+async fn serve(settings: Settings) -> Result<(), String> {
+    let (core, mut inbox) = mpsc::channel::<Asked>(INBOX);
+    // Outcomes of our own calls, whose number is bounded by the core and the budgets.
+    let (back, mut outcomes) = mpsc::unbounded_channel::<Input>();
+    let most = settings
+        .max_sockets
+        .saturating_sub(OWN_SOCKETS)
+        .max(settings.max_sockets / 2)
+        .max(8);
+    let open = Rc::new(Cell::new(0));
+    for (side, addr) in [
+        (Side::Public, settings.public_addr),
+        (Side::Peers, settings.peer_bind),
+    ] {
+        let listener = Server::bind(addr).await?;
+        let server = Server {
+            side,
+            core: core.clone(),
+            open: open.clone(),
+            most,
+        };
+        tokio::task::spawn_local(server.run(listener));
+    }
+    drop(core);
+    let start = now();
+    tracing::info!(label = settings.facts.label, public = %settings.public_addr, "started");
+    let mut driver = Driver {
+        store: Budget::new(settings.state_rps, settings.state_writes, 0.4, start.steady),
+        cloud: Budget::new(settings.cloud_rps, settings.cloud_rps, 1.0, start.steady),
+        node: Node::new(settings.facts, settings.policy, rand::random(), start),
+        http: Http::new(),
+        store_addr: settings.state,
+        cloud_addr: settings.cloud,
+        peers: settings.peers.into_iter().collect(),
+        waiting: HashMap::new(),
+        next_req: 0,
+        back,
+        stats: Rc::new(RefCell::new(Stats::new(start.steady))),
+        others: settings.nodes.saturating_sub(1),
+    };
+    driver.cloud.share(CLOUD_SHARE);
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            biased;
+            Some(input) = outcomes.recv() => driver.input(input),
+            _ = ticks.tick() => driver.tick(),
+            Some(asked) = inbox.recv() => driver.asked(asked),
+        }
+        driver.pump();
+    }
+}
+
+impl Driver {
+    fn tick(&mut self) {
+        let now = Instant::now();
+        let share = match (self.node.token(), self.others) {
+            (_, 0) => 1.0,
+            (Some(_), _) => LEAD_SHARE,
+            (None, others) => (1.0 - LEAD_SHARE) / others as f64,
+        };
+        self.store.share(share);
+        for (call, _) in self.store.expired(now) {
+            self.input(Input::Store {
+                call,
+                outcome: Outcome::NotDone,
+            });
+        }
+        for (call, _) in self.cloud.expired(now) {
+            self.input(Input::Cloud {
+                call,
+                outcome: Outcome::NotDone,
+            });
+        }
+        self.stats.borrow_mut().tick(now);
+        self.input(Input::Tick);
+    }
+
+    fn asked(&mut self, asked: Asked) {
+        self.next_req += 1;
+        let req = Req(self.next_req);
+        let waiting = Waiting {
+            answer: asked.answer,
+            submission: asked.submission,
+            since: Instant::now(),
+        };
+        self.waiting.insert(req, waiting);
+        self.input((asked.input)(req));
+    }
+
+    fn input(&mut self, input: Input) {
+        for output in self.node.handle(now(), input) {
+            self.output(output);
+        }
+    }
+
+    fn output(&mut self, output: Output) {
+        let now = Instant::now();
+        match output {
+            Output::Answer { req, answer } => {
+                if let Some(waiting) = self.waiting.remove(&req) {
+                    if waiting.submission {
+                        self.stats
+                            .borrow_mut()
+                            .note(Delay::Accept, now.duration_since(waiting.since));
+                    }
+                    if matches!(answer.status, 429 | 503) {
+                        self.stats.borrow_mut().shed();
+                    }
+                    // The client may have gone.
+                    let _ = waiting.answer.send(answer);
+                }
+            }
+            Output::Store { call, op, urgency } => {
+                let writes = match &op {
+                    StoreOp::Txn(txn) => txn.writes.len(),
+                    _ => 0,
+                };
+                if let Some((call, _)) = self.store.push((call, op), urgency, writes, now) {
+                    let _ = self.back.send(Input::Store {
+                        call,
+                        outcome: Outcome::NotDone,
+                    });
+                }
+            }
+            Output::Cloud { call, op } => {
+                if let Some((call, _)) = self.cloud.push((call, op), Urgency::Low, 0, now) {
+                    let _ = self.back.send(Input::Cloud {
+                        call,
+                        outcome: Outcome::NotDone,
+                    });
+                }
+            }
+            Output::Order { call, addr, orders } => {
+                let (http, back, stats) =
+                    (self.http.clone(), self.back.clone(), self.stats.clone());
+                tokio::task::spawn_local(async move {
+                    let outcome = outside::order(&http, &addr, &orders).await;
+                    stats.borrow_mut().note(Delay::Order, now.elapsed());
+                    let _ = back.send(Input::Ordered { call, outcome });
+                });
+            }
+            Output::Peer { label, ask } => {
+                let Some(addr) = self.peers.get(&label).copied() else {
+                    return;
+                };
+                let (http, back) = (self.http.clone(), self.back.clone());
+                tokio::task::spawn_local(async move {
+                    let outcome = outside::peer(&http, addr, &ask).await;
+                    let _ = back.send(Input::PeerTold { label, outcome });
+                });
+            }
+        }
+    }
+
+    /// Sends what the budgets allow.
+    fn pump(&mut self) {
+        let now = Instant::now();
+        while let Some((call, op)) = self.store.next(now) {
+            let (http, back, stats, addr) = (
+                self.http.clone(),
+                self.back.clone(),
+                self.stats.clone(),
+                self.store_addr,
+            );
+            tokio::task::spawn_local(async move {
+                let watch = matches!(op, StoreOp::Watch { .. });
+                let outcome = outside::store(&http, addr, op).await;
+                if !watch {
+                    stats.borrow_mut().note(Delay::State, now.elapsed());
+                }
+                let _ = back.send(Input::Store { call, outcome });
+            });
+        }
+        while let Some((call, op)) = self.cloud.next(now) {
+            let (http, back, stats, addr) = (
+                self.http.clone(),
+                self.back.clone(),
+                self.stats.clone(),
+                self.cloud_addr,
+            );
+            tokio::task::spawn_local(async move {
+                let outcome = outside::cloud(&http, addr, op).await;
+                stats.borrow_mut().note(Delay::Cloud, now.elapsed());
+                let _ = back.send(Input::Cloud { call, outcome });
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/rushyoke/src/http.rs
@@ -0,0 +1,150 @@
+//! A small HTTP/1.1 client: a few kept connections per address, deadlines, and an
+//! honest account of whether a request may have been carried out.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{Method, Request};
+use hyper_util::rt::TokioIo;
+use rushyoke_core::Outcome;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// Connections kept per address while idle.
+const KEPT: usize = 4;
+/// Addresses with kept connections.
+const ADDRESSES: usize = 256;
+
+#[derive(Clone)]
+pub struct Http {
+    idle: Rc<RefCell<HashMap<SocketAddr, Vec<Sender>>>>,
+}
+
+pub struct Ask {
+    pub addr: SocketAddr,
+    pub method: Method,
+    pub path: String,
+    pub body: Bytes,
+    pub connect: Duration,
+    pub wait: Duration,
+    /// Largest answer that is read.
+    pub most: usize,
+}
+
+impl Http {
+    pub fn new() -> Http {
+        Http {
+            idle: Rc::default(),
+        }
+    }
+
+    pub async fn ask(&self, ask: Ask) -> Outcome<(u16, Bytes)> {
+        while let Some(sender) = self.take(ask.addr) {
+            match self.send(sender, &ask).await {
+                // A kept connection that had ended: nothing was sent.
+                Outcome::NotDone => continue,
+                outcome => return outcome,
+            }
+        }
+        let stream = match timeout(ask.connect, TcpStream::connect(ask.addr)).await {
+            Ok(Ok(stream)) => stream,
+            // An attempt to connect that was given up does not complete later.
+            _ => return Outcome::NotDone,
+        };
+        let _ = stream.set_nodelay(true);
+        let Ok((sender, connection)) = handshake(TokioIo::new(stream)).await else {
+            return Outcome::NotDone;
+        };
+        tokio::task::spawn_local(connection);
+        self.send(sender, &ask).await
+    }
+
+    fn take(&self, addr: SocketAddr) -> Option<Sender> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&addr)?;
+        while let Some(sender) = kept.pop() {
+            if sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        idle.remove(&addr);
+        None
+    }
+
+    fn keep(&self, addr: SocketAddr, sender: Sender) {
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() >= ADDRESSES && !idle.contains_key(&addr) {
+            idle.retain(|_, kept| kept.iter().any(|s| !s.is_closed()));
+            if idle.len() >= ADDRESSES {
+                return;
+            }
+        }
+        let kept = idle.entry(addr).or_default();
+        if kept.len() < KEPT {
+            kept.push(sender);
+        }
+    }
+
+    /// Closes what is kept for an address that stopped answering.
+    fn close(&self, addr: SocketAddr) {
+        self.idle.borrow_mut().remove(&addr);
+    }
+
+    async fn send(&self, mut sender: Sender, ask: &Ask) -> Outcome<(u16, Bytes)> {
+        let request = Request::builder()
+            .method(ask.method.clone())
+            .uri(&ask.path)
+            .header("host", ask.addr.to_string())
+            .header("content-type", "application/json")
+            .body(Full::new(ask.body.clone()));
+        let Ok(request) = request else {
+            return Outcome::NotDone;
+        };
+        let answer = async {
+            let response = sender.try_send_request(request).await.map_err(|mut e| {
+                // The request comes back if it was never written.
+                e.take_message().is_some()
+            })?;
+            let status = response.status().as_u16();
+            let body = Limited::new(response.into_body(), ask.most)
+                .collect()
+                .await
+                .map_err(|_| false)?;
+            Ok((status, body.to_bytes()))
+        };
+        match timeout(ask.wait, answer).await {
+            Ok(Ok(answer)) => {
+                self.keep_when_ready(ask.addr, sender);
+                Outcome::Answered(answer)
+            }
+            Ok(Err(true)) => Outcome::NotDone,
+            Ok(Err(false)) => Outcome::Unknown,
+            Err(_) => {
+                self.close(ask.addr);
+                Outcome::Unknown
+            }
+        }
+    }
+
+    /// A connection is ready again a moment after its answer was read.
+    fn keep_when_ready(&self, addr: SocketAddr, mut sender: Sender) {
+        if sender.is_ready() {
+            self.keep(addr, sender);
+            return;
+        }
+        let http = self.clone();
+        tokio::task::spawn_local(async move {
+            if let Ok(Ok(())) = timeout(Duration::from_secs(1), sender.ready()).await {
+                http.keep(addr, sender);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/rushyoke/src/outside.rs
@@ -0,0 +1,265 @@
+//! The calls to the state service, the cloud, the workers and the other controllers:
+//! how each looks on the wire, and what its answer means. A malformed answer is logged
+//! and counts as none.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Method;
+use rushyoke_core::{CloudAnswer, CloudOp, Outcome, StoreAnswer, StoreOp};
+use rushyoke_wire::cloud::{Listing, Names, Types};
+use rushyoke_wire::peer::{PeerAsk, PeerTell, decode, encode};
+use rushyoke_wire::store::{Changes, Committed, Item, Lease, NewLease, Page, Refused};
+use rushyoke_wire::worker::{Orders, Report};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::http::{Ask, Http};
+
+/// What a watch may take beyond the time it waits.
+const WATCH_SLACK: Duration = Duration::from_secs(4);
+const STORE_WAIT: Duration = Duration::from_millis(1500);
+const CLOUD_WAIT: Duration = Duration::from_secs(5);
+const WORKER_WAIT: Duration = Duration::from_secs(3);
+const PEER_WAIT: Duration = Duration::from_secs(1);
+const CONNECT: Duration = Duration::from_secs(1);
+const MOST: usize = 4 * 1024 * 1024;
+/// Machines per page of the list.
+const LISTED: usize = 500;
+
+fn ask(
+    addr: SocketAddr,
+    method: Method,
+    path: impl Into<String>,
+    body: Vec<u8>,
+    wait: Duration,
+) -> Ask {
+    Ask {
+        addr,
+        method,
+        path: path.into(),
+        body: Bytes::from(body),
+        connect: CONNECT,
+        wait,
+        most: MOST,
+    }
+}
+
+fn json<T: Serialize>(body: &T) -> Vec<u8> {
+    serde_json::to_vec(body).expect("requests always encode")
+}
+
+/// Reads an answer's body; anything malformed counts as no answer.
+fn parse<T: DeserializeOwned>(what: &str, body: &Bytes) -> Option<T> {
+    match serde_json::from_slice(body) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            tracing::error!(what, %error, "malformed answer");
+            None
+        }
+    }
+}
+
+fn known<T>(answer: Option<T>) -> Outcome<T> {
+    answer.map_or(Outcome::Unknown, Outcome::Answered)
+}
+
+fn unexpected<T>(what: &str, status: u16) -> Outcome<T> {
+    tracing::error!(what, status, "unexpected answer");
+    Outcome::Unknown
+}
+
+pub async fn store(http: &Http, addr: SocketAddr, op: StoreOp) -> Outcome<StoreAnswer> {
+    let request = match &op {
+        StoreOp::Get(key) => ask(
+            addr,
+            Method::GET,
+            format!("/kv/{key}"),
+            Vec::new(),
+            STORE_WAIT,
+        ),
+        StoreOp::List { prefix, after } => {
+            let after = if after.is_empty() {
+                String::new()
+            } else {
+                format!("&since={after}")
+            };
+            ask(
+                addr,
+                Method::GET,
+                format!("/kv?starts={prefix}{after}&most=1000"),
+                Vec::new(),
+                STORE_WAIT,
+            )
+        }
+        StoreOp::Txn(txn) => ask(addr, Method::POST, "/txn", json(txn), STORE_WAIT),
+        StoreOp::NewLease { ttl_ms } => ask(
+            addr,
+            Method::POST,
+            "/leases",
+            json(&NewLease { ttl_ms: *ttl_ms }),
+            STORE_WAIT,
+        ),
+        StoreOp::Touch(lease) => ask(
+            addr,
+            Method::POST,
+            format!("/leases/{lease}/touch"),
+            Vec::new(),
+            STORE_WAIT,
+        ),
+        StoreOp::EndLease(lease) => ask(
+            addr,
+            Method::DELETE,
+            format!("/leases/{lease}"),
+            Vec::new(),
+            STORE_WAIT,
+        ),
+        StoreOp::Watch {
+            prefix,
+            after,
+            wait_ms,
+        } => {
+            let path = format!("/changes?starts={prefix}&since={after}&block_ms={wait_ms}");
+            ask(
+                addr,
+                Method::GET,
+                path,
+                Vec::new(),
+                Duration::from_millis(*wait_ms) + WATCH_SLACK,
+            )
+        }
+    };
+    let (status, body) = match http.ask(request).await {
+        Outcome::Answered(answer) => answer,
+        Outcome::NotDone => return Outcome::NotDone,
+        Outcome::Unknown => return Outcome::Unknown,
+    };
+    if matches!(status, 429 | 503) {
+        tracing::debug!(status, ?op, "the state service declines");
+        return Outcome::Answered(StoreAnswer::Unavailable);
+    }
+    match (&op, status) {
+        (StoreOp::Get(_), 200) => {
+            known(parse::<Item>("state", &body).map(|item| StoreAnswer::Item(Some(item))))
+        }
+        (StoreOp::Get(_), 404) => Outcome::Answered(StoreAnswer::Item(None)),
+        (StoreOp::List { .. }, 200) => known(parse::<Page>("state", &body).map(StoreAnswer::Page)),
+        (StoreOp::Txn(_), 200) => {
+            known(parse::<Committed>("state", &body).map(|c| StoreAnswer::Committed(c.revision)))
+        }
+        (StoreOp::Txn(_), 409) => {
+            known(parse::<Refused>("state", &body).map(|r| StoreAnswer::Refused(r.failed)))
+        }
+        (StoreOp::Txn(_), 400) => {
+            let text = String::from_utf8_lossy(&body);
+            if !text.contains("no such lease") {
+                tracing::error!(%text, "the state service calls a transaction malformed");
+            }
+            Outcome::Answered(StoreAnswer::NoSuchLease)
+        }
+        (StoreOp::NewLease { .. }, 200) => {
+            known(parse::<Lease>("state", &body).map(|l| StoreAnswer::Lease(l.lease)))
+        }
+        (StoreOp::Touch(_) | StoreOp::EndLease(_), 200 | 204) => {
+            Outcome::Answered(StoreAnswer::LeaseLives)
+        }
+        (StoreOp::Touch(_) | StoreOp::EndLease(_), 404) => {
+            Outcome::Answered(StoreAnswer::NoSuchLease)
+        }
+        (StoreOp::Watch { .. }, 200) => {
+            known(parse::<Changes>("state", &body).map(StoreAnswer::Changes))
+        }
+        (StoreOp::Watch { .. }, 410) => Outcome::Answered(StoreAnswer::TooOld),
+        _ => unexpected("state", status),
+    }
+}
+
+pub async fn cloud(http: &Http, addr: SocketAddr, op: CloudOp) -> Outcome<CloudAnswer> {
+    let request = match &op {
+        CloudOp::Types => ask(addr, Method::GET, "/flavors", Vec::new(), CLOUD_WAIT),
+        CloudOp::Rent(rental) => ask(addr, Method::POST, "/machines", json(rental), CLOUD_WAIT),
+        CloudOp::Release(machines) => ask(
+            addr,
+            Method::POST,
+            "/machines/release",
+            json(&Names {
+                machines: machines.clone(),
+            }),
+            CLOUD_WAIT,
+        ),
+        CloudOp::List { after } => {
+            let after = after
+                .as_ref()
+                .map(|a| format!("since={a}&"))
+                .unwrap_or_default();
+            ask(
+                addr,
+                Method::GET,
+                format!("/machines?{after}most={LISTED}"),
+                Vec::new(),
+                CLOUD_WAIT,
+            )
+        }
+    };
+    let (status, body) = match http.ask(request).await {
+        Outcome::Answered(answer) => answer,
+        Outcome::NotDone => return Outcome::NotDone,
+        Outcome::Unknown => return Outcome::Unknown,
+    };
+    match (&op, status) {
+        (CloudOp::Types, 200) => {
+            known(parse::<Types>("cloud", &body).map(|t| CloudAnswer::Types(t.types)))
+        }
+        (CloudOp::Rent(_), 200) => {
+            known(parse::<Names>("cloud", &body).map(|n| CloudAnswer::Rented(n.machines)))
+        }
+        (CloudOp::Release(_), 200) => Outcome::Answered(CloudAnswer::Released),
+        (CloudOp::List { .. }, 200) => {
+            known(parse::<Listing>("cloud", &body).map(CloudAnswer::Listing))
+        }
+        (CloudOp::Rent(_), 503) if String::from_utf8_lossy(&body).contains("no capacity") => {
+            Outcome::Answered(CloudAnswer::NoCapacity)
+        }
+        (_, 429 | 503) => {
+            tracing::debug!(status, "the cloud declines");
+            Outcome::Answered(CloudAnswer::Unavailable)
+        }
+        _ => unexpected("cloud", status),
+    }
+}
+
+/// Direct orders; the outcome is the status and the worker's report.
+pub async fn order(http: &Http, addr: &str, orders: &Orders) -> Outcome<(u16, Report)> {
+    let Ok(addr) = addr.parse::<SocketAddr>() else {
+        tracing::error!(addr, "a worker's address cannot be used");
+        return Outcome::NotDone;
+    };
+    match http
+        .ask(ask(
+            addr,
+            Method::POST,
+            "/orders",
+            json(orders),
+            WORKER_WAIT,
+        ))
+        .await
+    {
+        Outcome::Answered((status @ (200 | 409), body)) => {
+            known(parse("worker", &body).map(|report| (status, report)))
+        }
+        Outcome::Answered((status, _)) => unexpected("worker", status),
+        Outcome::NotDone => Outcome::NotDone,
+        Outcome::Unknown => Outcome::Unknown,
+    }
+}
+
+pub async fn peer(http: &Http, addr: SocketAddr, message: &PeerAsk) -> Outcome<PeerTell> {
+    match http
+        .ask(ask(addr, Method::POST, "/peer", encode(message), PEER_WAIT))
+        .await
+    {
+        Outcome::Answered((200, body)) => known(decode(&body)),
+        _ => Outcome::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/rushyoke/src/serve.rs
@@ -0,0 +1,209 @@
+//! The servers: users, workers and health checks on one address, the other controllers
+//! on another. Every request is answered at once or handed to the core.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use rushyoke_core::{Answer, Input, Req};
+use rushyoke_wire::job::{JobSpec, is_job_id};
+use rushyoke_wire::peer;
+use rushyoke_wire::worker::Report;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+
+/// Largest body that is taken.
+const MOST_BODY: usize = 64 * 1024;
+/// A connection on which nothing comes for so long is closed.
+const IDLE: Duration = Duration::from_secs(40);
+
+/// A request on its way to the core.
+pub struct Asked {
+    pub input: Box<dyn FnOnce(Req) -> Input>,
+    pub answer: oneshot::Sender<Answer>,
+    pub submission: bool,
+}
+
+#[derive(Clone, Copy)]
+pub enum Side {
+    Public,
+    Peers,
+}
+
+#[derive(Clone)]
+pub struct Server {
+    pub side: Side,
+    pub core: mpsc::Sender<Asked>,
+    /// Connections open now and at the most, over both sides.
+    pub open: Rc<Cell<usize>>,
+    pub most: usize,
+}
+
+impl Server {
+    pub async fn bind(addr: SocketAddr) -> Result<TcpListener, String> {
+        TcpListener::bind(addr)
+            .await
+            .map_err(|e| format!("{addr}: {e}"))
+    }
+
+    pub async fn run(self, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                // Out of sockets: those in use come free.
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            };
+            if self.open.get() >= self.most {
+                // Closed at once, so that the load balancer tries another node.
+                drop(stream);
+                continue;
+            }
+            let _ = stream.set_nodelay(true);
+            self.open.set(self.open.get() + 1);
+            let server = self.clone();
+            tokio::task::spawn_local(async move {
+                let service = service_fn(|request| server.serve(request));
+                let connection = http1::Builder::new()
+                    .timer(TokioTimer::new())
+                    .header_read_timeout(IDLE)
+                    .max_buf_size(72 * 1024)
+                    .serve_connection(TokioIo::new(stream), service);
+                // Connections end as clients please.
+                let _ = connection.await;
+                server.open.set(server.open.get() - 1);
+            });
+        }
+    }
+
+    async fn serve(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+        let method = request.method().clone();
+        let path = request.uri().path().to_owned();
+        let route = match self.side {
+            Side::Public => public_route(&path),
+            Side::Peers if path == "/peer" => Some((Method::POST, Route::Peer)),
+            Side::Peers => None,
+        };
+        let Some((allowed, route)) = route else {
+            return Ok(respond(Answer::error(404, "no such path")));
+        };
+        if method != allowed {
+            let mut response = respond(Answer::error(405, "method not allowed"));
+            response
+                .headers_mut()
+                .insert("allow", allowed.as_str().parse().expect("a method's name"));
+            return Ok(response);
+        }
+        let body = match Limited::new(request.into_body(), MOST_BODY).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(error) => {
+                let large = error.downcast_ref::<LengthLimitError>().is_some();
+                let answer = match large {
+                    true => Answer::error(413, "the body is larger than 64 KiB"),
+                    false => Answer::error(400, "the body could not be read"),
+                };
+                let mut response = respond(answer);
+                response
+                    .headers_mut()
+                    .insert("connection", "close".parse().expect("a fixed value"));
+                return Ok(response);
+            }
+        };
+        Ok(respond(self.route(route, &body).await))
+    }
+
+    async fn route(&self, route: Route, body: &Bytes) -> Answer {
+        let submission = matches!(route, Route::Submit);
+        let input: Box<dyn FnOnce(Req) -> Input> = match route {
+            Route::Submit => match JobSpec::parse(body) {
+                Ok(spec) => Box::new(move |req| Input::Submit {
+                    req,
+                    spec: Box::new(spec),
+                }),
+                Err(why) => return Answer::error(400, &why),
+            },
+            Route::Status(id) | Route::Cancel(id) if !is_job_id(&id) => {
+                return Answer::error(404, "no such job");
+            }
+            Route::Status(id) => Box::new(move |req| Input::Status { req, id }),
+            Route::Cancel(id) => Box::new(move |req| Input::Cancel { req, id }),
+            Route::Ready => Box::new(|req| Input::Ready { req }),
+            Route::Report => match serde_json::from_slice::<Report>(body) {
+                Ok(report) => Box::new(move |req| Input::Report {
+                    req,
+                    report: Box::new(report),
+                }),
+                Err(error) => {
+                    tracing::error!(%error, "malformed report");
+                    return Answer::error(400, &error.to_string());
+                }
+            },
+            Route::Peer => match peer::decode(body) {
+                Some(ask) => Box::new(move |req| Input::Peer { req, ask }),
+                None => return Answer::error(400, "malformed message"),
+            },
+        };
+        let (answer, answered) = oneshot::channel();
+        if self
+            .core
+            .try_send(Asked {
+                input,
+                answer,
+                submission,
+            })
+            .is_err()
+        {
+            return Answer::later(503, "too many requests at once");
+        }
+        answered
+            .await
+            .unwrap_or_else(|_| Answer::later(503, "no answer"))
+    }
+}
+
+enum Route {
+    Submit,
+    Status(String),
+    Cancel(String),
+    Ready,
+    Report,
+    Peer,
+}
+
+fn public_route(path: &str) -> Option<(Method, Route)> {
+    match path {
+        "/ready" => return Some((Method::GET, Route::Ready)),
+        "/v1/report" => return Some((Method::POST, Route::Report)),
+        "/api/jobs" => return Some((Method::POST, Route::Submit)),
+        _ => {}
+    }
+    let rest = path.strip_prefix("/api/jobs/")?;
+    match rest.split_once('/') {
+        None if !rest.is_empty() => Some((Method::GET, Route::Status(rest.to_owned()))),
+        Some((id, "cancel")) => Some((Method::POST, Route::Cancel(id.to_owned()))),
+        _ => None,
+    }
+}
+
+fn respond(answer: Answer) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(answer.body)));
+    *response.status_mut() =
+        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(
+        "content-type",
+        "application/json".parse().expect("a fixed value"),
+    );
+    if let Some(seconds) = answer.retry_after_s {
+        headers.insert("retry-after", seconds.into());
+    }
+    response
+}
--- /dev/null
+++ b/crates/rushyoke/src/settings.rs
@@ -0,0 +1,322 @@
+//! Settings: the platform's TOML file, and the operators' YAML file.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use rushyoke_core::{Facts, Objective, Policy, Team};
+use serde::Deserialize;
+
+/// All that a node starts with.
+pub struct Settings {
+    pub facts: Facts,
+    pub policy: Policy,
+    pub public_addr: SocketAddr,
+    pub peer_bind: SocketAddr,
+    pub peers: BTreeMap<String, SocketAddr>,
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+    pub state_rps: f64,
+    pub state_writes: f64,
+    pub cloud_rps: f64,
+    pub nodes: usize,
+    pub max_sockets: usize,
+}
+
+#[derive(Deserialize)]
+struct File {
+    label: String,
+    public_addr: SocketAddr,
+    peer_bind: SocketAddr,
+    #[serde(default)]
+    others: Vec<Other>,
+    outside: Outside,
+    facts: FileFacts,
+}
+
+#[derive(Deserialize)]
+struct Other {
+    label: String,
+    endpoint: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct Outside {
+    cloud: SocketAddr,
+    state: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct FileFacts {
+    #[serde(default)]
+    teams: Vec<FileTeam>,
+    #[serde(default)]
+    objectives: Vec<FileObjective>,
+    workers: Workers,
+    state: State,
+    cloud: Cloud,
+    quota: Quota,
+}
+
+#[derive(Deserialize)]
+struct FileTeam {
+    name: String,
+    #[serde(default)]
+    cpus: f64,
+    #[serde(default)]
+    cpus_max: f64,
+    #[serde(default)]
+    gpus: f64,
+    #[serde(default)]
+    gpus_max: f64,
+}
+
+#[derive(Deserialize)]
+struct FileObjective {
+    kind: String,
+    class: Option<String>,
+    within_s: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct Workers {
+    report_s: f64,
+    lease_s: f64,
+    cancel_s: f64,
+}
+
+#[derive(Deserialize)]
+struct State {
+    rps: f64,
+    write_rps: f64,
+    value_kb: f64,
+    txn_ops: usize,
+}
+
+#[derive(Deserialize)]
+struct Cloud {
+    rps: f64,
+    list_lag_s: f64,
+}
+
+#[derive(Deserialize)]
+struct Quota {
+    max_sockets: usize,
+}
+
+/// The operators' settings; what is left out keeps its default.
+#[derive(Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct FilePolicy {
+    speculation: Option<bool>,
+    speculation_period_s: Option<f64>,
+    straggler_threshold: Option<f64>,
+    cell_minimum: Option<u32>,
+    levels: Option<usize>,
+    lead_ttl_s: Option<f64>,
+    headroom_share: Option<f64>,
+    headroom_machines: Option<f64>,
+    service_reserve: Option<f64>,
+    idle_s: Option<f64>,
+    silent_reports: Option<f64>,
+    sample: Option<usize>,
+}
+
+/// Reads and checks both files; an error is one line that names the file, the field
+/// and the reason.
+pub fn load(config: &Path, policy: Option<&Path>) -> Result<Settings, String> {
+    let in_config = |reason: String| format!("{}: {reason}", config.display());
+    let text = std::fs::read_to_string(config).map_err(|e| in_config(e.to_string()))?;
+    let file: File = toml::from_str(&text).map_err(|e| in_config(toml_reason(&text, &e)))?;
+    let policy = match policy {
+        None => Policy::default(),
+        Some(path) => {
+            let in_policy = |reason: String| format!("{}: {reason}", path.display());
+            let text = std::fs::read_to_string(path).map_err(|e| in_policy(e.to_string()))?;
+            parse_policy(&text).map_err(in_policy)?
+        }
+    };
+    build(file, policy).map_err(in_config)
+}
+
+fn toml_reason(text: &str, error: &toml::de::Error) -> String {
+    let line = error
+        .span()
+        .map(|span| text[..span.start.min(text.len())].matches('\n').count() + 1);
+    let at = line.map(|l| format!("line {l}: ")).unwrap_or_default();
+    format!("{at}{}", error.message().replace('\n', " "))
+}
+
+fn build(file: File, policy: Policy) -> Result<Settings, String> {
+    let facts = &file.facts;
+    let positive = |name: &str, value: f64| match value > 0.0 && value.is_finite() {
+        true => Ok(Duration::from_secs_f64(value.min(1e9))),
+        false => Err(format!("{name}: must be a number above 0")),
+    };
+    let count = |name: &str, value: f64| positive(name, value).map(|_| value);
+    if facts.state.txn_ops < 4 {
+        return Err("facts.state.txn_ops: must be at least 4".into());
+    }
+    let mut teams = BTreeMap::new();
+    for team in &facts.teams {
+        let amounts = [team.cpus, team.cpus_max, team.gpus, team.gpus_max];
+        if amounts.iter().any(|a| !a.is_finite() || *a < 0.0) {
+            return Err(format!(
+                "facts.teams: {}: amounts must be 0 or above",
+                team.name
+            ));
+        }
+        let value = Team {
+            cpus: team.cpus,
+            cpus_max: team.cpus_max,
+            gpus: team.gpus,
+            gpus_max: team.gpus_max,
+        };
+        if teams.insert(team.name.clone(), value).is_some() {
+            return Err(format!("facts.teams: {} stands twice", team.name));
+        }
+    }
+    let objectives = facts.objectives.iter().map(|o| Objective {
+        kind: o.kind.clone(),
+        class: o.class.clone(),
+        within: o
+            .within_s
+            .filter(|s| *s >= 0.0 && s.is_finite())
+            .map(|s| Duration::from_secs_f64(s.min(1e9))),
+    });
+    let peers: BTreeMap<String, SocketAddr> = file
+        .others
+        .iter()
+        .map(|o| (o.label.clone(), o.endpoint))
+        .collect();
+    if peers.contains_key(&file.label) {
+        return Err("others: names this node itself".into());
+    }
+    let core = Facts {
+        label: file.label.clone(),
+        others: peers.keys().cloned().collect(),
+        teams,
+        objectives: objectives.collect(),
+        report: positive("facts.workers.report_s", facts.workers.report_s)?,
+        lease: positive("facts.workers.lease_s", facts.workers.lease_s)?,
+        cancel: positive("facts.workers.cancel_s", facts.workers.cancel_s)?,
+        txn_ops: facts.state.txn_ops,
+        value_bytes: (count("facts.state.value_kb", facts.state.value_kb)? * 1024.0) as usize,
+        list_lag: positive("facts.cloud.list_lag_s", facts.cloud.list_lag_s)?,
+    };
+    Ok(Settings {
+        nodes: peers.len() + 1,
+        facts: core,
+        policy,
+        public_addr: file.public_addr,
+        peer_bind: file.peer_bind,
+        peers,
+        cloud: file.outside.cloud,
+        state: file.outside.state,
+        state_rps: count("facts.state.rps", facts.state.rps)?,
+        state_writes: count("facts.state.write_rps", facts.state.write_rps)?,
+        cloud_rps: count("facts.cloud.rps", facts.cloud.rps)?,
+        max_sockets: facts.quota.max_sockets,
+    })
+}
+
+fn parse_policy(text: &str) -> Result<Policy, String> {
+    let file: FilePolicy = if text.trim().is_empty() {
+        FilePolicy::default()
+    } else {
+        serde_yaml_ng::from_str(text).map_err(|e| e.to_string())?
+    };
+    let mut policy = Policy::default();
+    let seconds =
+        |name: &str, value: Option<f64>, low: f64, high: f64, target: &mut Duration| match value {
+            None => Ok(()),
+            Some(v) if (low..=high).contains(&v) => {
+                *target = Duration::from_secs_f64(v);
+                Ok(())
+            }
+            Some(_) => Err(format!("{name}: must be {low} to {high} seconds")),
+        };
+    let number = |name: &str, value: Option<f64>, low: f64, high: f64, target: &mut f64| match value
+    {
+        None => Ok(()),
+        Some(v) if (low..=high).contains(&v) => {
+            *target = v;
+            Ok(())
+        }
+        Some(_) => Err(format!("{name}: must be {low} to {high}")),
+    };
+    let whole =
+        |name: &str, value: Option<usize>, low: usize, high: usize, target: &mut usize| match value
+        {
+            None => Ok(()),
+            Some(v) if (low..=high).contains(&v) => {
+                *target = v;
+                Ok(())
+            }
+            Some(_) => Err(format!("{name}: must be {low} to {high}")),
+        };
+    policy.speculation = file.speculation.unwrap_or(policy.speculation);
+    seconds(
+        "speculation_period_s",
+        file.speculation_period_s,
+        1.0,
+        3600.0,
+        &mut policy.speculation_period,
+    )?;
+    number(
+        "straggler_threshold",
+        file.straggler_threshold,
+        0.0,
+        1e6,
+        &mut policy.straggler_threshold,
+    )?;
+    let mut cell_minimum = policy.cell_minimum as usize;
+    whole(
+        "cell_minimum",
+        file.cell_minimum.map(|n| n as usize),
+        2,
+        10_000,
+        &mut cell_minimum,
+    )?;
+    policy.cell_minimum = cell_minimum as u32;
+    whole("levels", file.levels, 1, 32, &mut policy.levels)?;
+    seconds(
+        "lead_ttl_s",
+        file.lead_ttl_s,
+        0.5,
+        60.0,
+        &mut policy.lead_ttl,
+    )?;
+    number(
+        "headroom_share",
+        file.headroom_share,
+        0.0,
+        10.0,
+        &mut policy.headroom_share,
+    )?;
+    number(
+        "headroom_machines",
+        file.headroom_machines,
+        0.0,
+        1000.0,
+        &mut policy.headroom_machines,
+    )?;
+    number(
+        "service_reserve",
+        file.service_reserve,
+        0.0,
+        100.0,
+        &mut policy.service_reserve,
+    )?;
+    seconds("idle_s", file.idle_s, 0.0, 86_400.0, &mut policy.idle)?;
+    number(
+        "silent_reports",
+        file.silent_reports,
+        1.5,
+        100.0,
+        &mut policy.silent_reports,
+    )?;
+    whole("sample", file.sample, 1, 100_000, &mut policy.sample)?;
+    Ok(policy)
+}
--- a/crates/wire/src/job.rs
+++ b/crates/wire/src/job.rs
@@ -93,7 +93,11 @@
         if self.tasks == 0 || self.tasks > MAX_TASKS {
             return Err(format!("loads: must be 1 to {MAX_TASKS}"));
         }
-        for (name, text) in [("lane", &self.class), ("crew", &self.team), ("kit", &self.image)] {
+        for (name, text) in [
+            ("lane", &self.class),
+            ("crew", &self.team),
+            ("kit", &self.image),
+        ] {
             if text.is_empty() || text.len() > 200 {
                 return Err(format!("{name}: must have 1 to 200 bytes"));
             }
