--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -163,11 +163,7 @@
         // Only what the job will use is kept for it.
         best.map(|mut plan| {
             let tasks = f64::from(plan.tasks);
-            plan.freed = Room {
-                cpus: need.cpus * tasks,
-                gpus: need.gpus * tasks,
-                memory_gb: need.memory_gb * tasks,
-            };
+            plan.freed = need.scaled(tasks);
             plan
         })
     }
--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -39,6 +39,19 @@
         self.memory_gb -= other.memory_gb;
     }
 
+    pub fn scaled(self, times: f64) -> Room {
+        Room {
+            cpus: self.cpus * times,
+            gpus: self.gpus * times,
+            memory_gb: self.memory_gb * times,
+        }
+    }
+
+    /// Nothing of anything.
+    pub fn is_nothing(&self) -> bool {
+        self.cpus <= SLACK && self.gpus <= SLACK && self.memory_gb <= SLACK
+    }
+
     pub fn minus(mut self, other: Room) -> Room {
         self.sub(other);
         self
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -113,11 +113,6 @@
         (self.baton << 24) | self.next_attempt
     }
 
-    /// Whether an attempt was started by this lead.
-    pub fn own_attempt(&self, attempt: u64) -> bool {
-        attempt >> 24 == self.baton
-    }
-
     pub fn old_lead_silent(&mut self, from: Instant) {
         if from < self.old_silent {
             tracing::debug!("no earlier lead acts any more");
@@ -303,6 +298,10 @@
             }
         }
         for name in self.jobs.keys().cloned().collect::<Vec<_>>() {
+            // A lead that fell between a cancellation and its stops leaves them to us.
+            if self.jobs[&name].cancelled {
+                self.job_cancelled(env, &name);
+            }
             self.after_change(&name);
         }
         let places: usize = self.jobs.values().map(|j| j.places.len()).sum();
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -9,8 +9,9 @@
 
 use crate::fleet::Machine;
 use crate::io::*;
-use crate::jobs::Name;
+use crate::jobs::{Job, Name};
 use crate::node::{Env, Purpose};
+use crate::place::allowed;
 use crate::quota::Room;
 use crate::recover::Reign;
 
@@ -130,98 +131,137 @@
         }
     }
 
+    /// Tasks of a job that wait and that its team's limit would let run.
+    fn startable(&self, job: &Job, team_left: &mut BTreeMap<String, f64>) -> f64 {
+        let waiting = job.waiting();
+        if waiting == 0 {
+            return 0.0;
+        }
+        let left = team_left.entry(job.spec.team.clone()).or_insert_with(|| {
+            self.quotas
+                .usage(&job.spec.team)
+                .map_or(0.0, |u| u.team.cpus_max - u.cpus)
+        });
+        let cpus = job.spec.cpus;
+        let fit = if cpus > 0.0 {
+            (*left / cpus).max(0.0) as u32
+        } else {
+            waiting
+        };
+        let tasks = f64::from(waiting.min(fit));
+        *left -= tasks * cpus;
+        tasks
+    }
+
     /// Demand that has no room yet, and what must be kept free, by kind of machine.
     fn rent_what_is_missing(&mut self, env: &mut Env) {
         let now = env.steady();
-        let mut team_left: BTreeMap<&str, f64> = BTreeMap::new();
+        let mut team_left = BTreeMap::new();
         let mut spot_need = Room::default();
         let mut firm_need = Room::default();
-        let mut firm_zones: BTreeMap<String, Room> = BTreeMap::new();
+        let mut bound: BTreeMap<(Vec<String>, bool), Room> = BTreeMap::new();
         for job in self.jobs.values() {
-            let waiting = job.waiting();
-            if waiting == 0 {
+            let tasks = self.startable(job, &mut team_left);
+            if tasks == 0.0 {
                 continue;
             }
-            let need = Room::of(&job.spec);
-            let left = team_left.entry(&job.spec.team).or_insert_with(|| {
-                self.quotas
-                    .usage(&job.spec.team)
-                    .map_or(0.0, |u| u.team.cpus_max - u.cpus)
-            });
-            let fit = if need.cpus > 0.0 {
-                (*left / need.cpus).max(0.0) as u32
-            } else {
-                waiting
-            };
-            let tasks = f64::from(waiting.min(fit));
-            *left -= tasks * need.cpus;
-            let total = Room {
-                cpus: need.cpus * tasks,
-                gpus: need.gpus * tasks,
-                memory_gb: need.memory_gb * tasks,
-            };
-            if job.spec.spot {
-                spot_need.add(total);
+            let need = Room::of(&job.spec).scaled(tasks);
+            if let Some(zones) = self.bound_to(job) {
+                bound.entry((zones, job.spec.spot)).or_default().add(need);
+            } else if job.spec.spot {
+                spot_need.add(need);
             } else {
-                firm_need.add(total);
-                if let Some(zone) = &job.spec.zone {
-                    firm_zones.entry(zone.clone()).or_default().add(total);
-                }
+                firm_need.add(need);
             }
         }
         let mut spot_free = Room::default();
         let mut firm_free = Room::default();
+        let mut zone_free: BTreeMap<(String, bool), Room> = BTreeMap::new();
         let mut in_use = 0.0;
+        let mut add_free = |zone: &str, spot: bool, free: Room| {
+            if spot {
+                spot_free.add(free)
+            } else {
+                firm_free.add(free)
+            }
+            zone_free
+                .entry((zone.to_owned(), spot))
+                .or_default()
+                .add(free);
+        };
         for machine in self.machines.values().filter(|m| m.counts()) {
             let boot = env.type_named(&machine.kind).map_or(60.0, |k| k.boot_s);
             if !machine.up && now.duration_since(machine.known).as_secs_f64() > boot * LATE_BOOT {
                 continue;
             }
-            let free = machine.total.minus(machine.used);
             in_use += machine.used.cpus;
-            if machine.spot {
-                spot_free.add(free)
-            } else {
-                firm_free.add(free)
-            }
+            add_free(
+                &machine.zone,
+                machine.spot,
+                machine.total.minus(machine.used),
+            );
         }
         for (rental, _) in &self.renting.open {
             if let Some(kind) = env.type_named(&rental.kind) {
-                for _ in 0..rental.count {
-                    let room = Room {
-                        cpus: kind.cpus,
-                        gpus: kind.gpus,
-                        memory_gb: kind.memory_gb,
-                    };
-                    if rental.spot {
-                        spot_free.add(room)
-                    } else {
-                        firm_free.add(room)
-                    }
+                let room = Room {
+                    cpus: kind.cpus,
+                    gpus: kind.gpus,
+                    memory_gb: kind.memory_gb,
+                };
+                add_free(
+                    &rental.zone,
+                    rental.spot,
+                    room.scaled(f64::from(rental.count)),
+                );
+            }
+        }
+        for ((zones, spot), need) in bound {
+            let mut free = Room::default();
+            for ((zone, kind), room) in &zone_free {
+                if zones.contains(zone) && (spot || !kind) {
+                    free.add(*room);
                 }
             }
+            let gap = missing(need, free);
+            if !gap.is_nothing() {
+                self.rent_kind(env, gap, spot, Some(&zones));
+            }
+            // It takes its part of what is free, wherever that is.
+            if spot {
+                spot_need.add(need.minus(gap))
+            } else {
+                firm_need.add(need.minus(gap))
+            }
         }
         let policy = env.policy.clone();
         let largest = env.types.iter().map(|t| t.cpus).fold(0.0, f64::max);
-        let mut headroom = (in_use * policy.headroom_share).max(policy.headroom_machines * largest);
-        if self.jobs.is_empty() {
-            headroom = 0.0;
-        }
+        let headroom = (in_use * policy.headroom_share).max(policy.headroom_machines * largest);
         firm_need.cpus += self.renting.service_reserve(env);
-        spot_need.cpus += headroom;
+        if !self.jobs.is_empty() {
+            spot_need.cpus += headroom;
+        }
         // What ordinary machines have left over serves spot work too.
         let firm_over = (firm_free.cpus - firm_need.cpus).max(0.0);
         spot_need.cpus = (spot_need.cpus - firm_over).max(0.0);
-        let firm_missing = missing(firm_need, firm_free);
-        let spot_missing = missing(spot_need, spot_free);
-        self.rent_kind(env, firm_missing, false, true);
-        self.rent_kind(env, spot_missing, true, true);
+        self.rent_kind(env, missing(firm_need, firm_free), false, None);
+        self.rent_kind(env, missing(spot_need, spot_free), true, None);
+    }
+
+    /// The only zones where a job's next task may go, if not everywhere.
+    fn bound_to(&self, job: &Job) -> Option<Vec<String>> {
+        let zones = self.zones_for(job);
+        match (&job.spec.zone, zones) {
+            (Some(zone), None) => Some(vec![zone.clone()]),
+            (Some(zone), Some(zones)) => Some(zones.into_iter().filter(|z| z == zone).collect()),
+            (None, Some(zones)) => Some(zones.into_iter().collect()),
+            (None, None) => None,
+        }
     }
 
     /// Rents machines for `room`; spot work falls back on ordinary machines.
-    fn rent_kind(&mut self, env: &mut Env, room: Room, spot: bool, fall_back: bool) {
+    fn rent_kind(&mut self, env: &mut Env, room: Room, spot: bool, within: Option<&[String]>) {
         let now = env.steady();
-        if room.cpus <= 0.0 && room.gpus <= 0.0 && room.memory_gb <= 0.0 {
+        if room.is_nothing() {
             return;
         }
         self.renting.refused.retain(|_, until| *until > now);
@@ -236,7 +276,11 @@
             } else {
                 kind.price
             };
-            for zone in &kind.zones {
+            for zone in kind
+                .zones
+                .iter()
+                .filter(|z| within.is_none_or(|w| w.contains(z)))
+            {
                 let market = (kind.name.clone(), zone.clone(), spot);
                 let busy = self.renting.refused.contains_key(&market);
                 if price.is_finite() && !busy {
@@ -256,8 +300,8 @@
                 .then_with(|| there(&a.2).cmp(&there(&b.2)))
         });
         let Some((_, count, (kind, zone, spot))) = options.into_iter().next() else {
-            if spot && fall_back {
-                self.rent_kind(env, room, false, false);
+            if spot {
+                self.rent_kind(env, room, false, within);
             }
             return;
         };
@@ -360,10 +404,16 @@
                     self.machine_gone(env, &name);
                 }
             }
-            (RentCall::Release(names), _) => {
+            (RentCall::Release(names), outcome) => {
                 self.renting.return_open = false;
                 self.renting.return_retry = Some(now + RETRY);
+                let unsure = matches!(outcome, Outcome::Unknown);
                 for name in names {
+                    // Surely not returned: it may be used again if it is heard of.
+                    if let Some(machine) = self.machines.get_mut(&name).filter(|_| !unsure) {
+                        machine.release_sent = None;
+                        machine.leaving = machine.suspect;
+                    }
                     self.renting.release_later(name);
                 }
             }
@@ -413,10 +463,29 @@
         }
         let headroom = (in_use * policy.headroom_share).max(policy.headroom_machines * largest);
         let reserve = self.renting.service_reserve(env);
+        let waiting: Vec<(&Job, Option<Vec<String>>)> = self
+            .jobs
+            .values()
+            .filter(|job| job.waiting() > 0)
+            .filter(|job| {
+                self.quotas
+                    .usage(&job.spec.team)
+                    .is_some_and(|u| u.headroom(Room::of(&job.spec)) > 0)
+            })
+            .map(|job| (job, self.bound_to(job)))
+            .collect();
+        let wanted = |machine: &Machine| {
+            waiting.iter().any(|(job, zones)| {
+                allowed(&job.spec, machine)
+                    && zones
+                        .as_ref()
+                        .is_none_or(|zones| zones.contains(&machine.zone))
+            })
+        };
         let mut idle: Vec<&Machine> = self
             .machines
             .values()
-            .filter(|m| m.up && m.counts() && m.places.is_empty())
+            .filter(|m| m.up && m.counts() && m.places.is_empty() && !wanted(m))
             .filter(|m| {
                 m.idle_since
                     .is_some_and(|t| now.duration_since(t) > policy.idle)
@@ -440,7 +509,6 @@
         for name in lost {
             let machine = self.machines.get_mut(&name).expect("listed");
             machine.leaving = true;
-            machine.release_sent = Some(now);
             self.renting.release_later(name);
         }
     }
@@ -453,8 +521,20 @@
         {
             return;
         }
+        // One that was heard of again stays.
+        renting
+            .returning
+            .retain(|name| self.machines.get(name).is_none_or(|m| m.leaving));
         let count = renting.returning.len().min(MOST_RETURNED);
         let names: Vec<Name> = renting.returning.drain(..count).collect();
+        if names.is_empty() {
+            return;
+        }
+        for name in &names {
+            if let Some(machine) = self.machines.get_mut(name) {
+                machine.release_sent = Some(now);
+            }
+        }
         renting.return_open = true;
         let list = names.iter().map(|n| n.to_string()).collect();
         env.cloud(
--- /dev/null
+++ b/crates/core/tests/stories.rs
@@ -0,0 +1,439 @@
+//! Short stories about the whole service, on in-memory stand-ins. The world checks the
+//! rules at every step: no task twice, limits, zones, nothing long after a cancellation.
+
+use std::time::Duration;
+
+use rushyoke_core::Policy;
+use rushyoke_testkit::{World, job, service};
+use rushyoke_wire::job::JobStatus;
+
+fn secs(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
+/// A world whose lead is settled and knows its machines.
+fn settled(machines: usize) -> World {
+    let mut world = World::new(machines);
+    world.run(secs(6));
+    world
+}
+
+fn other_than(node: usize) -> usize {
+    (node + 1) % 3
+}
+
+#[test]
+fn an_array_runs_and_is_done_on_every_node() {
+    let mut world = settled(2);
+    assert_eq!(world.submit(1, job(1, 20)), Some(201));
+    world.run(secs(2));
+    assert_eq!(world.where_runs("wk-000001").len(), 20);
+    world.run(secs(14));
+    for node in 0..3 {
+        assert_eq!(world.state(node, "wk-000001"), Some(JobStatus::Done));
+    }
+    assert_eq!(world.status(2, "wk-000009").map(|s| s.0), Some(404));
+}
+
+#[test]
+fn a_cancellation_is_carried_out_by_a_new_lead() {
+    // Found on a day with crashes: the lead fell between a cancellation and its stops,
+    // and the next one read the job as cancelled but left its tasks running.
+    let mut world = settled(2);
+    world.submit(0, service(1, 3));
+    world.run(secs(4));
+    assert_eq!(world.where_runs("wk-000001").len(), 3);
+    let lead = world.lead().expect("a lead");
+    world.crash(lead);
+    let cancelled = world
+        .cancel(other_than(lead), "wk-000001")
+        .expect("an answer");
+    assert_eq!(cancelled.1.map(|v| v.state), Some(JobStatus::Cancelled));
+    world.run(secs(12));
+    assert!(world.where_runs("wk-000001").is_empty());
+    assert!(
+        !world
+            .store
+            .rows
+            .keys()
+            .any(|key| key.starts_with("live/") || key.starts_with("task/"))
+    );
+}
+
+#[test]
+fn a_new_lead_takes_over_and_starts_nothing_twice() {
+    let mut world = settled(2);
+    world.submit(0, service(1, 4));
+    world.submit(0, job(2, 10));
+    world.run(secs(4));
+    let before = world.where_runs("wk-000001");
+    let lead = world.lead().expect("a lead");
+    world.crash(lead);
+    world.run(secs(6));
+    assert!(world.lead().is_some_and(|new| new != lead));
+    assert_eq!(world.where_runs("wk-000001"), before);
+    world.run(secs(10));
+    assert_eq!(
+        world.state(other_than(lead), "wk-000002"),
+        Some(JobStatus::Done)
+    );
+    assert_eq!(world.started, 14);
+}
+
+#[test]
+fn takeover_with_an_unreachable_machine_waits_for_its_lease() {
+    let mut world = settled(2);
+    world.submit(0, service(1, 4));
+    world.run(secs(4));
+    let (_, machine) = world.where_runs("wk-000001")[0].clone();
+    let lead = world.lead().expect("a lead");
+    // Cut off, its worker goes on until its lease ends; the cloud does not help.
+    world.cloud.outage = true;
+    world.cut.insert(machine.clone());
+    world.crash(lead);
+    world.run(secs(9));
+    assert!(
+        world
+            .where_runs("wk-000001")
+            .iter()
+            .any(|(_, m)| *m == machine),
+        "its lease still runs"
+    );
+    world.run(secs(40));
+    let places = world.where_runs("wk-000001");
+    assert!(
+        places.len() == 4 && places.iter().all(|(_, m)| *m != machine),
+        "{places:?}"
+    );
+}
+
+#[test]
+fn an_old_lead_without_the_store_is_fenced() {
+    let mut world = settled(2);
+    world.submit(0, service(1, 4));
+    world.run(secs(4));
+    let old = world.lead().expect("a lead");
+    world.no_store.insert(old);
+    world.run(secs(6));
+    let new = world.lead().expect("a lead");
+    assert_ne!(new, old);
+    assert_eq!(
+        world.token_of(old),
+        None,
+        "it saw the higher token and stepped down"
+    );
+    assert_eq!(world.submit(new, service(2, 2)), Some(201));
+    world.run(secs(4));
+    assert_eq!(world.where_runs("wk-000001").len(), 4);
+    assert_eq!(world.where_runs("wk-000002").len(), 2);
+    // Users of the cut-off node are sent away at once, and the others serve.
+    assert_eq!(world.status(old, "wk-000001").map(|s| s.0), Some(503));
+    assert_eq!(world.ready(old), Some(503));
+    assert_eq!(world.ready(new), Some(200));
+}
+
+#[test]
+fn a_lead_back_within_a_moment_drops_its_own_key() {
+    let mut world = settled(1);
+    let lead = world.lead().expect("a lead");
+    let token = world.token_of(lead).expect("it leads");
+    world.crash(lead);
+    world.start_node(lead);
+    world.run(secs(1));
+    let new = world.lead().expect("a lead again at once");
+    assert!(world.token_of(new).expect("it leads") > token);
+}
+
+#[test]
+fn a_short_silence_of_the_store_kills_no_work() {
+    let mut world = settled(2);
+    world.submit(0, service(1, 4));
+    world.run(secs(4));
+    let before = (world.where_runs("wk-000001"), world.lead());
+    world.store.outage = true;
+    world.run(secs(14));
+    assert_eq!(world.status(0, "wk-000001").map(|s| s.0), Some(503));
+    let now = world.now;
+    world.store.end_outage(now);
+    world.run(secs(5));
+    assert_eq!((world.where_runs("wk-000001"), world.lead()), before);
+    assert_eq!(world.started, 4);
+    assert_eq!(world.submit(0, job(2, 2)), Some(201));
+}
+
+#[test]
+fn a_long_silence_of_the_store_ends_the_leases_and_work_returns() {
+    let mut world = settled(2);
+    world.submit(0, service(1, 4));
+    world.run(secs(4));
+    world.store.outage = true;
+    world.run(secs(40));
+    assert!(
+        world.where_runs("wk-000001").is_empty(),
+        "the lead had to fall silent"
+    );
+    let now = world.now;
+    world.store.end_outage(now);
+    world.run(secs(20));
+    assert_eq!(world.where_runs("wk-000001").len(), 4);
+}
+
+#[test]
+fn a_late_start_does_not_run_a_task_twice() {
+    let mut world = settled(2);
+    for name in ["n-000000", "n-000001"] {
+        world.hold_orders.insert(name.into(), world.now + secs(25));
+    }
+    world.submit(0, job(1, 8));
+    // The direct starts hang; the same starts go with the answers to reports.
+    world.run(secs(8));
+    assert_eq!(world.where_runs("wk-000001").len(), 8);
+    world.hold_orders.clear();
+    world.run(secs(30));
+    assert_eq!(world.state(0, "wk-000001"), Some(JobStatus::Done));
+    assert_eq!(world.started, 8, "the late copies ran nothing");
+}
+
+#[test]
+fn a_late_start_of_a_cancelled_job_runs_nothing() {
+    let mut world = settled(1);
+    world
+        .hold_orders
+        .insert("n-000000".into(), world.now + secs(40));
+    world.submit(0, service(1, 2));
+    world.run(Duration::from_millis(100));
+    world.cancel(1, "wk-000001");
+    world.run(secs(60));
+    assert!(world.where_runs("wk-000001").is_empty());
+}
+
+#[test]
+fn a_late_transaction_does_not_bring_back_old_records() {
+    let mut world = settled(2);
+    world.submit(0, job(1, 6));
+    world.run(secs(3));
+    let lead = world.lead().expect("a lead");
+    // What the lead writes for the next seconds is applied 30 s late, if at all.
+    world.hold_txns.insert(lead, world.now + secs(30));
+    world.run(secs(2));
+    world.hold_txns.clear();
+    world.run(secs(45));
+    assert_eq!(world.state(1, "wk-000001"), Some(JobStatus::Done));
+    assert_eq!(world.started, 6);
+}
+
+#[test]
+fn done_never_goes_back_across_nodes_and_crashes() {
+    let mut world = settled(1);
+    world.submit(0, job(1, 3));
+    world.run(secs(14));
+    assert_eq!(world.state(2, "wk-000001"), Some(JobStatus::Done));
+    for n in 0..3 {
+        world.crash(n);
+    }
+    for n in 0..3 {
+        world.start_node(n);
+    }
+    world.run(secs(5));
+    for n in 0..3 {
+        assert_eq!(world.state(n, "wk-000001"), Some(JobStatus::Done));
+        let answer = world.cancel(n, "wk-000001").expect("an answer");
+        assert_eq!(answer.1.map(|v| v.state), Some(JobStatus::Done));
+    }
+    // A repeat of the submission, on a node that knows nothing of it.
+    assert_eq!(world.submit(1, job(1, 3)), Some(200));
+}
+
+#[test]
+fn a_repeated_submission_after_a_crash_of_every_node_runs_once() {
+    let mut world = settled(1);
+    assert_eq!(world.submit(0, job(1, 4)), Some(201));
+    for n in 0..3 {
+        world.crash(n);
+    }
+    world.run(secs(3));
+    for n in 0..3 {
+        world.start_node(n);
+    }
+    world.run(secs(5));
+    assert_eq!(world.submit(2, job(1, 4)), Some(200));
+    world.run(secs(20));
+    assert_eq!(world.state(0, "wk-000001"), Some(JobStatus::Done));
+    assert_eq!(world.started, 4);
+}
+
+#[test]
+fn the_limit_holds_across_a_takeover_with_a_silent_machine() {
+    let mut world = settled(6);
+    // Red may use 64 CPUs; the tasks of a machine that cannot be asked still count.
+    world.submit(0, service(1, 60));
+    world.run(secs(5));
+    assert_eq!(world.where_runs("wk-000001").len(), 60);
+    let lead = world.lead().expect("a lead");
+    world.cloud.outage = true;
+    world.cut.insert("n-000000".into());
+    world.crash(lead);
+    world.submit(other_than(lead), job(2, 40));
+    world.run(secs(60));
+    assert_eq!(world.where_runs("wk-000001").len(), 60);
+}
+
+#[test]
+fn scatter_counts_a_task_whose_place_is_uncertain() {
+    let mut world = World::with(4, Policy::default(), &["a", "b"]);
+    world.run(secs(6));
+    let mut spec = service(1, 4);
+    spec.spread = true;
+    world.submit(0, spec);
+    world.run(secs(4));
+    assert_eq!(world.where_runs("wk-000001").len(), 4);
+    // One zone is cut off; its two replicas may still run, so no third starts elsewhere.
+    world.cloud.outage = true;
+    world
+        .cut
+        .extend(["n-000000".to_owned(), "n-000002".to_owned()]);
+    world.run(secs(60));
+    assert_eq!(world.where_runs("wk-000001").len(), 2);
+    world.cut.clear();
+    world.run(secs(15));
+    assert_eq!(world.where_runs("wk-000001").len(), 4);
+}
+
+#[test]
+fn an_unanswered_rental_is_not_doubled() {
+    let mut world = settled(0);
+    world.lose_rental_answers = true;
+    world.submit(0, job(1, 4));
+    world.run(secs(40));
+    assert_eq!(world.state(0, "wk-000001"), Some(JobStatus::Done));
+    assert!(world.cloud.rentals <= 2, "{} rentals", world.cloud.rentals);
+}
+
+#[test]
+fn a_machine_that_dies_is_given_up_and_its_work_moves() {
+    let mut world = settled(2);
+    world.submit(0, service(1, 2));
+    world.run(secs(4));
+    let (_, machine) = world.where_runs("wk-000001")[0].clone();
+    world.workers.remove(&machine);
+    world.run(secs(10));
+    let places = world.where_runs("wk-000001");
+    assert!(
+        places.len() == 2 && places.iter().all(|(_, m)| *m != machine),
+        "{places:?}"
+    );
+}
+
+#[test]
+fn a_machine_that_fails_every_task_is_told_from_a_job_that_fails_everywhere() {
+    let mut world = settled(3);
+    world.workers.get_mut("n-000000").expect("up").fails_all = true;
+    world.submit(0, job(1, 30));
+    world.run(secs(30));
+    assert_eq!(world.state(0, "wk-000001"), Some(JobStatus::Done));
+    assert!(!world.workers.contains_key("n-000000"), "it was returned");
+    // Now every machine fails one job's tasks: none of them is blamed for ever.
+    for worker in world.workers.values_mut() {
+        worker.fails_all = true;
+    }
+    let before = world.workers.len();
+    world.submit(0, job(2, 2));
+    world.run(secs(20));
+    assert!(
+        world.workers.len() >= before,
+        "machines were returned for a bad job"
+    );
+}
+
+#[test]
+fn a_service_takes_room_from_work_of_lower_priority() {
+    let mut world = settled(2);
+    world.cloud.capacity = 2;
+    let mut batch = job(1, 40);
+    batch.team = "blue".into();
+    world.submit(0, batch);
+    world.run(secs(3));
+    world.submit(0, service(2, 6));
+    world.run(secs(3));
+    assert_eq!(world.where_runs("wk-000002").len(), 6);
+}
+
+#[test]
+fn a_guarantee_takes_back_what_others_borrowed() {
+    let mut world = settled(3);
+    world.cloud.capacity = 3;
+    let mut borrower = job(1, 60);
+    borrower.team = "blue".into();
+    world.workers.values_mut().for_each(|w| w.run_s = 300.0);
+    world.submit(0, borrower);
+    world.run(secs(3));
+    assert!(world.where_runs("wk-000001").len() > 32);
+    world.submit(0, job(2, 16));
+    world.run(secs(4));
+    assert_eq!(world.where_runs("wk-000002").len(), 16);
+    assert!(
+        world.where_runs("wk-000001").len() >= 32,
+        "blue keeps its own guarantee"
+    );
+}
+
+#[test]
+fn a_machine_that_never_boots_is_replaced() {
+    let mut world = settled(0);
+    world.cloud.stillborn.insert("n-000000".into());
+    world.submit(0, job(1, 4));
+    world.run(secs(60));
+    assert_eq!(world.state(0, "wk-000001"), Some(JobStatus::Done));
+    world.run(secs(60));
+    assert!(
+        !world.cloud.machines.contains_key("n-000000"),
+        "it was returned"
+    );
+}
+
+#[test]
+fn an_array_of_100_000_tasks_stays_within_the_limits_of_records() {
+    let mut world = settled(4);
+    // The store refuses (by a panic) any value over 8 KiB and too large a transaction.
+    let mut spec = job(1, 100_000);
+    spec.cpus = 0.25;
+    spec.memory_gb = 0.1;
+    assert_eq!(world.submit(0, spec), Some(201));
+    world.run(secs(15));
+    assert!(world.where_runs("wk-000001").len() > 100);
+    let lead = world.lead().expect("a lead");
+    world.crash(lead);
+    world.run(secs(15));
+    assert!(world.where_runs("wk-000001").len() > 100);
+    let view = world
+        .status(other_than(lead), "wk-000001")
+        .and_then(|s| s.1)
+        .expect("an answer");
+    assert!(view.done.is_some_and(|done| done > 100), "{view:?}");
+}
+
+#[test]
+fn a_spot_notice_moves_what_cannot_finish() {
+    let mut world = settled(1);
+    world.workers.values_mut().for_each(|w| w.run_s = 40.0);
+    world.submit(0, job(1, 28));
+    world.run(secs(15));
+    let places = world.where_runs("wk-000001");
+    let spot = places
+        .iter()
+        .map(|(_, m)| m.clone())
+        .find(|m| world.workers[m].spot)
+        .expect("spot machines are rented");
+    let on_spot = |world: &World| {
+        world
+            .where_runs("wk-000001")
+            .iter()
+            .filter(|(_, m)| *m == spot)
+            .count()
+    };
+    world.workers.get_mut(&spot).expect("up").notice_s = Some(4.0);
+    world.run(secs(3));
+    assert_eq!(on_spot(&world), 0);
+    world.run(secs(60));
+    assert_eq!(world.state(0, "wk-000001"), Some(JobStatus::Done));
+}
--- /dev/null
+++ b/crates/testkit/src/cloud.rs
@@ -0,0 +1,123 @@
+//! A stand-in for the cloud.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use rushyoke_core::{CloudAnswer, CloudOp};
+use rushyoke_wire::cloud::{Listed, Listing, MachineType, Phase};
+
+#[derive(Clone)]
+pub struct Rented {
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+    pub since: Duration,
+    pub up: bool,
+}
+
+pub struct Cloud {
+    pub types: Vec<MachineType>,
+    pub machines: BTreeMap<String, Rented>,
+    requests: BTreeMap<String, Vec<String>>,
+    serial: u32,
+    pub outage: bool,
+    /// Free machines; none are given beyond.
+    pub capacity: u32,
+    /// Machines that will never come up.
+    pub stillborn: BTreeSet<String>,
+    pub rentals: u32,
+}
+
+impl Cloud {
+    pub fn new(zones: &[&str]) -> Cloud {
+        let kind = MachineType {
+            name: "m16".into(),
+            cpus: 16.0,
+            gpus: 0.0,
+            memory_gb: 64.0,
+            cache_gb: 50.0,
+            fetch_gb_per_s: 1.0,
+            price: 1.0,
+            spot_price: Some(0.4),
+            boot_s: 10.0,
+            zones: zones.iter().map(|z| (*z).to_owned()).collect(),
+        };
+        Cloud {
+            types: vec![kind],
+            machines: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            serial: 0,
+            outage: false,
+            capacity: 20,
+            stillborn: BTreeSet::new(),
+            rentals: 0,
+        }
+    }
+
+    /// Adds a machine that nobody asked for, or that was there from the start.
+    pub fn add(&mut self, now: Duration, zone: &str, spot: bool) -> String {
+        let name = format!("n-{:06}", self.serial);
+        self.serial += 1;
+        let kind = self.types[0].name.clone();
+        self.machines.insert(
+            name.clone(),
+            Rented {
+                kind,
+                zone: zone.into(),
+                spot,
+                since: now,
+                up: false,
+            },
+        );
+        name
+    }
+
+    pub fn execute(&mut self, now: Duration, op: &CloudOp) -> CloudAnswer {
+        if self.outage {
+            return CloudAnswer::Unavailable;
+        }
+        match op {
+            CloudOp::Types => CloudAnswer::Types(self.types.clone()),
+            CloudOp::Rent(rental) => {
+                if let Some(names) = self.requests.get(&rental.request) {
+                    return CloudAnswer::Rented(names.clone());
+                }
+                let free = self.capacity.saturating_sub(self.machines.len() as u32);
+                if free == 0 {
+                    return CloudAnswer::NoCapacity;
+                }
+                self.rentals += 1;
+                let names: Vec<String> = (0..rental.count.min(free))
+                    .map(|_| self.add(now, &rental.zone, rental.spot))
+                    .collect();
+                self.requests.insert(rental.request.clone(), names.clone());
+                CloudAnswer::Rented(names)
+            }
+            CloudOp::Release(names) => {
+                for name in names {
+                    self.machines.remove(name);
+                }
+                CloudAnswer::Released
+            }
+            CloudOp::List { after } => {
+                let rows = self
+                    .machines
+                    .iter()
+                    .filter(|(name, _)| after.as_ref().is_none_or(|a| *name > a));
+                let machines = rows.map(|(name, m)| Listed {
+                    id: name.clone(),
+                    addr: name.clone(),
+                    kind: m.kind.clone(),
+                    zone: m.zone.clone(),
+                    spot: m.spot,
+                    phase: if m.up { Phase::Running } else { Phase::Booting },
+                    age_s: (now - m.since).as_secs_f64(),
+                });
+                CloudAnswer::Listing(Listing {
+                    machines: machines.collect(),
+                    more: false,
+                })
+            }
+        }
+    }
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,1 +1,13 @@
+//! In-memory stand-ins of everything around the controllers, for tests: the state
+//! service, the cloud, workers and the network between them, under one simulated clock.
+//! They follow the published protocol and check the users' rules as they go.
 
+mod cloud;
+mod store;
+mod worker;
+mod world;
+
+pub use cloud::Cloud;
+pub use store::Store;
+pub use worker::{Task, Worker};
+pub use world::{World, facts, job, service};
--- /dev/null
+++ b/crates/testkit/src/store.rs
@@ -0,0 +1,218 @@
+//! A stand-in for the state service.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rushyoke_core::{StoreAnswer, StoreOp};
+use rushyoke_wire::store::{Changes, Event, Item, Page, Txn, Write};
+use serde_json::Value;
+
+/// Changes that are kept for watches.
+const KEPT: usize = 10_000;
+const MAX_OPS: usize = 16;
+
+#[derive(Default)]
+pub struct Store {
+    pub rows: BTreeMap<String, (Value, u64, Option<u64>)>,
+    pub revision: u64,
+    log: Vec<(u64, Event)>,
+    /// Lease, its life and its end.
+    leases: BTreeMap<u64, (Duration, Duration)>,
+    next_lease: u64,
+    pub outage: bool,
+    /// Largest value and page sizes seen, for tests of limits.
+    pub largest_value: usize,
+    /// Rows per page of a list.
+    pub page: usize,
+}
+
+impl Store {
+    pub fn new() -> Store {
+        Store {
+            page: 1000,
+            ..Store::default()
+        }
+    }
+
+    /// Ends leases that were not renewed; returns whether keys changed.
+    pub fn expire(&mut self, now: Duration) -> bool {
+        if self.outage {
+            return false;
+        }
+        let due = |end: Duration| end <= now;
+        let ended: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (_, end))| due(*end))
+            .map(|(l, _)| *l)
+            .collect();
+        let before = self.revision;
+        for lease in ended {
+            self.end_lease(lease);
+        }
+        self.revision > before
+    }
+
+    pub fn end_outage(&mut self, now: Duration) {
+        self.outage = false;
+        for (life, end) in self.leases.values_mut() {
+            *end = now + *life;
+        }
+    }
+
+    fn end_lease(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let keys: Vec<String> = self
+            .rows
+            .iter()
+            .filter(|(_, row)| row.2 == Some(lease))
+            .map(|(k, _)| k.clone())
+            .collect();
+        if !keys.is_empty() {
+            self.revision += 1;
+        }
+        for key in &keys {
+            self.delete(key);
+        }
+    }
+
+    fn delete(&mut self, key: &str) {
+        if self.rows.remove(key).is_some() {
+            self.log.push((
+                self.revision,
+                Event::Delete {
+                    key: key.into(),
+                    version: self.revision,
+                },
+            ));
+        }
+    }
+
+    /// The answer to a watch if there is something to tell.
+    pub fn watch(&self, prefix: &str, after: u64) -> Option<StoreAnswer> {
+        if self.log.len() >= KEPT && self.log.first().is_some_and(|(r, _)| *r > after + 1) {
+            return Some(StoreAnswer::TooOld);
+        }
+        let events: Vec<Event> = self
+            .log
+            .iter()
+            .filter(|(revision, _)| *revision > after)
+            .filter(|(_, event)| match event {
+                Event::Put { key, .. } | Event::Delete { key, .. } => key.starts_with(prefix),
+            })
+            .map(|(_, event)| event.clone())
+            .collect();
+        let revision = self.revision;
+        (!events.is_empty()).then_some(StoreAnswer::Changes(Changes { revision, events }))
+    }
+
+    pub fn execute(&mut self, now: Duration, op: &StoreOp) -> StoreAnswer {
+        self.expire(now);
+        match op {
+            StoreOp::Get(key) => {
+                StoreAnswer::Item(self.rows.get(key).map(|(value, version, _)| Item {
+                    key: key.clone(),
+                    value: value.clone(),
+                    version: *version,
+                }))
+            }
+            StoreOp::List { prefix, after } => {
+                let mut rows: Vec<Item> = self
+                    .rows
+                    .iter()
+                    .filter(|(key, _)| key.starts_with(prefix) && *key > after)
+                    .take(self.page + 1)
+                    .map(|(key, (value, version, _))| Item {
+                        key: key.clone(),
+                        value: value.clone(),
+                        version: *version,
+                    })
+                    .collect();
+                let more = rows.len() > self.page;
+                rows.truncate(self.page);
+                StoreAnswer::Page(Page {
+                    rows,
+                    more,
+                    revision: self.revision,
+                })
+            }
+            StoreOp::Txn(txn) => self.txn(txn),
+            StoreOp::NewLease { ttl_ms } => {
+                self.next_lease += 1;
+                let life = Duration::from_millis(*ttl_ms);
+                self.leases.insert(self.next_lease, (life, now + life));
+                StoreAnswer::Lease(self.next_lease)
+            }
+            StoreOp::Touch(lease) => match self.leases.get_mut(lease) {
+                Some((life, end)) => {
+                    *end = now + *life;
+                    StoreAnswer::LeaseLives
+                }
+                None => StoreAnswer::NoSuchLease,
+            },
+            StoreOp::EndLease(lease) => {
+                self.end_lease(*lease);
+                StoreAnswer::LeaseLives
+            }
+            StoreOp::Watch { .. } => unreachable!("watches are kept by the world"),
+        }
+    }
+
+    fn txn(&mut self, txn: &Txn) -> StoreAnswer {
+        assert!(
+            txn.writes.len() <= MAX_OPS,
+            "too many writes in a transaction"
+        );
+        assert!(
+            txn.conditions.len() <= 4 * MAX_OPS,
+            "too many conditions in a transaction"
+        );
+        let size = serde_json::to_vec(txn).expect("transactions encode").len();
+        assert!(size <= 64 * 1024, "a transaction of {size} bytes");
+        for write in &txn.writes {
+            if let Write::Put {
+                lease: Some(lease), ..
+            } = write
+                && !self.leases.contains_key(lease)
+            {
+                return StoreAnswer::NoSuchLease;
+            }
+        }
+        let version = |key: &str| self.rows.get(key).map_or(0, |row| row.1);
+        let failed: Vec<String> = txn
+            .conditions
+            .iter()
+            .filter(|c| version(&c.key) != c.version)
+            .map(|c| c.key.clone())
+            .collect();
+        if !failed.is_empty() {
+            return StoreAnswer::Refused(failed);
+        }
+        if !txn.writes.is_empty() {
+            self.revision += 1;
+        }
+        for write in &txn.writes {
+            match write {
+                Write::Put { key, value, lease } => {
+                    let size = serde_json::to_vec(value).expect("values encode").len();
+                    assert!(size <= 8 * 1024, "{key}: a value of {size} bytes");
+                    self.largest_value = self.largest_value.max(size);
+                    self.rows
+                        .insert(key.clone(), (value.clone(), self.revision, *lease));
+                    let event = Event::Put {
+                        key: key.clone(),
+                        value: value.clone(),
+                        version: self.revision,
+                    };
+                    self.log.push((self.revision, event));
+                }
+                Write::Delete { key } => self.delete(key),
+            }
+        }
+        if self.log.len() > KEPT {
+            let excess = self.log.len() - KEPT;
+            self.log.drain(..excess);
+        }
+        StoreAnswer::Committed(self.revision)
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/world.rs
@@ -0,0 +1,927 @@
+//! The world: nodes, state service, cloud, workers and users under one clock.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use rushyoke_core::*;
+use rushyoke_wire::job::{JobSpec, JobStatus, JobView, Kind, Priority};
+use rushyoke_wire::peer::{PeerTell, decode};
+use rushyoke_wire::worker::{Elsewhere, Orders, Report, TaskState};
+
+use crate::cloud::Cloud;
+use crate::store::Store;
+use crate::worker::Worker;
+
+const STEP: Duration = Duration::from_millis(10);
+const HOP: Duration = Duration::from_millis(3);
+const CALL_LIMIT: Duration = Duration::from_millis(1500);
+const REPORT_LIMIT: Duration = Duration::from_secs(4);
+
+/// The platform's facts of a small test deployment.
+pub fn facts(node: usize, nodes: usize) -> Facts {
+    let label = |n: usize| format!("node-{n}");
+    let team = |cpus, cpus_max| Team {
+        cpus,
+        cpus_max,
+        gpus: 0.0,
+        gpus_max: 0.0,
+    };
+    Facts {
+        label: label(node),
+        others: (0..nodes).filter(|n| *n != node).map(label).collect(),
+        teams: BTreeMap::from([
+            ("red".into(), team(32.0, 64.0)),
+            ("blue".into(), team(32.0, 64.0)),
+        ]),
+        objectives: Vec::new(),
+        report: Duration::from_secs(2),
+        lease: Duration::from_secs(12),
+        cancel: Duration::from_secs(30),
+        txn_ops: 16,
+        value_bytes: 8192,
+        list_lag: Duration::from_secs(4),
+    }
+}
+
+/// An array of one-CPU tasks of team red.
+pub fn job(id: u32, tasks: u32) -> JobSpec {
+    JobSpec {
+        id: format!("wk-{id:06}"),
+        class: "array".into(),
+        team: "red".into(),
+        kind: Kind::Array,
+        priority: Priority::Normal,
+        tasks,
+        cpus: 1.0,
+        gpus: 0.0,
+        memory_gb: 2.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        image: "img".into(),
+        image_gb: 1.0,
+        estimate_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
+/// A production service of team red.
+pub fn service(id: u32, tasks: u32) -> JobSpec {
+    JobSpec {
+        class: "service".into(),
+        kind: Kind::Service,
+        priority: Priority::Production,
+        spot: false,
+        estimate_s: 0.0,
+        ..job(id, tasks)
+    }
+}
+
+enum Event {
+    ToNode {
+        node: usize,
+        incarnation: u64,
+        input: Box<Input>,
+    },
+    Store {
+        node: usize,
+        incarnation: u64,
+        call: Call,
+        op: StoreOp,
+        reply: bool,
+    },
+    Cloud {
+        node: usize,
+        incarnation: u64,
+        call: Call,
+        op: CloudOp,
+        reply: bool,
+    },
+    Order {
+        node: usize,
+        incarnation: u64,
+        call: Call,
+        machine: String,
+        orders: Orders,
+        reply: bool,
+    },
+    Report {
+        node: usize,
+        machine: String,
+        id: u64,
+        report: Box<Report>,
+    },
+    ReportAnswer {
+        machine: String,
+        id: u64,
+        answer: Answer,
+    },
+}
+
+struct Watch {
+    node: usize,
+    incarnation: u64,
+    call: Call,
+    prefix: String,
+    after: u64,
+    until: Duration,
+}
+
+struct Slot {
+    node: Option<Node>,
+    incarnation: u64,
+    next_tick: Duration,
+}
+
+enum Asker {
+    User(u64),
+    Worker { machine: String, id: u64 },
+    Peer { node: usize, incarnation: u64 },
+}
+
+pub struct World {
+    start: Instant,
+    pub now: Duration,
+    slots: Vec<Slot>,
+    policy: Policy,
+    pub store: Store,
+    pub cloud: Cloud,
+    pub workers: BTreeMap<String, Worker>,
+    events: BTreeMap<(Duration, u64), Event>,
+    serial: u64,
+    watches: Vec<Watch>,
+    askers: BTreeMap<(usize, Req), Asker>,
+    answers: BTreeMap<u64, Answer>,
+    pub specs: BTreeMap<String, JobSpec>,
+    /// Jobs that a user was told are cancelled, and when.
+    pub cancelled: BTreeMap<String, Duration>,
+    /// Nodes cut off from the state service, or from all workers.
+    pub no_store: BTreeSet<usize>,
+    pub no_workers: BTreeSet<usize>,
+    /// Machines that no packet reaches or leaves.
+    pub cut: BTreeSet<String>,
+    /// Machines to which direct orders are held back until this time.
+    pub hold_orders: BTreeMap<String, Duration>,
+    /// Transactions of these nodes are held back until a time, unanswered.
+    pub hold_txns: BTreeMap<usize, Duration>,
+    /// Rentals are carried out, but their answers are lost.
+    pub lose_rental_answers: bool,
+    /// Tasks that ever began to run.
+    pub started: u64,
+    running: BTreeMap<String, BTreeSet<String>>,
+}
+
+impl World {
+    /// Three nodes, and `machines` ordinary machines that are up.
+    pub fn new(machines: usize) -> World {
+        World::with(machines, Policy::default(), &["a"])
+    }
+
+    pub fn with(machines: usize, policy: Policy, zones: &[&str]) -> World {
+        let mut world = World {
+            start: Instant::now(),
+            now: Duration::from_secs(1),
+            slots: Vec::new(),
+            policy,
+            store: Store::new(),
+            cloud: Cloud::new(zones),
+            workers: BTreeMap::new(),
+            events: BTreeMap::new(),
+            serial: 0,
+            watches: Vec::new(),
+            askers: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            specs: BTreeMap::new(),
+            cancelled: BTreeMap::new(),
+            no_store: BTreeSet::new(),
+            no_workers: BTreeSet::new(),
+            cut: BTreeSet::new(),
+            hold_orders: BTreeMap::new(),
+            hold_txns: BTreeMap::new(),
+            lose_rental_answers: false,
+            started: 0,
+            running: BTreeMap::new(),
+        };
+        for n in 0..machines {
+            let zone = zones[n % zones.len()];
+            let name = world.cloud.add(world.now, zone, false);
+            world.boot(&name);
+        }
+        for _ in 0..3 {
+            world.slots.push(Slot {
+                node: None,
+                incarnation: 0,
+                next_tick: world.now,
+            });
+        }
+        (0..3).for_each(|n| world.start_node(n));
+        world
+    }
+
+    fn boot(&mut self, name: &str) {
+        let rented = self.cloud.machines.get_mut(name).expect("rented");
+        rented.up = true;
+        let worker = Worker::new(
+            name.into(),
+            rented.zone.clone(),
+            rented.spot,
+            rented.kind.clone(),
+            self.now,
+        );
+        self.workers.insert(name.into(), worker);
+    }
+
+    pub fn start_node(&mut self, n: usize) {
+        self.serial += 1;
+        let incarnation = self.serial;
+        let node = Node::new(facts(n, 3), self.policy.clone(), incarnation, self.clocks());
+        self.slots[n] = Slot {
+            node: Some(node),
+            incarnation,
+            next_tick: self.now,
+        };
+    }
+
+    /// The process ends; what it had sent is still under way.
+    pub fn crash(&mut self, n: usize) {
+        self.slots[n].node = None;
+        self.watches.retain(|w| w.node != n);
+        self.askers.retain(|(node, _), _| *node != n);
+    }
+
+    fn clocks(&self) -> Now {
+        Now {
+            steady: self.start + self.now,
+            wall_ms: 1_700_000_000_000 + self.now.as_millis() as u64,
+        }
+    }
+
+    pub fn lead(&self) -> Option<usize> {
+        let leads =
+            (0..self.slots.len()).filter_map(|n| Some((self.slots[n].node.as_ref()?.token()?, n)));
+        leads.max().map(|(_, n)| n)
+    }
+
+    pub fn token_of(&self, n: usize) -> Option<u64> {
+        self.slots[n].node.as_ref()?.token()
+    }
+
+    fn push(&mut self, at: Duration, event: Event) {
+        self.serial += 1;
+        self.events.insert((at, self.serial), event);
+    }
+
+    fn give(&mut self, n: usize, input: Input) {
+        let now = self.clocks();
+        let Some(node) = &mut self.slots[n].node else {
+            return;
+        };
+        for output in node.handle(now, input) {
+            self.output(n, output);
+        }
+    }
+
+    fn output(&mut self, node: usize, output: Output) {
+        let incarnation = self.slots[node].incarnation;
+        let late = |input| Event::ToNode {
+            node,
+            incarnation,
+            input: Box::new(input),
+        };
+        match output {
+            Output::Answer { req, answer } => match self.askers.remove(&(node, req)) {
+                Some(Asker::User(id)) => {
+                    self.answers.insert(id, answer);
+                }
+                Some(Asker::Worker { machine, id }) if !self.no_workers.contains(&node) => {
+                    self.push(
+                        self.now + HOP,
+                        Event::ReportAnswer {
+                            machine,
+                            id,
+                            answer,
+                        },
+                    );
+                }
+                Some(Asker::Peer {
+                    node: asker,
+                    incarnation,
+                }) => {
+                    let tell = decode::<PeerTell>(&answer.body).expect("peers answer well");
+                    let label = format!("node-{node}");
+                    let input = Box::new(Input::PeerTold {
+                        label,
+                        outcome: Outcome::Answered(tell),
+                    });
+                    self.push(
+                        self.now + HOP,
+                        Event::ToNode {
+                            node: asker,
+                            incarnation,
+                            input,
+                        },
+                    );
+                }
+                _ => {}
+            },
+            Output::Store { call, op, .. } => {
+                if let StoreOp::Watch {
+                    prefix,
+                    after,
+                    wait_ms,
+                } = op
+                {
+                    let until = self.now + Duration::from_millis(wait_ms);
+                    self.watches.push(Watch {
+                        node,
+                        incarnation,
+                        call,
+                        prefix,
+                        after,
+                        until,
+                    });
+                    return;
+                }
+                if self.no_store.contains(&node) {
+                    let outcome = Outcome::Answered(StoreAnswer::Unavailable);
+                    self.push(self.now + HOP, late(Input::Store { call, outcome }));
+                    return;
+                }
+                match self.hold_txns.get(&node) {
+                    Some(until) if matches!(op, StoreOp::Txn(_)) => {
+                        let until = *until;
+                        self.push(
+                            self.now + CALL_LIMIT,
+                            late(Input::Store {
+                                call,
+                                outcome: Outcome::Unknown,
+                            }),
+                        );
+                        self.push(
+                            until,
+                            Event::Store {
+                                node,
+                                incarnation,
+                                call,
+                                op,
+                                reply: false,
+                            },
+                        );
+                    }
+                    _ => self.push(
+                        self.now + HOP,
+                        Event::Store {
+                            node,
+                            incarnation,
+                            call,
+                            op,
+                            reply: true,
+                        },
+                    ),
+                }
+            }
+            Output::Cloud { call, op } => {
+                let lost = self.lose_rental_answers && matches!(op, CloudOp::Rent(_));
+                if lost {
+                    self.push(
+                        self.now + CALL_LIMIT,
+                        late(Input::Cloud {
+                            call,
+                            outcome: Outcome::Unknown,
+                        }),
+                    );
+                }
+                self.push(
+                    self.now + HOP,
+                    Event::Cloud {
+                        node,
+                        incarnation,
+                        call,
+                        op,
+                        reply: !lost,
+                    },
+                );
+            }
+            Output::Order {
+                call,
+                addr: machine,
+                orders,
+            } => {
+                let unreachable = self.cut.contains(&machine)
+                    || !self.workers.contains_key(&machine)
+                    || self.no_workers.contains(&node);
+                if unreachable {
+                    self.push(
+                        self.now + CALL_LIMIT,
+                        late(Input::Ordered {
+                            call,
+                            outcome: Outcome::NotDone,
+                        }),
+                    );
+                } else if let Some(until) = self.hold_orders.get(&machine) {
+                    let until = *until;
+                    self.push(
+                        self.now + CALL_LIMIT,
+                        late(Input::Ordered {
+                            call,
+                            outcome: Outcome::Unknown,
+                        }),
+                    );
+                    self.push(
+                        until,
+                        Event::Order {
+                            node,
+                            incarnation,
+                            call,
+                            machine,
+                            orders,
+                            reply: false,
+                        },
+                    );
+                } else {
+                    self.push(
+                        self.now + HOP,
+                        Event::Order {
+                            node,
+                            incarnation,
+                            call,
+                            machine,
+                            orders,
+                            reply: true,
+                        },
+                    );
+                }
+            }
+            Output::Peer { label, ask } => {
+                let other: usize = label
+                    .trim_start_matches("node-")
+                    .parse()
+                    .expect("labels end in a number");
+                if self.slots[other].node.is_none() {
+                    self.push(
+                        self.now + HOP,
+                        late(Input::PeerTold {
+                            label,
+                            outcome: Outcome::Unknown,
+                        }),
+                    );
+                    return;
+                }
+                self.serial += 1;
+                let req = Req(self.serial);
+                self.askers
+                    .insert((other, req), Asker::Peer { node, incarnation });
+                let incarnation = self.slots[other].incarnation;
+                let input = Box::new(Input::Peer { req, ask });
+                self.push(
+                    self.now + HOP,
+                    Event::ToNode {
+                        node: other,
+                        incarnation,
+                        input,
+                    },
+                );
+            }
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        match event {
+            Event::ToNode {
+                node,
+                incarnation,
+                input,
+            } => {
+                if self.slots[node].incarnation == incarnation {
+                    self.give(node, *input);
+                }
+            }
+            Event::Store {
+                node,
+                incarnation,
+                call,
+                op,
+                reply,
+            } => {
+                let answer = if self.store.outage {
+                    StoreAnswer::Unavailable
+                } else {
+                    self.store.execute(self.now, &op)
+                };
+                if reply {
+                    let input = Box::new(Input::Store {
+                        call,
+                        outcome: Outcome::Answered(answer),
+                    });
+                    self.push(
+                        self.now + HOP,
+                        Event::ToNode {
+                            node,
+                            incarnation,
+                            input,
+                        },
+                    );
+                }
+            }
+            Event::Cloud {
+                node,
+                incarnation,
+                call,
+                op,
+                reply,
+            } => {
+                let answer = self.cloud.execute(self.now, &op);
+                let gone: Vec<String> = self
+                    .workers
+                    .keys()
+                    .filter(|w| !self.cloud.machines.contains_key(*w))
+                    .cloned()
+                    .collect();
+                for name in gone {
+                    self.workers.remove(&name);
+                }
+                if reply {
+                    let input = Box::new(Input::Cloud {
+                        call,
+                        outcome: Outcome::Answered(answer),
+                    });
+                    self.push(
+                        self.now + HOP,
+                        Event::ToNode {
+                            node,
+                            incarnation,
+                            input,
+                        },
+                    );
+                }
+            }
+            Event::Order {
+                node,
+                incarnation,
+                call,
+                machine,
+                orders,
+                reply,
+            } => {
+                let now = self.now;
+                let Some(worker) = self.workers.get_mut(&machine) else {
+                    return;
+                };
+                let status = worker.direct(now, &orders);
+                let report = worker.report();
+                if reply {
+                    let input = Box::new(Input::Ordered {
+                        call,
+                        outcome: Outcome::Answered((status, report)),
+                    });
+                    self.push(
+                        now + HOP,
+                        Event::ToNode {
+                            node,
+                            incarnation,
+                            input,
+                        },
+                    );
+                }
+            }
+            Event::Report {
+                node,
+                machine,
+                id,
+                report,
+            } => {
+                if self.slots[node].node.is_none() || self.no_workers.contains(&node) {
+                    return;
+                }
+                self.serial += 1;
+                let req = Req(self.serial);
+                self.askers
+                    .insert((node, req), Asker::Worker { machine, id });
+                self.give(node, Input::Report { req, report });
+            }
+            Event::ReportAnswer {
+                machine,
+                id,
+                answer,
+            } => self.report_answered(&machine, id, &answer),
+        }
+    }
+
+    fn report_answered(&mut self, machine: &str, id: u64, answer: &Answer) {
+        let now = self.now;
+        if self.cut.contains(machine) {
+            return;
+        }
+        let nodes = self.slots.len();
+        let Some(worker) = self.workers.get_mut(machine) else {
+            return;
+        };
+        let Some((_, sent, session)) = worker.waiting.filter(|(waiting, ..)| *waiting == id) else {
+            return;
+        };
+        worker.waiting = None;
+        match answer.status {
+            200 => {
+                let orders: Orders =
+                    serde_json::from_slice(&answer.body).expect("orders are well formed");
+                worker.answered(now, sent, session, &orders);
+            }
+            421 => {
+                let elsewhere: Elsewhere =
+                    serde_json::from_slice(&answer.body).expect("a 421 is well formed");
+                match elsewhere
+                    .report_to
+                    .and_then(|l| l.trim_start_matches("node-").parse().ok())
+                {
+                    Some(node) => (worker.node, worker.next_report) = (node, now),
+                    None => {
+                        (worker.node, worker.next_report) =
+                            ((worker.node + 1) % nodes, now + Duration::from_secs(1))
+                    }
+                }
+            }
+            _ => {
+                (worker.node, worker.next_report) =
+                    ((worker.node + 1) % nodes, now + Duration::from_secs(1))
+            }
+        }
+    }
+
+    /// Lets time pass, checking the rules at each step.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            while let Some(entry) = self.events.first_entry() {
+                if entry.key().0 > self.now {
+                    break;
+                }
+                let event = entry.remove();
+                self.event(event);
+            }
+            self.watches_due();
+            for n in 0..self.slots.len() {
+                if self.slots[n].next_tick <= self.now {
+                    self.slots[n].next_tick = self.now + Duration::from_millis(50);
+                    self.give(n, Input::Tick);
+                }
+            }
+            self.machines_boot();
+            self.workers_pass();
+            self.check();
+        }
+    }
+
+    fn watches_due(&mut self) {
+        self.store.expire(self.now);
+        if self.store.outage {
+            return;
+        }
+        let now = self.now;
+        let mut due = Vec::new();
+        self.watches.retain(|watch| {
+            if self.no_store.contains(&watch.node) {
+                return true;
+            }
+            let answer = self.store.watch(&watch.prefix, watch.after).or_else(|| {
+                let none = rushyoke_wire::store::Changes {
+                    revision: watch.after,
+                    events: Vec::new(),
+                };
+                (watch.until <= now).then_some(StoreAnswer::Changes(none))
+            });
+            if let Some(answer) = answer {
+                due.push((watch.node, watch.incarnation, watch.call, answer));
+                return false;
+            }
+            true
+        });
+        for (node, incarnation, call, answer) in due {
+            let input = Box::new(Input::Store {
+                call,
+                outcome: Outcome::Answered(answer),
+            });
+            self.push(
+                now + HOP,
+                Event::ToNode {
+                    node,
+                    incarnation,
+                    input,
+                },
+            );
+        }
+    }
+
+    fn machines_boot(&mut self) {
+        let due: Vec<String> = self
+            .cloud
+            .machines
+            .iter()
+            .filter(|(name, m)| {
+                !m.up
+                    && !self.cloud.stillborn.contains(*name)
+                    && self.now >= m.since + Duration::from_secs(10)
+            })
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in due {
+            self.boot(&name);
+        }
+    }
+
+    fn workers_pass(&mut self) {
+        let (now, nodes) = (self.now, self.slots.len());
+        let facts = facts(0, nodes);
+        let mut reports = Vec::new();
+        for worker in self.workers.values_mut() {
+            let service = |task: &str| {
+                let id = task.split('/').next().unwrap_or_default();
+                self.specs.get(id).is_some_and(|s| s.kind == Kind::Service)
+            };
+            if worker.pass(now, facts.lease, service) {
+                worker.next_report = worker.next_report.min(now + Duration::from_millis(500));
+            }
+            if let Some((_, sent, _)) = worker.waiting
+                && now > sent + REPORT_LIMIT
+            {
+                worker.waiting = None;
+                (worker.node, worker.next_report) =
+                    ((worker.node + 1) % nodes, now + Duration::from_secs(1));
+            }
+            if worker.waiting.is_none() && worker.next_report <= now {
+                self.serial += 1;
+                worker.waiting = Some((self.serial, now, worker.session));
+                worker.next_report = now + facts.report;
+                let report = Box::new(worker.report());
+                reports.push(Event::Report {
+                    node: worker.node,
+                    machine: worker.name.clone(),
+                    id: self.serial,
+                    report,
+                });
+            }
+        }
+        for event in reports {
+            if let Event::Report { machine, .. } = &event
+                && !self.cut.contains(machine)
+            {
+                self.push(now + HOP, event);
+            }
+        }
+    }
+
+    /// The rules that hold at every moment.
+    fn check(&mut self) {
+        let mut on: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
+        let mut used: BTreeMap<&str, f64> = BTreeMap::new();
+        let mut zones: BTreeMap<&str, BTreeMap<&str, u32>> = BTreeMap::new();
+        for worker in self.workers.values() {
+            for task in worker
+                .tasks
+                .iter()
+                .filter(|t| matches!(t.state, TaskState::Running | TaskState::Saving))
+            {
+                on.entry(task.name.clone())
+                    .or_default()
+                    .insert(worker.name.clone());
+                let id = task
+                    .name
+                    .split('/')
+                    .next()
+                    .expect("a task's name starts with its job");
+                let spec = &self.specs[id];
+                *used.entry(&spec.team).or_default() += spec.cpus;
+                *zones
+                    .entry(id)
+                    .or_default()
+                    .entry(&worker.zone)
+                    .or_default() += 1;
+                assert!(
+                    spec.spot || !worker.spot,
+                    "{} runs on a spot machine",
+                    task.name
+                );
+                if let Some(since) = self.cancelled.get(id) {
+                    assert!(
+                        self.now <= *since + facts(0, 3).cancel,
+                        "{} runs although it is cancelled",
+                        task.name
+                    );
+                }
+            }
+        }
+        let facts = facts(0, 3);
+        for (team, cpus) in used {
+            assert!(
+                cpus <= facts.teams[team].cpus_max + 1e-6,
+                "team {team} uses {cpus} CPUs"
+            );
+        }
+        for (id, zones) in zones {
+            let spec = &self.specs[id];
+            let most = if spec.spread {
+                spec.tasks.div_ceil(2)
+            } else {
+                u32::MAX
+            };
+            assert!(
+                zones.values().all(|n| *n <= most),
+                "{id} is not spread: {zones:?}"
+            );
+            assert!(
+                !spec.one_zone || zones.len() <= 1,
+                "{id} is not together: {zones:?}"
+            );
+        }
+        for (task, machines) in &on {
+            assert!(
+                machines.len() <= 1,
+                "at {:?} {task} is on {machines:?}",
+                self.now
+            );
+            if !self.running.contains_key(task) {
+                self.started += 1;
+            }
+        }
+        self.running = on;
+    }
+
+    /// Machines on which a job's tasks run now.
+    pub fn where_runs(&self, id: &str) -> Vec<(String, String)> {
+        let of_job = self
+            .running
+            .iter()
+            .filter(|(task, _)| task.split('/').next() == Some(id));
+        of_job
+            .flat_map(|(task, on)| on.iter().map(|m| (task.clone(), m.clone())))
+            .collect()
+    }
+
+    fn ask(&mut self, node: usize, input: impl FnOnce(Req) -> Input) -> u64 {
+        self.serial += 1;
+        let id = self.serial;
+        let req = Req(id);
+        self.askers.insert((node, req), Asker::User(id));
+        self.give(node, input(req));
+        id
+    }
+
+    fn wait(&mut self, id: u64) -> Option<Answer> {
+        for _ in 0..500 {
+            if let Some(answer) = self.answers.remove(&id) {
+                return Some(answer);
+            }
+            self.run(STEP);
+        }
+        None
+    }
+
+    /// Submits at a node; the status of the answer, if one came.
+    pub fn submit(&mut self, node: usize, spec: JobSpec) -> Option<u16> {
+        self.specs.insert(spec.id.clone(), spec.clone());
+        let id = self.ask(node, |req| Input::Submit {
+            req,
+            spec: Box::new(spec),
+        });
+        Some(self.wait(id)?.status)
+    }
+
+    /// Asks a node for a job's state: the status and, with 200, the state.
+    pub fn status(&mut self, node: usize, job: &str) -> Option<(u16, Option<JobView>)> {
+        let id = self.ask(node, |req| Input::Status {
+            req,
+            id: job.into(),
+        });
+        let answer = self.wait(id)?;
+        Some((answer.status, serde_json::from_slice(&answer.body).ok()))
+    }
+
+    pub fn state(&mut self, node: usize, job: &str) -> Option<JobStatus> {
+        self.status(node, job)?.1.map(|view| view.state)
+    }
+
+    pub fn cancel(&mut self, node: usize, job: &str) -> Option<(u16, Option<JobView>)> {
+        let id = self.ask(node, |req| Input::Cancel {
+            req,
+            id: job.into(),
+        });
+        let answer = self.wait(id)?;
+        let view: Option<JobView> = serde_json::from_slice(&answer.body).ok();
+        if view
+            .as_ref()
+            .is_some_and(|v| v.state == JobStatus::Cancelled)
+        {
+            self.cancelled.entry(job.into()).or_insert(self.now);
+        }
+        Some((answer.status, view))
+    }
+
+    pub fn ready(&mut self, node: usize) -> Option<u16> {
+        let id = self.ask(node, |req| Input::Ready { req });
+        Some(self.wait(id)?.status)
+    }
+}
