--- a/crates/core/src/facts.rs
+++ b/crates/core/src/facts.rs
@@ -54,6 +54,9 @@
     pub headroom_machines: f64,
     /// Room kept free on ordinary machines for services, in mean services seen.
     pub service_reserve: f64,
+    /// Share of the users' time for work within a guarantee that passes before other
+    /// work is stopped for it.
+    pub patience_share: f64,
     /// How long a machine stays idle before it is returned.
     pub idle: Duration,
     /// Report intervals without a sign of life after which a machine is given up.
@@ -74,6 +77,7 @@
             headroom_share: 0.15,
             headroom_machines: 1.0,
             service_reserve: 1.0,
+            patience_share: 0.4,
             idle: Duration::from_secs(25),
             silent_reports: 2.5,
             sample: 32,
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -18,6 +18,9 @@
 /// Jobs looked at in one pass that find no machine.
 const PASS_MISSES: u32 = 64;
 
+/// What a job within its guarantee may wait if the users do not say.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(5);
+
 /// A job's place in the queue; the smaller goes first.
 struct Turn {
     job: Name,
@@ -97,13 +100,29 @@
             let job = &self.jobs[&turn.job];
             if job.peek(now).is_some() {
                 misses += 1;
-                if turn.class < 2 || job.spec.priority > Priority::BestEffort {
+                if turn.class == 0 || self.patience_over(env, job) {
                     self.make_room(env, &turn.job, &within);
                 }
             }
         }
     }
 
+    /// Work that ends by itself frees room all the time, and a task that is stopped has
+    /// run in vain: others are stopped only for a job that has waited for a good part of
+    /// what the users allow.
+    fn patience_over(&self, env: &Env, job: &Job) -> bool {
+        let allowed = env
+            .facts
+            .objectives
+            .iter()
+            .find(|o| o.kind == "guarantee")
+            .and_then(|o| o.within);
+        let patience = allowed
+            .unwrap_or(DEFAULT_PATIENCE)
+            .mul_f64(env.policy.patience_share);
+        u128::from(env.now.wall_ms.saturating_sub(job.at_ms)) >= patience.as_millis()
+    }
+
     /// When the job should be complete, in seconds from now, less what it still needs.
     fn urgency(&self, env: &Env, job: &Job) -> f64 {
         let age = (env.now.wall_ms.saturating_sub(job.at_ms)) as f64 / 1000.0;
--- a/crates/rushyoke/src/settings.rs
+++ b/crates/rushyoke/src/settings.rs
@@ -118,6 +118,7 @@
     headroom_share: Option<f64>,
     headroom_machines: Option<f64>,
     service_reserve: Option<f64>,
+    patience_share: Option<f64>,
     idle_s: Option<f64>,
     silent_reports: Option<f64>,
     sample: Option<usize>,
@@ -309,6 +310,13 @@
         100.0,
         &mut policy.service_reserve,
     )?;
+    number(
+        "patience_share",
+        file.patience_share,
+        0.0,
+        1.0,
+        &mut policy.patience_share,
+    )?;
     seconds("idle_s", file.idle_s, 0.0, 86_400.0, &mut policy.idle)?;
     number(
         "silent_reports",
