Retire machines beyond need and gather services on few machines

Machines beyond what the last while needed now get no work that fits elsewhere and are returned when empty; services gather on few machines, replicas of one service still apart.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -88,6 +88,8 @@
     /// Jobs whose tasks failed here since a task that started later completed.
     strikes: BTreeMap<Name, Instant>,
     pub idle_since: Option<Instant>,
+    /// More than enough is there: it gets no work that fits elsewhere, to be returned.
+    pub retiring: bool,
     full_until: Option<Instant>,
     /// Room made for a job by stopping others.
     pub claim: Option<(Name, Room, Instant)>,
@@ -128,6 +130,7 @@
             quarantined: false,
             strikes: BTreeMap::new(),
             idle_since: Some(now),
+            retiring: false,
             full_until: None,
             claim: None,
             straggler: false,
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -291,15 +291,20 @@
             let free = machine.total.cpus - machine.used.cpus;
             // The fuller machine first, so that others can be returned.
             let packing = 2.0 * free / machine.total.cpus.max(1.0);
+            // Services stand together on few machines, so that the others can be returned,
+            // but replicas of one service apart, so that one machine's end costs one.
+            let hosting = if service && !self.hosts_service(machine) {
+                4.0
+            } else {
+                0.0
+            };
             let mates = if service {
-                machine
-                    .places
-                    .range((job.id.clone(), 0)..=(job.id.clone(), u32::MAX))
-                    .count() as f64
-                    * 5.0
+                let key = |task| (job.id.clone(), task);
+                machine.places.range(key(0)..=key(u32::MAX)).count() as f64 * 2.5
             } else {
                 0.0
             };
+            let retiring = if machine.retiring { 40.0 } else { 0.0 };
             let kind_cost = if job.spec.spot && !machine.spot {
                 3.0
             } else {
@@ -311,7 +316,7 @@
                 0.0
             };
             let slow = if machine.straggler { 30.0 } else { 0.0 };
-            fetch + packing + mates + kind_cost + doubt + slow
+            fetch + packing + hosting + mates + retiring + kind_cost + doubt + slow
         };
         fitting
             .into_iter()
@@ -320,6 +325,15 @@
             .map(|(_, m)| m.name.clone())
     }
 
+    pub fn hosts_service(&self, machine: &Machine) -> bool {
+        let is_service = |name: &Name| {
+            self.jobs
+                .get(name)
+                .is_some_and(|j| j.spec.kind == Kind::Service)
+        };
+        machine.places.iter().any(|(job, _)| is_service(job))
+    }
+
     /// Free room on a machine for this job: room made for another is left alone.
     pub fn room_for(&self, machine: &Machine, job: &Name) -> Room {
         let mut room = machine.total.minus(machine.used);
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -1,7 +1,7 @@
 //! Renting and returning machines: capacity for what waits, some ahead of need, and
 //! back when it stands idle. Request names never repeat, since each holds the token.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use rushyoke_wire::cloud::{MachineType, Rental};
@@ -24,6 +24,8 @@
 /// Boot times after which a machine is no longer counted on, and given up.
 const LATE_BOOT: f64 = 2.0;
 const LOST_BOOT: f64 = 5.0;
+/// The cloud charges a machine for at least this time.
+const MIN_CHARGE: Duration = Duration::from_secs(58);
 /// Weight of a new job in the mean size of services.
 const LEARN: f64 = 0.2;
 
@@ -50,6 +52,8 @@
     listing: bool,
     listed_at: Option<Instant>,
     list_after: Option<String>,
+    /// CPUs needed in all, over the last while.
+    needs: VecDeque<(Instant, f64)>,
     /// Mean CPUs of a production service, learnt from those seen.
     service_cpus: f64,
 }
@@ -242,11 +246,61 @@
         }
         // What ordinary machines have left over serves spot work too.
         let firm_over = (firm_free.cpus - firm_need.cpus).max(0.0);
+        self.retire(env, in_use + spot_need.cpus + firm_need.cpus);
         spot_need.cpus = (spot_need.cpus - firm_over).max(0.0);
         self.rent_kind(env, missing(firm_need, firm_free), false, None);
         self.rent_kind(env, missing(spot_need, spot_free), true, None);
     }
 
+    /// Chooses machines that can be returned soon: with all others, what is in use, what
+    /// waits and what is kept free would fit. `need` counts CPUs.
+    fn retire(&mut self, env: &mut Env, need: f64) {
+        let now = env.steady();
+        let window = env.policy.idle;
+        self.renting.needs.push_back((now, need));
+        while self
+            .renting
+            .needs
+            .front()
+            .is_some_and(|(t, _)| now.duration_since(*t) > window)
+        {
+            self.renting.needs.pop_front();
+        }
+        // Capacity takes a boot to come back, so a short lull is no reason to return any.
+        let need = self
+            .renting
+            .needs
+            .iter()
+            .map(|(_, n)| *n)
+            .fold(need, f64::max);
+        let mut have: f64 = self
+            .machines
+            .values()
+            .filter(|m| m.counts())
+            .map(|m| m.total.cpus)
+            .sum();
+        let mut candidates: Vec<(bool, f64, Name)> = self
+            .machines
+            .values()
+            .filter(|m| m.up && m.counts() && !self.hosts_service(m))
+            .map(|m| (m.spot, m.used.cpus, m.name.clone()))
+            .collect();
+        // The dearest first, and of those the emptiest.
+        candidates.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        let mut retiring = BTreeSet::new();
+        for (_, _, name) in candidates {
+            let cpus = self.machines[&name].total.cpus;
+            if have - cpus < need {
+                break;
+            }
+            have -= cpus;
+            retiring.insert(name);
+        }
+        for machine in self.machines.values_mut() {
+            machine.retiring = retiring.contains(&machine.name);
+        }
+    }
+
     /// The only zones where a job's next task may go, if not everywhere.
     fn bound_to(&self, job: &Job) -> Option<Vec<String>> {
         let zones = self.zones_for(job);
@@ -486,10 +540,7 @@
             .machines
             .values()
             .filter(|m| m.up && m.counts() && m.places.is_empty() && !wanted(m))
-            .filter(|m| {
-                m.idle_since
-                    .is_some_and(|t| now.duration_since(t) > policy.idle)
-            })
+            .filter(|m| m.retiring && now.duration_since(m.known) > MIN_CHARGE)
             .collect();
         // The dearest first.
         idle.sort_by_key(|m| m.spot);
