--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -140,32 +140,19 @@
 
     /// Known from a record only: it may hold tasks.
     pub fn inherited(name: Name, addr: String, now: Instant) -> Machine {
-        Machine {
-            addr,
-            up: true,
-            ..Machine::blank(name, now)
-        }
+        Machine { addr, up: true, ..Machine::blank(name, now) }
     }
 
     /// Rented, but not yet up.
     pub fn rented(name: Name, kind: &MachineType, zone: &str, spot: bool, now: Instant) -> Machine {
-        let mut machine = Machine {
-            kind: kind.name.clone(),
-            zone: zone.into(),
-            spot,
-            ..Machine::blank(name, now)
-        };
+        let mut machine = Machine { kind: kind.name.clone(), zone: zone.into(), spot, ..Machine::blank(name, now) };
         machine.set_type(Some(kind));
         machine
     }
 
     pub fn set_type(&mut self, kind: Option<&MachineType>) {
         if let Some(kind) = kind {
-            self.total = Room {
-                cpus: kind.cpus,
-                gpus: kind.gpus,
-                memory_gb: kind.memory_gb,
-            };
+            self.total = Room { cpus: kind.cpus, gpus: kind.gpus, memory_gb: kind.memory_gb };
             self.cache_gb = kind.cache_gb;
         }
     }
@@ -210,18 +197,14 @@
     fn used_image(&mut self, image: &str, gb: f64) {
         self.images.retain(|(name, _)| name != image);
         self.images.push_back((image.to_owned(), gb));
-        while self.images.len() > 1
-            && self.images.iter().map(|(_, gb)| gb).sum::<f64>() > self.cache_gb
-        {
+        while self.images.len() > 1 && self.images.iter().map(|(_, gb)| gb).sum::<f64>() > self.cache_gb {
             self.images.pop_front();
         }
     }
 
     /// Whether a start is on its way in a direct order just now.
     fn on_its_way(&self, attempt: &Attempt) -> bool {
-        self.direct
-            .as_ref()
-            .is_some_and(|d| d.starts.contains(attempt))
+        self.direct.as_ref().is_some_and(|d| d.starts.contains(attempt))
     }
 
     /// Whether a start that went out directly may still run.
@@ -259,16 +242,10 @@
     pub fn report(&mut self, env: &mut Env, req: Req, report: &Report) {
         let now = env.steady();
         let name = Name::from(report.machine.as_str());
-        let lapsed = self
-            .machines
-            .get(&name)
-            .is_some_and(|m| m.lapsed.is_some_and(|s| report.session <= s));
+        let lapsed = self.machines.get(&name).is_some_and(|m| m.lapsed.is_some_and(|s| report.session <= s));
         if lapsed || self.renting.is_gone(&name) {
             // Its tasks were given up; an answer would keep them alive.
-            env.answer(
-                req,
-                Answer::later(503, "the lease of this session has ended"),
-            );
+            env.answer(req, Answer::later(503, "the lease of this session has ended"));
             return;
         }
         let orders = if self.ready() {
@@ -281,17 +258,7 @@
         } else {
             Vec::new()
         };
-        env.answer(
-            req,
-            Answer::json(
-                200,
-                &Orders {
-                    token: self.baton,
-                    session: None,
-                    orders,
-                },
-            ),
-        );
+        env.answer(req, Answer::json(200, &Orders { token: self.baton, session: None, orders }));
     }
 
     /// The outcome of direct orders.
@@ -308,12 +275,7 @@
                 if status == 409 {
                     // Nothing of it was executed, nor will be.
                     let session = report.session;
-                    tracing::debug!(
-                        machine = &**name,
-                        session,
-                        token = report.token,
-                        "direct orders refused"
-                    );
+                    tracing::debug!(machine = &**name, session, token = report.token, "direct orders refused");
                 }
                 self.take_report(env, name, &report);
                 let Some(machine) = self.machines.get_mut(name) else {
@@ -340,14 +302,8 @@
     fn take_report(&mut self, env: &mut Env, name: &Name, report: &Report) {
         let now = env.steady();
         if !self.machines.contains_key(name) {
-            tracing::info!(
-                machine = &**name,
-                spot = report.spot,
-                zone = report.zone,
-                "an unexpected machine reports"
-            );
-            self.machines
-                .insert(name.clone(), Machine::blank(name.clone(), now));
+            tracing::info!(machine = &**name, spot = report.spot, zone = report.zone, "an unexpected machine reports");
+            self.machines.insert(name.clone(), Machine::blank(name.clone(), now));
         }
         let baton = self.baton;
         let machine = self.machines.get_mut(name).expect("just inserted");
@@ -355,11 +311,7 @@
             return;
         }
         if !machine.up || machine.kind != report.kind {
-            tracing::debug!(
-                machine = &**name,
-                after_s = now.duration_since(machine.known).as_secs(),
-                "up"
-            );
+            tracing::debug!(machine = &**name, after_s = now.duration_since(machine.known).as_secs(), "up");
             machine.up = true;
             machine.idle_since.get_or_insert(now);
             machine.kind = report.kind.clone();
@@ -408,9 +360,7 @@
             self.urgent.insert(name.clone());
         }
         machine.strangers = strangers;
-        machine
-            .residue
-            .retain(|attempt, _| listed.contains(attempt));
+        machine.residue.retain(|attempt, _| listed.contains(attempt));
         let missing: Vec<TaskKey> = machine.places.difference(&seen).cloned().collect();
         for key in missing {
             let place = &self.jobs[&key.0].places[&key.1];
@@ -432,12 +382,7 @@
         machine.unresolved.clear();
         machine.residue.clear();
         machine.images.clear();
-        tracing::info!(
-            machine = &**name,
-            session = machine.session,
-            tasks = machine.places.len(),
-            "new session"
-        );
+        tracing::info!(machine = &**name, session = machine.session, tasks = machine.places.len(), "new session");
         for key in machine.places.clone() {
             if self.jobs[&key.0].places[&key.1].sent {
                 self.place_empty(env, &key, now);
@@ -500,25 +445,13 @@
             Cause::Busy => again = now + Duration::from_secs(2),
             Cause::Unknown => again = now + Duration::from_secs(5),
         }
-        tracing::debug!(
-            job = &*key.0,
-            task = key.1,
-            machine = &*place.machine,
-            ?why,
-            "exited"
-        );
+        tracing::debug!(job = &*key.0, task = key.1, machine = &*place.machine, ?why, "exited");
         self.place_empty(env, key, again);
         let page = key.1 / PAGE;
         let change = self.jobs[&key.0].pages[&page].change;
         let machine = self.machines.get_mut(&place.machine).expect("placed");
-        let residue = Residue {
-            job: key.0.clone(),
-            page,
-            change,
-        };
-        machine
-            .residue
-            .insert((format!("{}/{}", key.0, key.1), place.attempt), residue);
+        let residue = Residue { job: key.0.clone(), page, change };
+        machine.residue.insert((format!("{}/{}", key.0, key.1), place.attempt), residue);
         self.after_change(&key.0);
     }
 
@@ -528,11 +461,7 @@
         // A job that works elsewhere clears itself of the failures it had.
         let failed_on = self.jobs[job].failed_on.clone();
         for name in failed_on.iter().filter(|name| **name != place.machine) {
-            if self
-                .machines
-                .get(name)
-                .is_some_and(|m| m.strikes.contains_key(job))
-            {
+            if self.machines.get(name).is_some_and(|m| m.strikes.contains_key(job)) {
                 self.quarantine(name);
             }
         }
@@ -546,9 +475,7 @@
         job.failures += 1;
         let works = job.done_count > 0
             || job.places.values().any(|p| {
-                p.machine != place.machine
-                    && p.running
-                        .is_some_and(|t| now.duration_since(t) > Duration::from_secs(5))
+                p.machine != place.machine && p.running.is_some_and(|t| now.duration_since(t) > Duration::from_secs(5))
             });
         let bad_job = !works && job.failed_on.len() >= 3;
         let failures = job.failures;
@@ -560,11 +487,7 @@
                 self.quarantine(&name);
             }
         }
-        let wait = if bad_job {
-            2f64.powi(failures.min(6) as i32 - 2).min(30.0)
-        } else {
-            0.0
-        };
+        let wait = if bad_job { 2f64.powi(failures.min(6) as i32 - 2).min(30.0) } else { 0.0 };
         now + Duration::from_secs_f64(wait)
     }
 
@@ -609,11 +532,7 @@
 
     /// Orders a task to leave its machine. One that was never ordered just stays away.
     pub fn stop_task(&mut self, env: &mut Env, job: &Name, task: u32, grace: f64) {
-        let Some(place) = self
-            .jobs
-            .get_mut(job)
-            .and_then(|job| job.places.get_mut(&task))
-        else {
+        let Some(place) = self.jobs.get_mut(job).and_then(|job| job.places.get_mut(&task)) else {
             return;
         };
         if !place.sent {
@@ -641,38 +560,24 @@
             if orders.len() >= MAX_ORDERS {
                 break;
             }
-            let place = self
-                .jobs
-                .get_mut(&key.0)
-                .and_then(|job| job.places.get_mut(&key.1))
-                .expect("placed");
+            let place = self.jobs.get_mut(&key.0).and_then(|job| job.places.get_mut(&key.1)).expect("placed");
             let task = format!("{}/{}", key.0, key.1);
             let attempt = (task.clone(), place.attempt);
-            let stop = |grace_s| Order::Stop {
-                task: task.clone(),
-                attempt: place.attempt,
-                grace_s,
-            };
+            let stop = |grace_s| Order::Stop { task: task.clone(), attempt: place.attempt, grace_s };
             match (place.stage, place.stop) {
                 (Stage::Planned | Stage::Inherited, _) => {}
                 (Stage::Ordered, None) => {
                     let first = !place.sent;
                     if first || (via == Via::Report && !machine.on_its_way(&attempt)) {
                         place.sent = true;
-                        orders.push(Order::Start {
-                            task,
-                            attempt: place.attempt,
-                        });
+                        orders.push(Order::Start { task, attempt: place.attempt });
                     }
                 }
                 // The start may have been lost or be late: started and stopped at once,
                 // the entry that remains keeps a late copy from running.
                 (Stage::Ordered, Some(_)) => {
                     if via == Via::Report {
-                        orders.push(Order::Start {
-                            task: task.clone(),
-                            attempt: place.attempt,
-                        });
+                        orders.push(Order::Start { task: task.clone(), attempt: place.attempt });
                         orders.push(stop(0.0));
                         place.stop_sent = Some(now);
                     }
@@ -681,9 +586,7 @@
                     let due = match place.stop_sent {
                         None => true,
                         Some(sent) => {
-                            via == Via::Report
-                                && place.stage != Stage::Saving
-                                && now.duration_since(sent) > REPEAT_STOP
+                            via == Via::Report && place.stage != Stage::Saving && now.duration_since(sent) > REPEAT_STOP
                         }
                     };
                     if due {
@@ -700,11 +603,7 @@
             }
             let (task, attempt) = (task.clone(), *attempt);
             if !exited {
-                orders.push(Order::Stop {
-                    task,
-                    attempt,
-                    grace_s: 0.0,
-                });
+                orders.push(Order::Stop { task, attempt, grace_s: 0.0 });
             } else if via == Via::Report && !machine.unresolved(&(task.clone(), attempt)) {
                 orders.push(Order::Forget { task, attempt });
             }
@@ -717,10 +616,7 @@
                 if !machine.unresolved(entry)
                     && Reign::page_durable(&self.jobs, &residue.job, residue.page, residue.change)
                 {
-                    orders.push(Order::Forget {
-                        task: entry.0.clone(),
-                        attempt: entry.1,
-                    });
+                    orders.push(Order::Forget { task: entry.0.clone(), attempt: entry.1 });
                 }
             }
         }
@@ -757,15 +653,8 @@
             _ => None,
         });
         let session = machine.session;
-        machine.direct = Some(Direct {
-            session,
-            starts: starts.collect(),
-        });
-        let body = Orders {
-            token: self.baton,
-            session: Some(session),
-            orders,
-        };
+        machine.direct = Some(Direct { session, starts: starts.collect() });
+        let body = Orders { token: self.baton, session: Some(session), orders };
         env.order(name.clone(), machine.addr.clone(), body);
     }
 
@@ -781,11 +670,7 @@
         let mut up = 0;
         for machine in self.machines.values_mut().filter(|m| m.up) {
             up += 1;
-            if machine
-                .claim
-                .as_ref()
-                .is_some_and(|(_, _, until)| *until <= now)
-            {
+            if machine.claim.as_ref().is_some_and(|(_, _, until)| *until <= now) {
                 machine.claim = None;
             }
             let quiet = now.duration_since(machine.heard);
@@ -793,10 +678,7 @@
                 machine.suspect = true;
                 tracing::debug!(machine = &*machine.name, "its report is overdue");
             }
-            if now > machine.lapse_at(self.old_silent, lease)
-                && quiet > lease
-                && !machine.places.is_empty()
-            {
+            if now > machine.lapse_at(self.old_silent, lease) && quiet > lease && !machine.places.is_empty() {
                 lapsed.push(machine.name.clone());
             }
             if quiet > give_up && !machine.leaving {
@@ -811,11 +693,7 @@
         let many = silent.len() > 2 && silent.len() * 2 > up;
         for name in silent.into_iter().filter(|_| !many) {
             let machine = self.machines.get_mut(&name).expect("listed");
-            tracing::info!(
-                machine = &*name,
-                tasks = machine.places.len(),
-                "silent; given up"
-            );
+            tracing::info!(machine = &*name, tasks = machine.places.len(), "silent; given up");
             machine.leaving = true;
         }
         let probes: Vec<Name> = self
@@ -834,11 +712,7 @@
     fn lease_lapsed(&mut self, env: &mut Env, name: &Name) {
         let now = env.steady();
         let machine = self.machines.get_mut(name).expect("listed");
-        tracing::info!(
-            machine = &**name,
-            tasks = machine.places.len(),
-            "its lease has ended"
-        );
+        tracing::info!(machine = &**name, tasks = machine.places.len(), "its lease has ended");
         machine.lapsed = Some(machine.session);
         machine.unresolved.clear();
         machine.residue.clear();
@@ -879,10 +753,7 @@
         let machine = self.machines.entry(name.clone()).or_insert_with(|| {
             let age = Duration::from_secs_f64(listed.age_s.clamp(0.0, 1e6));
             let known = now.checked_sub(age).unwrap_or(now);
-            Machine {
-                known,
-                ..Machine::blank(name.clone(), now)
-            }
+            Machine { known, ..Machine::blank(name.clone(), now) }
         });
         if machine.kind.is_empty() {
             machine.kind = listed.kind.clone();
@@ -909,12 +780,7 @@
         let machine = self.machines.get_mut(name).expect("reported");
         let left = Duration::from_secs_f64(left.clamp(0.0, 1e6));
         if machine.taken_at.is_none() {
-            tracing::info!(
-                machine = &**name,
-                in_s = left.as_secs(),
-                tasks = machine.places.len(),
-                "to be taken"
-            );
+            tracing::info!(machine = &**name, in_s = left.as_secs(), tasks = machine.places.len(), "to be taken");
         }
         machine.taken_at = Some(now + left);
         let keys: Vec<TaskKey> = machine.places.iter().cloned().collect();
@@ -924,9 +790,7 @@
             };
             let spec = &owner.spec;
             let place = &owner.places[&task];
-            let ran = place
-                .running
-                .map_or(0.0, |t| now.duration_since(t).as_secs_f64());
+            let ran = place.running.map_or(0.0, |t| now.duration_since(t).as_secs_f64());
             let finishes = spec.kind == Kind::Array
                 && place.running.is_some()
                 && (owner.mean_run_s - ran).max(0.0) + 1.0 < left.as_secs_f64();
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -37,21 +37,12 @@
 #[derive(Clone, Debug)]
 pub enum StoreOp {
     Get(String),
-    List {
-        prefix: String,
-        after: String,
-    },
+    List { prefix: String, after: String },
     Txn(Txn),
-    NewLease {
-        ttl_ms: u64,
-    },
+    NewLease { ttl_ms: u64 },
     Touch(u64),
     EndLease(u64),
-    Watch {
-        prefix: String,
-        after: u64,
-        wait_ms: u64,
-    },
+    Watch { prefix: String, after: u64, wait_ms: u64 },
 }
 
 #[derive(Clone, Debug)]
@@ -144,11 +135,7 @@
 impl Answer {
     pub fn json<T: serde::Serialize>(status: u16, body: &T) -> Answer {
         let body = serde_json::to_vec(body).expect("answers always encode");
-        Answer {
-            status,
-            body,
-            retry_after_s: None,
-        }
+        Answer { status, body, retry_after_s: None }
     }
 
     pub fn error(status: u16, text: &str) -> Answer {
@@ -157,35 +144,15 @@
 
     /// Tells the client at once that it should come back.
     pub fn later(status: u16, text: &str) -> Answer {
-        Answer {
-            retry_after_s: Some(1),
-            ..Answer::error(status, text)
-        }
+        Answer { retry_after_s: Some(1), ..Answer::error(status, text) }
     }
 }
 
 #[derive(Clone, Debug)]
 pub enum Output {
-    Answer {
-        req: Req,
-        answer: Answer,
-    },
-    Store {
-        call: Call,
-        op: StoreOp,
-        urgency: Urgency,
-    },
-    Cloud {
-        call: Call,
-        op: CloudOp,
-    },
-    Order {
-        call: Call,
-        addr: String,
-        orders: Orders,
-    },
-    Peer {
-        label: String,
-        ask: PeerAsk,
-    },
+    Answer { req: Req, answer: Answer },
+    Store { call: Call, op: StoreOp, urgency: Urgency },
+    Cloud { call: Call, op: CloudOp },
+    Order { call: Call, addr: String, orders: Orders },
+    Peer { label: String, ask: PeerAsk },
 }
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -206,11 +206,7 @@
         if self.cancelled {
             return None;
         }
-        let again = self
-            .returned
-            .iter()
-            .find(|(_, from)| **from <= now)
-            .map(|(task, _)| *task);
+        let again = self.returned.iter().find(|(_, from)| **from <= now).map(|(task, _)| *task);
         again.or((self.next < self.spec.tasks).then_some(self.next))
     }
 
@@ -230,13 +226,7 @@
 
     pub fn touch_page(&mut self, task: u32) -> u32 {
         let page = task / PAGE;
-        self.pages
-            .entry(page)
-            .or_insert_with(|| PageState {
-                version: Some(0),
-                ..PageState::default()
-            })
-            .change += 1;
+        self.pages.entry(page).or_insert_with(|| PageState { version: Some(0), ..PageState::default() }).change += 1;
         page
     }
 
@@ -252,20 +242,11 @@
             }
         }
         record.done = bits.iter().map(|b| format!("{b:02x}")).collect();
-        record.again = self
-            .restarted
-            .range(first..end)
-            .map(|t| t - first)
-            .collect();
+        record.again = self.restarted.range(first..end).map(|t| t - first).collect();
         for (task, place) in self.places.range(first..end) {
-            let known = record
-                .machines
-                .iter()
-                .position(|(name, _)| **name == *place.machine);
+            let known = record.machines.iter().position(|(name, _)| **name == *place.machine);
             let index = known.unwrap_or_else(|| {
-                record
-                    .machines
-                    .push((place.machine.to_string(), addr_of(&place.machine)));
+                record.machines.push((place.machine.to_string(), addr_of(&place.machine)));
                 record.machines.len() - 1
             });
             record.places.push((task - first, index, place.attempt));
@@ -276,19 +257,9 @@
     /// Takes over what an earlier lead wrote.
     pub fn adopt_page(&mut self, page: u32, version: u64, record: &PageRecord, now: Instant) {
         let first = page * PAGE;
-        self.pages.insert(
-            page,
-            PageState {
-                version: Some(version),
-                change: 0,
-                durable: 0,
-            },
-        );
+        self.pages.insert(page, PageState { version: Some(version), change: 0, durable: 0 });
         for (i, pair) in record.done.as_bytes().chunks(2).enumerate() {
-            let byte = std::str::from_utf8(pair)
-                .ok()
-                .and_then(|t| u8::from_str_radix(t, 16).ok())
-                .unwrap_or(0);
+            let byte = std::str::from_utf8(pair).ok().and_then(|t| u8::from_str_radix(t, 16).ok()).unwrap_or(0);
             for bit in (0..8).filter(|bit| byte & (1 << bit) != 0) {
                 let task = first + i as u32 * 8 + bit;
                 if task < self.spec.tasks {
@@ -296,8 +267,7 @@
                 }
             }
         }
-        self.restarted
-            .extend(record.again.iter().map(|t| first + t));
+        self.restarted.extend(record.again.iter().map(|t| first + t));
         for (task, index, attempt) in &record.places {
             let Some((machine, _)) = record.machines.get(*index) else {
                 continue;
@@ -323,10 +293,7 @@
     /// Works out which tasks wait once all pages have been adopted.
     pub fn settle(&mut self, now: Instant) {
         let last_placed = self.places.keys().next_back().map_or(0, |t| t + 1);
-        let last_done = (0..self.spec.tasks)
-            .rev()
-            .find(|t| self.is_done(*t))
-            .map_or(0, |t| t + 1);
+        let last_done = (0..self.spec.tasks).rev().find(|t| self.is_done(*t)).map_or(0, |t| t + 1);
         self.next = last_placed.max(last_done);
         for task in 0..self.next {
             if !self.is_done(task) && !self.places.contains_key(&task) {
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -23,10 +23,7 @@
 /// lease: a cancellation told elsewhere must still be over in time once it falls silent.
 pub(crate) fn silence_allowance(facts: &Facts) -> Duration {
     let margin = Duration::from_secs(2) + facts.cancel / 100;
-    facts
-        .cancel
-        .saturating_sub(facts.lease)
-        .saturating_sub(margin)
+    facts.cancel.saturating_sub(facts.lease).saturating_sub(margin)
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -55,7 +52,9 @@
 #[derive(Debug)]
 enum Phase {
     /// The key must be read (again) from this time on.
-    Unread { from: Instant },
+    Unread {
+        from: Instant,
+    },
     /// A call is under way.
     Busy,
     /// Another node holds the key; a watch is open.
@@ -79,21 +78,13 @@
 
 impl Election {
     pub fn new(label: String, incarnation: u64) -> Election {
-        Election {
-            me: HolderRecord { label, incarnation },
-            phase: None,
-            holder: None,
-            watching: false,
-            seen: 0,
-        }
+        Election { me: HolderRecord { label, incarnation }, phase: None, holder: None, watching: false, seen: 0 }
     }
 
     /// Whether a lead may still answer reports.
     pub fn entitled(&self, now: Instant, facts: &Facts) -> bool {
         match &self.phase {
-            Some(Phase::Leading { confirmed, .. }) => {
-                now.duration_since(*confirmed) <= silence_allowance(facts)
-            }
+            Some(Phase::Leading { confirmed, .. }) => now.duration_since(*confirmed) <= silence_allowance(facts),
             _ => false,
         }
     }
@@ -113,11 +104,7 @@
     pub(crate) fn election_lost(&mut self) {
         let now = self.env.steady();
         if let Some(Phase::Leading { lease, .. }) = self.election.phase {
-            self.env.store(
-                Purpose::Lead(LeadCall::End),
-                Urgency::Lead,
-                StoreOp::EndLease(lease),
-            );
+            self.env.store(Purpose::Lead(LeadCall::End), Urgency::Lead, StoreOp::EndLease(lease));
         }
         self.election.holder = None;
         self.election.read_at(now + RETRY);
@@ -128,19 +115,10 @@
         match &mut self.election.phase {
             None => self.read_holder(),
             Some(Phase::Unread { from }) if *from <= now => self.read_holder(),
-            Some(Phase::Leading {
-                lease,
-                touching,
-                next_touch,
-                ..
-            }) if !*touching && *next_touch <= now => {
+            Some(Phase::Leading { lease, touching, next_touch, .. }) if !*touching && *next_touch <= now => {
                 *touching = true;
                 let lease = *lease;
-                self.env.store(
-                    Purpose::Lead(LeadCall::Touch { sent: now }),
-                    Urgency::Lead,
-                    StoreOp::Touch(lease),
-                );
+                self.env.store(Purpose::Lead(LeadCall::Touch { sent: now }), Urgency::Lead, StoreOp::Touch(lease));
             }
             _ => {}
         }
@@ -148,12 +126,8 @@
 
     fn read_holder(&mut self) {
         self.election.phase = Some(Phase::Busy);
-        let op = StoreOp::List {
-            prefix: LEAD_KEY.into(),
-            after: String::new(),
-        };
-        self.env
-            .store(Purpose::Lead(LeadCall::Read), Urgency::Lead, op);
+        let op = StoreOp::List { prefix: LEAD_KEY.into(), after: String::new() };
+        self.env.store(Purpose::Lead(LeadCall::Read), Urgency::Lead, op);
     }
 
     fn watch_holder(&mut self, after: u64) {
@@ -161,13 +135,8 @@
             return;
         }
         self.election.watching = true;
-        let op = StoreOp::Watch {
-            prefix: LEAD_KEY.into(),
-            after,
-            wait_ms: WATCH_MS,
-        };
-        self.env
-            .store(Purpose::Lead(LeadCall::Watch), Urgency::Lead, op);
+        let op = StoreOp::Watch { prefix: LEAD_KEY.into(), after, wait_ms: WATCH_MS };
+        self.env.store(Purpose::Lead(LeadCall::Watch), Urgency::Lead, op);
     }
 
     pub(crate) fn lead_outcome(&mut self, call: LeadCall, outcome: Outcome<StoreAnswer>) {
@@ -201,35 +170,17 @@
             (LeadCall::DropOwn, Outcome::Answered(StoreAnswer::Committed(_))) => self.compete(),
             (LeadCall::Lease { sent }, Outcome::Answered(StoreAnswer::Lease(lease))) => {
                 let value = serde_json::to_value(&self.election.me).expect("holders always encode");
-                let txn = Txn::default()
-                    .when(LEAD_KEY, 0)
-                    .put_leased(LEAD_KEY, value, lease);
-                self.env.store(
-                    Purpose::Lead(LeadCall::Claim { lease, sent }),
-                    Urgency::Lead,
-                    StoreOp::Txn(txn),
-                );
+                let txn = Txn::default().when(LEAD_KEY, 0).put_leased(LEAD_KEY, value, lease);
+                self.env.store(Purpose::Lead(LeadCall::Claim { lease, sent }), Urgency::Lead, StoreOp::Txn(txn));
             }
             (LeadCall::Claim { lease, sent }, Outcome::Answered(StoreAnswer::Committed(baton))) => {
-                self.election.holder = Some(Holder {
-                    record: self.election.me.clone(),
-                    version: baton,
-                });
+                self.election.holder = Some(Holder { record: self.election.me.clone(), version: baton });
                 let next_touch = now + self.env.policy.lead_ttl / 3;
-                self.election.phase = Some(Phase::Leading {
-                    lease,
-                    confirmed: sent,
-                    touching: false,
-                    next_touch,
-                });
+                self.election.phase = Some(Phase::Leading { lease, confirmed: sent, touching: false, next_touch });
                 self.begin_reign(baton);
             }
             (LeadCall::Claim { lease, .. }, Outcome::Answered(_)) => {
-                self.env.store(
-                    Purpose::Lead(LeadCall::End),
-                    Urgency::Low,
-                    StoreOp::EndLease(lease),
-                );
+                self.env.store(Purpose::Lead(LeadCall::End), Urgency::Low, StoreOp::EndLease(lease));
                 self.election.read_at(now);
             }
             (LeadCall::Touch { sent }, outcome) => self.touched(sent, outcome),
@@ -237,13 +188,7 @@
             // An unanswered claim may have been carried out, or may be yet: the key, once
             // read, shows our label, and is dropped on its version like that of an
             // earlier incarnation.
-            (
-                LeadCall::Read
-                | LeadCall::DropOwn
-                | LeadCall::Lease { .. }
-                | LeadCall::Claim { .. },
-                _,
-            ) => {
+            (LeadCall::Read | LeadCall::DropOwn | LeadCall::Lease { .. } | LeadCall::Claim { .. }, _) => {
                 if !matches!(self.election.phase, Some(Phase::Leading { .. })) {
                     self.election.read_at(now + RETRY);
                 }
@@ -254,13 +199,7 @@
     fn touched(&mut self, sent: Instant, outcome: Outcome<StoreAnswer>) {
         let now = self.env.steady();
         let ttl = self.env.policy.lead_ttl;
-        let Some(Phase::Leading {
-            confirmed,
-            touching,
-            next_touch,
-            ..
-        }) = &mut self.election.phase
-        else {
+        let Some(Phase::Leading { confirmed, touching, next_touch, .. }) = &mut self.election.phase else {
             return;
         };
         *touching = false;
@@ -276,25 +215,14 @@
 
     fn holder_event(&mut self, event: Event) {
         match event {
-            Event::Put {
-                key,
-                value,
-                version,
-            } if key == LEAD_KEY => {
+            Event::Put { key, value, version } if key == LEAD_KEY => {
                 if self.token().is_some_and(|own| version > own) {
                     self.step_down("the lead key has changed hands");
                 } else if self.token().is_some() {
                     return;
                 }
-                if matches!(
-                    self.election.phase,
-                    Some(Phase::Following | Phase::Unread { .. })
-                ) {
-                    self.holder_found(Some(Item {
-                        key,
-                        value,
-                        version,
-                    }));
+                if matches!(self.election.phase, Some(Phase::Following | Phase::Unread { .. })) {
+                    self.holder_found(Some(Item { key, value, version }));
                 }
             }
             Event::Delete { key, version } if key == LEAD_KEY => {
@@ -304,10 +232,7 @@
                 }
                 if self.token().is_none() {
                     self.election.holder = None;
-                    if matches!(
-                        self.election.phase,
-                        Some(Phase::Following | Phase::Unread { .. })
-                    ) {
+                    if matches!(self.election.phase, Some(Phase::Following | Phase::Unread { .. })) {
                         self.compete();
                     }
                 }
@@ -317,29 +242,16 @@
     }
 
     fn holder_found(&mut self, item: Option<Item>) {
-        let holder = item.and_then(|item| {
-            Some(Holder {
-                record: serde_json::from_value(item.value).ok()?,
-                version: item.version,
-            })
-        });
+        let holder = item
+            .and_then(|item| Some(Holder { record: serde_json::from_value(item.value).ok()?, version: item.version }));
         self.election.holder = holder;
         match &self.election.holder {
             None => self.compete(),
             Some(holder) if holder.record.label == self.election.me.label => {
-                tracing::info!(
-                    version = holder.version,
-                    "dropping the lead key of an earlier incarnation"
-                );
-                let txn = Txn::default()
-                    .when(LEAD_KEY, holder.version)
-                    .delete(LEAD_KEY);
+                tracing::info!(version = holder.version, "dropping the lead key of an earlier incarnation");
+                let txn = Txn::default().when(LEAD_KEY, holder.version).delete(LEAD_KEY);
                 self.election.phase = Some(Phase::Busy);
-                self.env.store(
-                    Purpose::Lead(LeadCall::DropOwn),
-                    Urgency::Lead,
-                    StoreOp::Txn(txn),
-                );
+                self.env.store(Purpose::Lead(LeadCall::DropOwn), Urgency::Lead, StoreOp::Txn(txn));
             }
             Some(holder) => {
                 tracing::debug!(lead = holder.record.label, "following");
@@ -353,10 +265,6 @@
         self.election.phase = Some(Phase::Busy);
         let ttl_ms = self.env.policy.lead_ttl.as_millis() as u64;
         let sent = self.env.steady();
-        self.env.store(
-            Purpose::Lead(LeadCall::Lease { sent }),
-            Urgency::Lead,
-            StoreOp::NewLease { ttl_ms },
-        );
+        self.env.store(Purpose::Lead(LeadCall::Lease { sent }), Urgency::Lead, StoreOp::NewLease { ttl_ms });
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,7 +18,5 @@
 mod users;
 
 pub use facts::{Facts, Objective, Policy, Team};
-pub use io::{
-    Answer, Call, CloudAnswer, CloudOp, Input, Outcome, Output, Req, StoreAnswer, StoreOp, Urgency,
-};
+pub use io::{Answer, Call, CloudAnswer, CloudOp, Input, Outcome, Output, Req, StoreAnswer, StoreOp, Urgency};
 pub use node::{Node, Now};
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -44,10 +44,7 @@
 impl Purpose {
     /// Whether the outcome concerns the present reign only.
     fn of_reign(&self) -> bool {
-        matches!(
-            self,
-            Purpose::Load(_) | Purpose::Record(_) | Purpose::Rent(_) | Purpose::Order { .. }
-        )
+        matches!(self, Purpose::Load(_) | Purpose::Record(_) | Purpose::Rent(_) | Purpose::Order { .. })
     }
 }
 
@@ -140,23 +137,18 @@
 
     /// Whether calls have failed for long enough to turn users away at once.
     pub fn down(&self, now: Instant) -> bool {
-        self.failing_since
-            .is_some_and(|t| now.duration_since(t) > Duration::from_millis(1500))
+        self.failing_since.is_some_and(|t| now.duration_since(t) > Duration::from_millis(1500))
     }
 }
 
-const PEER_PERIOD: Duration = Duration::from_millis(1000);
+const PEER_PERIOD: Duration = Duration::from_millis(2000);
 const TYPES_PERIOD: Duration = Duration::from_secs(30);
 const TYPES_RETRY: Duration = Duration::from_secs(2);
 const TYPES_KEY: &str = "types";
 
 impl Node {
     pub fn new(facts: Facts, policy: Policy, seed: u64, now: Now) -> Node {
-        let peers = facts
-            .others
-            .iter()
-            .map(|label| (label.clone(), Peer::default()))
-            .collect();
+        let peers = facts.others.iter().map(|label| (label.clone(), Peer::default())).collect();
         Node {
             election: Election::new(facts.label.clone(), seed),
             env: Env {
@@ -218,18 +210,11 @@
     }
 
     fn store_outcome(&mut self, call: Call, outcome: Outcome<StoreAnswer>) {
-        let ok = !matches!(
-            outcome,
-            Outcome::NotDone | Outcome::Unknown | Outcome::Answered(StoreAnswer::Unavailable)
-        );
+        let ok = !matches!(outcome, Outcome::NotDone | Outcome::Unknown | Outcome::Answered(StoreAnswer::Unavailable));
         let Some(purpose) = self.env.calls.remove(&call) else {
             return;
         };
-        if !matches!(
-            purpose,
-            Purpose::Lead(LeadCall::Watch) | Purpose::Load(LoadCall::Watch)
-        ) || ok
-        {
+        if !matches!(purpose, Purpose::Lead(LeadCall::Watch) | Purpose::Load(LoadCall::Watch)) || ok {
             self.store.note(self.env.steady(), ok);
         }
         match purpose {
@@ -289,8 +274,7 @@
         if first || self.reign.is_some() {
             let value = serde_json::to_value(&*self.env.types).expect("types always encode");
             let txn = rushyoke_wire::store::Txn::default().put(TYPES_KEY, value);
-            self.env
-                .store(Purpose::KeepTypes, Urgency::Low, StoreOp::Txn(txn));
+            self.env.store(Purpose::KeepTypes, Urgency::Low, StoreOp::Txn(txn));
         }
     }
 
@@ -301,22 +285,14 @@
             (false, true) => TYPES_PERIOD,
             (false, false) => return,
         };
-        if self.types_wait
-            || self
-                .types_asked
-                .is_some_and(|t| now.duration_since(t) < period)
-        {
+        if self.types_wait || self.types_asked.is_some_and(|t| now.duration_since(t) < period) {
             return;
         }
         self.types_asked = Some(now);
         self.types_wait = true;
         self.env.cloud(Purpose::Types, CloudOp::Types);
         if self.env.types.is_empty() {
-            self.env.store(
-                Purpose::ReadTypes,
-                Urgency::High,
-                StoreOp::Get(TYPES_KEY.into()),
-            );
+            self.env.store(Purpose::ReadTypes, Urgency::High, StoreOp::Get(TYPES_KEY.into()));
         }
     }
 
@@ -324,18 +300,11 @@
 
     fn peers_tick(&mut self) {
         let now = self.env.steady();
-        if self
-            .progress_sent
-            .is_some_and(|t| now.duration_since(t) < PEER_PERIOD)
-        {
+        if self.progress_sent.is_some_and(|t| now.duration_since(t) < PEER_PERIOD) {
             return;
         }
         self.progress_sent = Some(now);
-        let progress = self
-            .reign
-            .as_mut()
-            .map(Reign::take_progress)
-            .unwrap_or_default();
+        let progress = self.reign.as_mut().map(Reign::take_progress).unwrap_or_default();
         let token = self.token();
         for (label, peer) in &mut self.peers {
             if peer.waiting {
@@ -343,15 +312,8 @@
             }
             peer.asked = Some(now);
             peer.waiting = true;
-            let ask = PeerAsk {
-                label: self.env.facts.label.clone(),
-                token,
-                progress: progress.clone(),
-            };
-            self.env.out.push(Output::Peer {
-                label: label.clone(),
-                ask,
-            });
+            let ask = PeerAsk { label: self.env.facts.label.clone(), token, progress: progress.clone() };
+            self.env.out.push(Output::Peer { label: label.clone(), ask });
         }
     }
 
@@ -366,14 +328,7 @@
             token: self.token(),
         };
         let body = rushyoke_wire::peer::encode(&tell);
-        self.env.answer(
-            req,
-            Answer {
-                status: 200,
-                body,
-                retry_after_s: None,
-            },
-        );
+        self.env.answer(req, Answer { status: 200, body, retry_after_s: None });
         if let (Some(own), Some(theirs)) = (self.token(), ask.token)
             && theirs > own
         {
@@ -403,9 +358,7 @@
         let mut latest = reign.since;
         for peer in self.peers.values() {
             match &peer.told {
-                Some((asked, tell))
-                    if *asked >= reign.since && tell.token.is_none_or(|t| t >= reign.baton) =>
-                {
+                Some((asked, tell)) if *asked >= reign.since && tell.token.is_none_or(|t| t >= reign.baton) => {
                     latest = latest.max(*asked);
                 }
                 _ => return,
@@ -419,9 +372,9 @@
         // A node that alone has lost the state service sends its users elsewhere. While
         // all have lost it, staying in the load balancer saves the time to get back in.
         let peer_has_store = self.peers.values().any(|p| {
-            p.told.as_ref().is_some_and(|(asked, tell)| {
-                tell.store_ok && now.duration_since(*asked) < Duration::from_secs(4)
-            })
+            p.told
+                .as_ref()
+                .is_some_and(|(asked, tell)| tell.store_ok && now.duration_since(*asked) < Duration::from_secs(4))
         });
         let answer = if self.env.types.is_empty() {
             Answer::later(503, "machine types are not known yet")
@@ -445,14 +398,12 @@
                 return;
             } else {
                 // Silent for too long: a new lead counts on our saying nothing more.
-                self.env
-                    .answer(req, Answer::later(503, "the state service does not answer"));
+                self.env.answer(req, Answer::later(503, "the state service does not answer"));
                 return;
             }
         }
         let report_to = self.election.other_holder();
-        self.env
-            .answer(req, Answer::json(421, &Elsewhere { report_to }));
+        self.env.answer(req, Answer::json(421, &Elsewhere { report_to }));
     }
 
     fn ordered(&mut self, call: Call, outcome: Outcome<(u16, Report)>) {
@@ -478,6 +429,8 @@
         let mut reign = Reign::new(baton, self.env.steady(), silent, &facts.teams);
         reign.begin(&mut self.env);
         self.reign = Some(reign);
+        // The peers are asked at once whether an earlier lead still acts.
+        self.progress_sent = None;
     }
 
     pub(crate) fn step_down(&mut self, why: &str) {
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -47,10 +47,7 @@
 /// Whether a job's tasks may run on a machine like this.
 pub(crate) fn allowed(spec: &JobSpec, machine: &Machine) -> bool {
     (!machine.spot || spec.spot)
-        && spec
-            .types
-            .as_ref()
-            .is_none_or(|types| types.contains(&machine.kind))
+        && spec.types.as_ref().is_none_or(|types| types.contains(&machine.kind))
         && spec.zone.as_ref().is_none_or(|zone| *zone == machine.zone)
 }
 
@@ -64,13 +61,8 @@
     let age = env.now.wall_ms.saturating_sub(job.at_ms) as f64 / 1000.0;
     let end = age + job.mean_run_s;
     let aims = env.facts.objectives.iter().filter(|o| o.kind == "finished");
-    let aims = aims
-        .filter(|o| o.class.as_ref() == Some(&job.spec.class))
-        .filter_map(|o| o.within);
-    let last = aims
-        .map(|w| w.as_secs_f64())
-        .chain(job.spec.deadline_s)
-        .reduce(f64::max);
+    let aims = aims.filter(|o| o.class.as_ref() == Some(&job.spec.class)).filter_map(|o| o.within);
+    let last = aims.map(|w| w.as_secs_f64()).chain(job.spec.deadline_s).reduce(f64::max);
     last.is_some_and(|last| end > last)
 }
 
@@ -129,15 +121,8 @@
     /// run in vain: others are stopped only for a job that has waited for a good part of
     /// what the users allow.
     fn patience_over(&self, env: &Env, job: &Job) -> bool {
-        let allowed = env
-            .facts
-            .objectives
-            .iter()
-            .find(|o| o.kind == "guarantee")
-            .and_then(|o| o.within);
-        let patience = allowed
-            .unwrap_or(DEFAULT_PATIENCE)
-            .mul_f64(env.policy.patience_share);
+        let allowed = env.facts.objectives.iter().find(|o| o.kind == "guarantee").and_then(|o| o.within);
+        let patience = allowed.unwrap_or(DEFAULT_PATIENCE).mul_f64(env.policy.patience_share);
         u128::from(env.now.wall_ms.saturating_sub(job.at_ms)) >= patience.as_millis()
     }
 
@@ -149,11 +134,7 @@
             let job = &self.jobs[name];
             let Some(task) = job.peek(now) else { break };
             let need = Room::of(&job.spec);
-            if self
-                .quotas
-                .usage(&job.spec.team)
-                .is_none_or(|usage| usage.headroom(need) == 0)
-            {
+            if self.quotas.usage(&job.spec.team).is_none_or(|usage| usage.headroom(need) == 0) {
                 break;
             }
             let Some(machine) = self.choose(env, job, need) else {
@@ -220,35 +201,19 @@
             if unknown > 0 {
                 return Some(BTreeSet::new());
             }
-            let used: BTreeSet<String> = counts
-                .iter()
-                .filter(|(_, n)| **n > 0)
-                .map(|(z, _)| z.clone())
-                .collect();
+            let used: BTreeSet<String> = counts.iter().filter(|(_, n)| **n > 0).map(|(z, _)| z.clone()).collect();
             if !used.is_empty() {
                 return Some(used);
             }
             let need = Room::of(&job.spec);
             let room = |zone: &String| -> u32 {
-                let there = self
-                    .machines
-                    .values()
-                    .filter(|m| m.zone == *zone && allowed(&job.spec, m));
+                let there = self.machines.values().filter(|m| m.zone == *zone && allowed(&job.spec, m));
                 there.map(|m| m.total.minus(m.used).times(need)).sum()
             };
-            return counts
-                .into_keys()
-                .max_by_key(|zone| room(zone))
-                .map(|zone| BTreeSet::from([zone]));
+            return counts.into_keys().max_by_key(|zone| room(zone)).map(|zone| BTreeSet::from([zone]));
         }
         let most = job.spec.tasks.div_ceil(2);
-        Some(
-            counts
-                .into_iter()
-                .filter(|(_, n)| n + unknown < most)
-                .map(|(zone, _)| zone)
-                .collect(),
-        )
+        Some(counts.into_iter().filter(|(_, n)| n + unknown < most).map(|(zone, _)| zone).collect())
     }
 
     /// The best machine for one more task of a job.
@@ -270,12 +235,8 @@
         let service = job.spec.kind == Kind::Service;
         if job.spec.priority < Priority::Production {
             let reserve = self.renting.service_reserve(env);
-            let free: f64 = self
-                .machines
-                .values()
-                .filter(|m| !m.spot && m.usable(now))
-                .map(|m| m.total.cpus - m.used.cpus)
-                .sum();
+            let free: f64 =
+                self.machines.values().filter(|m| !m.spot && m.usable(now)).map(|m| m.total.cpus - m.used.cpus).sum();
             if free - need.cpus < reserve {
                 fitting.retain(|m| m.spot);
             }
@@ -283,21 +244,13 @@
         let cost = |machine: &Machine| -> f64 {
             let kind = env.type_named(&machine.kind);
             let rate = kind.map_or(1.0, |k| k.fetch_gb_per_s.max(0.01));
-            let fetch = if machine.has_image(&job.spec.image) {
-                0.0
-            } else {
-                job.spec.image_gb / rate
-            };
+            let fetch = if machine.has_image(&job.spec.image) { 0.0 } else { job.spec.image_gb / rate };
             let free = machine.total.cpus - machine.used.cpus;
             // The fuller machine first, so that others can be returned.
             let packing = 2.0 * free / machine.total.cpus.max(1.0);
             // Services stand together on few machines, so that the others can be returned,
             // but replicas of one service apart, so that one machine's end costs one.
-            let hosting = if service && !self.hosts_service(machine) {
-                4.0
-            } else {
-                0.0
-            };
+            let hosting = if service && !self.hosts_service(machine) { 4.0 } else { 0.0 };
             let mates = if service {
                 let key = |task| (job.id.clone(), task);
                 machine.places.range(key(0)..=key(u32::MAX)).count() as f64 * 2.5
@@ -305,16 +258,8 @@
                 0.0
             };
             let retiring = if machine.retiring { 40.0 } else { 0.0 };
-            let kind_cost = if job.spec.spot && !machine.spot {
-                3.0
-            } else {
-                0.0
-            };
-            let doubt = if job.failed_on.contains(&machine.name) {
-                60.0
-            } else {
-                0.0
-            };
+            let kind_cost = if job.spec.spot && !machine.spot { 3.0 } else { 0.0 };
+            let doubt = if job.failed_on.contains(&machine.name) { 60.0 } else { 0.0 };
             let slow = if machine.straggler { 30.0 } else { 0.0 };
             fetch + packing + hosting + mates + retiring + kind_cost + doubt + slow
         };
@@ -326,11 +271,7 @@
     }
 
     pub fn hosts_service(&self, machine: &Machine) -> bool {
-        let is_service = |name: &Name| {
-            self.jobs
-                .get(name)
-                .is_some_and(|j| j.spec.kind == Kind::Service)
-        };
+        let is_service = |name: &Name| self.jobs.get(name).is_some_and(|j| j.spec.kind == Kind::Service);
         machine.places.iter().any(|(job, _)| is_service(job))
     }
 
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -27,10 +27,7 @@
     pub fn make_room(&mut self, env: &mut Env, name: &Name, within: &BTreeSet<Name>) {
         let job = &self.jobs[name];
         let need = Room::of(&job.spec);
-        let quota = self
-            .quotas
-            .usage(&job.spec.team)
-            .map_or(0, |u| u.headroom(need));
+        let quota = self.quotas.usage(&job.spec.team).map_or(0, |u| u.headroom(need));
         let claimed: u32 = self
             .machines
             .values()
@@ -56,11 +53,7 @@
             let urgent = self.jobs[name].spec.priority == Priority::Production;
             for (victim, task) in plan.victims {
                 let spec = &self.jobs[&victim].spec;
-                let grace = if urgent || spec.checkpoint_s == 0.0 {
-                    0.0
-                } else {
-                    spec.save_s
-                };
+                let grace = if urgent || spec.checkpoint_s == 0.0 { 0.0 } else { spec.save_s };
                 self.stop_task(env, &victim, task, grace);
             }
             let until = env.steady() + CLAIM_FOR;
@@ -80,21 +73,12 @@
         let borrowed = inside
             && !victim_inside
             && victim.spec.team != job.spec.team
-            && self
-                .quotas
-                .usage(&victim.spec.team)
-                .is_some_and(|u| u.borrows());
+            && self.quotas.usage(&victim.spec.team).is_some_and(|u| u.borrows());
         lower || borrowed
     }
 
     /// The machine where the least work is lost for the room gained.
-    fn best_plan(
-        &self,
-        env: &Env,
-        name: &Name,
-        within: &BTreeSet<Name>,
-        wanted: u32,
-    ) -> Option<Plan> {
+    fn best_plan(&self, env: &Env, name: &Name, within: &BTreeSet<Name>, wanted: u32) -> Option<Plan> {
         let now = env.steady();
         let job = &self.jobs[name];
         let need = Room::of(&job.spec);
@@ -104,11 +88,7 @@
             if !machine.usable(now) || machine.claim.is_some() || !allowed(&job.spec, machine) {
                 continue;
             }
-            if zones
-                .as_ref()
-                .is_some_and(|zones| !zones.contains(&machine.zone))
-                || !machine.total.holds(need)
-            {
+            if zones.as_ref().is_some_and(|zones| !zones.contains(&machine.zone)) || !machine.total.holds(need) {
                 continue;
             }
             let mut victims: Vec<(f64, TaskKey, Room)> = Vec::new();
@@ -120,32 +100,16 @@
                     // Its room comes free by itself.
                     freed.add(Room::of(&owner.spec));
                 } else if self.may_stop(owner, job, within) {
-                    let ran = place
-                        .running
-                        .map_or(0.0, |t| now.duration_since(t).as_secs_f64());
-                    let lost = if owner.spec.checkpoint_s > 0.0 {
-                        ran % owner.spec.checkpoint_s
-                    } else {
-                        ran
-                    };
-                    victims.push((
-                        (lost + 1.0) * owner.spec.cpus,
-                        key.clone(),
-                        Room::of(&owner.spec),
-                    ));
+                    let ran = place.running.map_or(0.0, |t| now.duration_since(t).as_secs_f64());
+                    let lost = if owner.spec.checkpoint_s > 0.0 { ran % owner.spec.checkpoint_s } else { ran };
+                    victims.push(((lost + 1.0) * owner.spec.cpus, key.clone(), Room::of(&owner.spec)));
                 }
             }
             if freed.holds(need) {
                 continue;
             }
             victims.sort_by(|a, b| a.0.total_cmp(&b.0));
-            let mut plan = Plan {
-                machine: machine.name.clone(),
-                victims: Vec::new(),
-                freed,
-                tasks: 0,
-                lost_s: 0.0,
-            };
+            let mut plan = Plan { machine: machine.name.clone(), victims: Vec::new(), freed, tasks: 0, lost_s: 0.0 };
             for (lost, key, room) in victims {
                 if plan.freed.times(need) >= wanted {
                     break;
--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -20,11 +20,7 @@
 
 impl Room {
     pub fn of(spec: &JobSpec) -> Room {
-        Room {
-            cpus: spec.cpus,
-            gpus: spec.gpus,
-            memory_gb: spec.memory_gb,
-        }
+        Room { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb }
     }
 
     pub fn add(&mut self, other: Room) {
@@ -40,11 +36,7 @@
     }
 
     pub fn scaled(self, times: f64) -> Room {
-        Room {
-            cpus: self.cpus * times,
-            gpus: self.gpus * times,
-            memory_gb: self.memory_gb * times,
-        }
+        Room { cpus: self.cpus * times, gpus: self.gpus * times, memory_gb: self.memory_gb * times }
     }
 
     /// Nothing of anything.
@@ -58,23 +50,16 @@
     }
 
     pub fn holds(&self, need: Room) -> bool {
-        need.cpus <= self.cpus + SLACK
-            && need.gpus <= self.gpus + SLACK
-            && need.memory_gb <= self.memory_gb + SLACK
+        need.cpus <= self.cpus + SLACK && need.gpus <= self.gpus + SLACK && need.memory_gb <= self.memory_gb + SLACK
     }
 
     /// How many times `need` fits.
     pub fn times(&self, need: Room) -> u32 {
         let part = |have: f64, want: f64| {
-            if want > 0.0 {
-                (have + SLACK) / want
-            } else {
-                f64::INFINITY
-            }
+            if want > 0.0 { (have + SLACK) / want } else { f64::INFINITY }
         };
-        let times = part(self.cpus, need.cpus)
-            .min(part(self.gpus, need.gpus))
-            .min(part(self.memory_gb, need.memory_gb));
+        let times =
+            part(self.cpus, need.cpus).min(part(self.gpus, need.gpus)).min(part(self.memory_gb, need.memory_gb));
         times.clamp(0.0, 1e6) as u32
     }
 }
@@ -89,15 +74,8 @@
 impl Usage {
     /// How many more tasks of this size the limit allows.
     pub fn headroom(&self, need: Room) -> u32 {
-        let free = Room {
-            cpus: self.team.cpus_max - self.cpus,
-            gpus: self.team.gpus_max - self.gpus,
-            memory_gb: 0.0,
-        };
-        free.times(Room {
-            memory_gb: 0.0,
-            ..need
-        })
+        let free = Room { cpus: self.team.cpus_max - self.cpus, gpus: self.team.gpus_max - self.gpus, memory_gb: 0.0 };
+        free.times(Room { memory_gb: 0.0, ..need })
     }
 
     /// Whether the team uses more than it is guaranteed.
@@ -113,19 +91,8 @@
 
 impl Quotas {
     pub fn new(teams: &BTreeMap<String, Team>) -> Quotas {
-        let teams = teams.iter().map(|(name, team)| {
-            (
-                name.clone(),
-                Usage {
-                    team: team.clone(),
-                    cpus: 0.0,
-                    gpus: 0.0,
-                },
-            )
-        });
-        Quotas {
-            teams: teams.collect(),
-        }
+        let teams = teams.iter().map(|(name, team)| (name.clone(), Usage { team: team.clone(), cpus: 0.0, gpus: 0.0 }));
+        Quotas { teams: teams.collect() }
     }
 
     pub fn usage(&self, team: &str) -> Option<&Usage> {
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -49,11 +49,7 @@
 
 impl Records {
     pub fn page_changed(&mut self, job: &Name, page: u32, urgent: bool) {
-        let set = if urgent {
-            &mut self.urgent
-        } else {
-            &mut self.dirty
-        };
+        let set = if urgent { &mut self.urgent } else { &mut self.dirty };
         set.insert((job.clone(), page));
     }
 
@@ -82,21 +78,11 @@
         let ops = env.facts.txn_ops;
         let size_limit = 40 * 1024;
         let mut txn = Txn::default().when(LEAD_KEY, self.baton);
-        let mut batch = Batch {
-            pages: Vec::new(),
-            closed: Vec::new(),
-            drops: Vec::new(),
-        };
+        let mut batch = Batch { pages: Vec::new(), closed: Vec::new(), drops: Vec::new() };
         let mut conditioned: BTreeSet<Name> = BTreeSet::new();
         let mut size = 0;
         self.close_jobs(&mut txn, &mut batch, &mut conditioned, ops);
-        let order: Vec<(Name, u32)> = self
-            .records
-            .urgent
-            .iter()
-            .chain(self.records.dirty.iter())
-            .cloned()
-            .collect();
+        let order: Vec<(Name, u32)> = self.records.urgent.iter().chain(self.records.dirty.iter()).cloned().collect();
         for (name, page) in order {
             if txn.writes.len() >= ops || size > size_limit {
                 break;
@@ -113,22 +99,14 @@
             let Some(version) = state.version else {
                 continue;
             };
-            let record = job.page_record(page, |m| {
-                self.machines
-                    .get(m)
-                    .map(|m| m.addr.clone())
-                    .unwrap_or_default()
-            });
+            let record = job.page_record(page, |m| self.machines.get(m).map(|m| m.addr.clone()).unwrap_or_default());
             size += 200 + record.places.len() * 30 + record.machines.len() * 40;
             if conditioned.insert(name.clone()) {
                 txn = txn.when(job_key(&name), job.version);
             }
             let key = page_key(&name, page);
             txn = txn.when(key.clone(), version);
-            txn = txn.put(
-                key,
-                serde_json::to_value(record).expect("records always encode"),
-            );
+            txn = txn.put(key, serde_json::to_value(record).expect("records always encode"));
             batch.pages.push((name, page, state.change));
         }
         while txn.writes.len() < ops {
@@ -146,25 +124,11 @@
             self.records.dirty.remove(&(name.clone(), *page));
         }
         self.records.in_flight = true;
-        let urgency = if batch.pages.is_empty() && batch.closed.is_empty() {
-            Urgency::Low
-        } else {
-            Urgency::High
-        };
-        env.store(
-            Purpose::Record(RecordCall::Write(batch)),
-            urgency,
-            StoreOp::Txn(txn),
-        );
+        let urgency = if batch.pages.is_empty() && batch.closed.is_empty() { Urgency::Low } else { Urgency::High };
+        env.store(Purpose::Record(RecordCall::Write(batch)), urgency, StoreOp::Txn(txn));
     }
 
-    fn close_jobs(
-        &mut self,
-        txn: &mut Txn,
-        batch: &mut Batch,
-        conditioned: &mut BTreeSet<Name>,
-        ops: usize,
-    ) {
+    fn close_jobs(&mut self, txn: &mut Txn, batch: &mut Batch, conditioned: &mut BTreeSet<Name>, ops: usize) {
         for _ in 0..self.records.closing.len() {
             if txn.writes.len() + 2 > ops {
                 break;
@@ -173,28 +137,16 @@
             let Some(job) = self.jobs.get_mut(&name).filter(|job| !job.closing) else {
                 continue;
             };
-            let over = if job.cancelled {
-                job.places.is_empty()
-            } else {
-                job.complete()
-            };
+            let over = if job.cancelled { job.places.is_empty() } else { job.complete() };
             if !over {
                 continue;
             }
             job.closing = true;
             conditioned.insert(name.clone());
-            let mut next = std::mem::take(txn)
-                .when(job_key(&name), job.version)
-                .delete(live_key(&name));
+            let mut next = std::mem::take(txn).when(job_key(&name), job.version).delete(live_key(&name));
             if !job.cancelled {
-                let record = JobRecord {
-                    state: RecordState::Done,
-                    tasks: job.spec.tasks,
-                };
-                next = next.put(
-                    job_key(&name),
-                    serde_json::to_value(record).expect("records always encode"),
-                );
+                let record = JobRecord { state: RecordState::Done, tasks: job.spec.tasks };
+                next = next.put(job_key(&name), serde_json::to_value(record).expect("records always encode"));
             }
             *txn = next;
             batch.closed.push(name);
@@ -213,19 +165,12 @@
     }
 
     /// Returns true if the store showed that another node leads.
-    pub fn recorded(
-        &mut self,
-        env: &mut Env,
-        call: RecordCall,
-        outcome: Outcome<StoreAnswer>,
-    ) -> bool {
+    pub fn recorded(&mut self, env: &mut Env, call: RecordCall, outcome: Outcome<StoreAnswer>) -> bool {
         match call {
             RecordCall::Write(batch) => {
                 self.records.in_flight = false;
                 match outcome {
-                    Outcome::Answered(StoreAnswer::Committed(version)) => {
-                        self.committed(batch, version)
-                    }
+                    Outcome::Answered(StoreAnswer::Committed(version)) => self.committed(batch, version),
                     Outcome::Answered(StoreAnswer::Refused(failed)) => {
                         if failed.iter().any(|key| key == LEAD_KEY) {
                             return true;
@@ -252,11 +197,7 @@
                 match outcome {
                     Outcome::Answered(StoreAnswer::Item(item)) => {
                         // Memory holds what is true; only the version was in doubt.
-                        if let Some(state) = self
-                            .jobs
-                            .get_mut(&name)
-                            .and_then(|job| job.pages.get_mut(&page))
-                        {
+                        if let Some(state) = self.jobs.get_mut(&name).and_then(|job| job.pages.get_mut(&page)) {
                             state.version = Some(item.map_or(0, |item| item.version));
                         }
                     }
@@ -288,11 +229,7 @@
     }
 
     fn doubt_page(&mut self, name: &Name, page: u32) {
-        if let Some(state) = self
-            .jobs
-            .get_mut(name)
-            .and_then(|job| job.pages.get_mut(&page))
-        {
+        if let Some(state) = self.jobs.get_mut(name).and_then(|job| job.pages.get_mut(&page)) {
             state.version = None;
             self.records.reads.insert((name.clone(), Some(page)));
         }
@@ -368,10 +305,7 @@
     pub fn page_durable(jobs: &BTreeMap<Name, Job>, name: &Name, page: u32, change: u64) -> bool {
         match jobs.get(name) {
             None => true,
-            Some(job) => job
-                .pages
-                .get(&page)
-                .is_none_or(|state| state.durable >= change),
+            Some(job) => job.pages.get(&page).is_none_or(|state| state.durable >= change),
         }
     }
 }
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -66,19 +66,12 @@
 }
 
 impl Reign {
-    pub fn new(
-        baton: u64,
-        now: Instant,
-        old_silent: Instant,
-        teams: &BTreeMap<String, Team>,
-    ) -> Reign {
+    pub fn new(baton: u64, now: Instant, old_silent: Instant, teams: &BTreeMap<String, Team>) -> Reign {
         Reign {
             baton,
             since: now,
             old_silent,
-            load: Load::Jobs {
-                after: String::new(),
-            },
+            load: Load::Jobs { after: String::new() },
             waiting: false,
             retry: None,
             watch_from: 0,
@@ -132,11 +125,7 @@
             .filter_map(|name| {
                 self.progress.remove(&name);
                 let job = self.jobs.get(&name)?;
-                Some(Progress {
-                    job: name.to_string(),
-                    done: job.done_count,
-                    running: job.running,
-                })
+                Some(Progress { job: name.to_string(), done: job.done_count, running: job.running })
             })
             .collect()
     }
@@ -144,20 +133,8 @@
     fn read_on(&mut self, env: &mut Env) {
         self.waiting = true;
         let (call, op) = match &self.load {
-            Load::Jobs { after } => (
-                LoadCall::Jobs,
-                StoreOp::List {
-                    prefix: LIVE.into(),
-                    after: after.clone(),
-                },
-            ),
-            Load::Pages { after } => (
-                LoadCall::Pages,
-                StoreOp::List {
-                    prefix: TASK.into(),
-                    after: after.clone(),
-                },
-            ),
+            Load::Jobs { after } => (LoadCall::Jobs, StoreOp::List { prefix: LIVE.into(), after: after.clone() }),
+            Load::Pages { after } => (LoadCall::Pages, StoreOp::List { prefix: TASK.into(), after: after.clone() }),
             Load::Ready => {
                 self.waiting = false;
                 return;
@@ -169,11 +146,7 @@
     fn watch(&mut self, env: &mut Env) {
         if !self.watching {
             self.watching = true;
-            let op = StoreOp::Watch {
-                prefix: LIVE.into(),
-                after: self.watch_from,
-                wait_ms: WATCH_MS,
-            };
+            let op = StoreOp::Watch { prefix: LIVE.into(), after: self.watch_from, wait_ms: WATCH_MS };
             env.store(Purpose::Load(LoadCall::Watch), Urgency::High, op);
         }
     }
@@ -188,19 +161,12 @@
                     self.watch_from = page.revision;
                 }
                 let last = page.rows.last().map(|row| row.key.clone());
-                for Item {
-                    key,
-                    value,
-                    version,
-                } in page.rows
-                {
+                for Item { key, value, version } in page.rows {
                     self.live_changed(env, &key, value, version);
                 }
                 self.load = match last {
                     Some(after) if page.more => Load::Jobs { after },
-                    _ => Load::Pages {
-                        after: String::new(),
-                    },
+                    _ => Load::Pages { after: String::new() },
                 };
                 self.read_on(env);
             }
@@ -222,12 +188,7 @@
                 self.watching = false;
                 self.watch_from = changes.revision;
                 for event in changes.events {
-                    if let Event::Put {
-                        key,
-                        value,
-                        version,
-                    } = event
-                    {
+                    if let Event::Put { key, value, version } = event {
                         self.live_changed(env, &key, value, version);
                     }
                 }
@@ -236,9 +197,7 @@
             (LoadCall::Watch, Outcome::Answered(StoreAnswer::TooOld)) => {
                 // What is read again is merged into what is known.
                 self.watching = false;
-                self.load = Load::Jobs {
-                    after: String::new(),
-                };
+                self.load = Load::Jobs { after: String::new() };
                 self.read_on(env);
             }
             (LoadCall::Watch, _) => {
@@ -278,9 +237,7 @@
             }
             for (machine, addr) in &record.machines {
                 let name = Name::from(machine.as_str());
-                self.machines
-                    .entry(name.clone())
-                    .or_insert_with(|| Machine::inherited(name, addr.clone(), now));
+                self.machines.entry(name.clone()).or_insert_with(|| Machine::inherited(name, addr.clone(), now));
             }
             job.adopt_page(page, version, &record, now);
             fresh.insert(id);
@@ -289,10 +246,7 @@
             let job = self.jobs.get_mut(id).expect("a job whose page was read");
             job.settle(now);
             for (task, place) in &job.places {
-                let machine = self
-                    .machines
-                    .get_mut(&place.machine)
-                    .expect("machines of records are known");
+                let machine = self.machines.get_mut(&place.machine).expect("machines of records are known");
                 machine.hold((id.clone(), *task), &job.spec);
                 self.quotas.add(&job.spec);
             }
@@ -305,12 +259,7 @@
             self.after_change(&name);
         }
         let places: usize = self.jobs.values().map(|j| j.places.len()).sum();
-        tracing::info!(
-            jobs = self.jobs.len(),
-            places,
-            machines = self.machines.len(),
-            "records read"
-        );
+        tracing::info!(jobs = self.jobs.len(), places, machines = self.machines.len(), "records read");
         // Machines that may hold something are shown the token at once.
         self.urgent.extend(self.machines.keys().cloned());
         self.place_due = true;
@@ -338,12 +287,7 @@
                 }
             }
             None => {
-                tracing::debug!(
-                    job = id,
-                    tasks = record.spec.tasks,
-                    class = record.spec.class,
-                    "new job"
-                );
+                tracing::debug!(job = id, tasks = record.spec.tasks, class = record.spec.class, "new job");
                 self.renting.saw_job(&record.spec, env.steady());
                 let job = Job::new(record.spec, record.at_ms, version, record.cancelled);
                 self.jobs.insert(name.clone(), job);
@@ -373,11 +317,7 @@
         let Some(job) = self.jobs.get(name) else {
             return;
         };
-        let over = if job.cancelled {
-            job.places.is_empty()
-        } else {
-            job.complete()
-        };
+        let over = if job.cancelled { job.places.is_empty() } else { job.complete() };
         if over {
             self.records.close(name);
         }
@@ -407,10 +347,7 @@
         if !self.ready() {
             return;
         }
-        if self
-            .last_second
-            .is_none_or(|t| now.duration_since(t) >= Duration::from_secs(1))
-        {
+        if self.last_second.is_none_or(|t| now.duration_since(t) >= Duration::from_secs(1)) {
             self.last_second = Some(now);
             self.check_silence(env);
             self.rent_tick(env);
@@ -425,11 +362,7 @@
             return;
         }
         let now = env.steady();
-        if self.place_due
-            && self
-                .placed_at
-                .is_none_or(|t| now.duration_since(t) >= Duration::from_millis(20))
-        {
+        if self.place_due && self.placed_at.is_none_or(|t| now.duration_since(t) >= Duration::from_millis(20)) {
             self.place_due = false;
             self.placed_at = Some(now);
             self.place_pass(env);
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -101,9 +101,7 @@
             f64::INFINITY
         }
     };
-    part(room.cpus, kind.cpus)
-        .max(part(room.gpus, kind.gpus))
-        .max(part(room.memory_gb, kind.memory_gb))
+    part(room.cpus, kind.cpus).max(part(room.gpus, kind.gpus)).max(part(room.memory_gb, kind.memory_gb))
 }
 
 impl Reign {
@@ -121,12 +119,8 @@
 
     fn list(&mut self, env: &mut Env) {
         let now = env.steady();
-        let period =
-            (env.facts.list_lag / 2).clamp(Duration::from_secs(2), Duration::from_secs(10));
-        let due = self
-            .renting
-            .listed_at
-            .is_none_or(|t| now.duration_since(t) >= period);
+        let period = (env.facts.list_lag / 2).clamp(Duration::from_secs(2), Duration::from_secs(10));
+        let due = self.renting.listed_at.is_none_or(|t| now.duration_since(t) >= period);
         if due && !self.renting.listing {
             self.renting.listing = true;
             self.renting.listed_at = Some(now);
@@ -141,17 +135,11 @@
         if waiting == 0 {
             return 0.0;
         }
-        let left = team_left.entry(job.spec.team.clone()).or_insert_with(|| {
-            self.quotas
-                .usage(&job.spec.team)
-                .map_or(0.0, |u| u.team.cpus_max - u.cpus)
-        });
+        let left = team_left
+            .entry(job.spec.team.clone())
+            .or_insert_with(|| self.quotas.usage(&job.spec.team).map_or(0.0, |u| u.team.cpus_max - u.cpus));
         let cpus = job.spec.cpus;
-        let fit = if cpus > 0.0 {
-            (*left / cpus).max(0.0) as u32
-        } else {
-            waiting
-        };
+        let fit = if cpus > 0.0 { (*left / cpus).max(0.0) as u32 } else { waiting };
         let tasks = f64::from(waiting.min(fit));
         *left -= tasks * cpus;
         tasks
@@ -188,10 +176,7 @@
             } else {
                 firm_free.add(free)
             }
-            zone_free
-                .entry((zone.to_owned(), spot))
-                .or_default()
-                .add(free);
+            zone_free.entry((zone.to_owned(), spot)).or_default().add(free);
         };
         for machine in self.machines.values().filter(|m| m.counts()) {
             let boot = env.type_named(&machine.kind).map_or(60.0, |k| k.boot_s);
@@ -199,24 +184,12 @@
                 continue;
             }
             in_use += machine.used.cpus;
-            add_free(
-                &machine.zone,
-                machine.spot,
-                machine.total.minus(machine.used),
-            );
+            add_free(&machine.zone, machine.spot, machine.total.minus(machine.used));
         }
         for (rental, _) in &self.renting.open {
             if let Some(kind) = env.type_named(&rental.kind) {
-                let room = Room {
-                    cpus: kind.cpus,
-                    gpus: kind.gpus,
-                    memory_gb: kind.memory_gb,
-                };
-                add_free(
-                    &rental.zone,
-                    rental.spot,
-                    room.scaled(f64::from(rental.count)),
-                );
+                let room = Room { cpus: kind.cpus, gpus: kind.gpus, memory_gb: kind.memory_gb };
+                add_free(&rental.zone, rental.spot, room.scaled(f64::from(rental.count)));
             }
         }
         for ((zones, spot), need) in bound {
@@ -231,11 +204,7 @@
                 self.rent_kind(env, gap, spot, Some(&zones));
             }
             // It takes its part of what is free, wherever that is.
-            if spot {
-                spot_need.add(need.minus(gap))
-            } else {
-                firm_need.add(need.minus(gap))
-            }
+            if spot { spot_need.add(need.minus(gap)) } else { firm_need.add(need.minus(gap)) }
         }
         let policy = env.policy.clone();
         let largest = env.types.iter().map(|t| t.cpus).fold(0.0, f64::max);
@@ -258,34 +227,17 @@
         let now = env.steady();
         let window = env.policy.idle;
         self.renting.needs.push_back((now, need));
-        while self
-            .renting
-            .needs
-            .front()
-            .is_some_and(|(t, _)| now.duration_since(*t) > window)
-        {
+        while self.renting.needs.front().is_some_and(|(t, _)| now.duration_since(*t) > window) {
             self.renting.needs.pop_front();
         }
-        // Capacity takes a boot to come back, so a short lull is no reason to return any.
-        let need = self
-            .renting
-            .needs
-            .iter()
-            .map(|(_, n)| *n)
-            .fold(need, f64::max);
-        let mut have: f64 = self
-            .machines
-            .values()
-            .filter(|m| m.counts())
-            .map(|m| m.total.cpus)
-            .sum();
+        let mut have: f64 = self.machines.values().filter(|m| m.counts()).map(|m| m.total.cpus).sum();
         let mut candidates: Vec<(bool, f64, Name)> = self
             .machines
             .values()
             .filter(|m| m.up && m.counts() && !self.hosts_service(m))
-            .map(|m| (m.spot, m.used.cpus, m.name.clone()))
+            .map(|m| (m.spot, self.empty_in(now, m), m.name.clone()))
             .collect();
-        // The dearest first, and of those the emptiest.
+        // The dearest first, and of those the ones that are empty the soonest.
         candidates.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         let mut retiring = BTreeSet::new();
         for (_, _, name) in candidates {
@@ -301,6 +253,16 @@
         }
     }
 
+    /// Seconds until a machine's tasks are expected to have ended.
+    fn empty_in(&self, now: Instant, machine: &Machine) -> f64 {
+        let left = machine.places.iter().filter_map(|(name, task)| {
+            let job = self.jobs.get(name)?;
+            let ran = job.places.get(task)?.running.map_or(0.0, |t| now.duration_since(t).as_secs_f64());
+            Some((job.mean_run_s - ran).max(1.0))
+        });
+        left.fold(0.0, f64::max)
+    }
+
     /// The only zones where a job's next task may go, if not everywhere.
     fn bound_to(&self, job: &Job) -> Option<Vec<String>> {
         let zones = self.zones_for(job);
@@ -325,16 +287,8 @@
             if !count.is_finite() {
                 continue;
             }
-            let price = if spot {
-                kind.spot_price.unwrap_or(f64::INFINITY)
-            } else {
-                kind.price
-            };
-            for zone in kind
-                .zones
-                .iter()
-                .filter(|z| within.is_none_or(|w| w.contains(z)))
-            {
+            let price = if spot { kind.spot_price.unwrap_or(f64::INFINITY) } else { kind.price };
+            for zone in kind.zones.iter().filter(|z| within.is_none_or(|w| w.contains(z))) {
                 let market = (kind.name.clone(), zone.clone(), spot);
                 let busy = self.renting.refused.contains_key(&market);
                 if price.is_finite() && !busy {
@@ -343,16 +297,8 @@
             }
         }
         // Among equals the zone with the fewest machines, so that no zone holds all.
-        let there = |market: &Market| {
-            self.machines
-                .values()
-                .filter(|m| m.zone == market.1)
-                .count()
-        };
-        options.sort_by(|a, b| {
-            a.0.total_cmp(&b.0)
-                .then_with(|| there(&a.2).cmp(&there(&b.2)))
-        });
+        let there = |market: &Market| self.machines.values().filter(|m| m.zone == market.1).count();
+        options.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| there(&a.2).cmp(&there(&b.2))));
         let Some((_, count, (kind, zone, spot))) = options.into_iter().next() else {
             if spot {
                 self.rent_kind(env, room, false, within);
@@ -366,38 +312,22 @@
         self.renting.serial += 1;
         let request = format!("r-{}-{}", self.baton, self.renting.serial);
         tracing::info!(request, kind, zone, spot, count, "renting");
-        let rental = Rental {
-            request,
-            kind,
-            zone,
-            spot,
-            count,
-        };
+        let rental = Rental { request, kind, zone, spot, count };
         self.send_rental(env, rental);
     }
 
     fn send_rental(&mut self, env: &mut Env, rental: Rental) {
         self.renting.open.push((rental.clone(), env.steady()));
-        env.cloud(
-            Purpose::Rent(RentCall::Rent(rental.clone())),
-            CloudOp::Rent(rental),
-        );
+        env.cloud(Purpose::Rent(RentCall::Rent(rental.clone())), CloudOp::Rent(rental));
     }
 
     fn repeat_rentals(&mut self, env: &mut Env) {
         let now = env.steady();
         let wait = Duration::from_secs(8);
-        let due: Vec<Rental> = self
-            .renting
-            .open
-            .iter()
-            .filter(|(_, at)| now.duration_since(*at) > wait)
-            .map(|(r, _)| r.clone())
-            .collect();
+        let due: Vec<Rental> =
+            self.renting.open.iter().filter(|(_, at)| now.duration_since(*at) > wait).map(|(r, _)| r.clone()).collect();
         for rental in due {
-            self.renting
-                .open
-                .retain(|(r, _)| r.request != rental.request);
+            self.renting.open.retain(|(r, _)| r.request != rental.request);
             self.send_rental(env, rental);
         }
     }
@@ -407,9 +337,7 @@
         match (call, outcome) {
             (RentCall::Rent(rental), Outcome::Answered(CloudAnswer::Rented(names))) => {
                 let asked = self.renting.open.len();
-                self.renting
-                    .open
-                    .retain(|(r, _)| r.request != rental.request);
+                self.renting.open.retain(|(r, _)| r.request != rental.request);
                 if self.renting.open.len() == asked {
                     return; // answered before
                 }
@@ -421,33 +349,20 @@
                 if let Some(kind) = env.type_named(&rental.kind).cloned() {
                     for name in names {
                         let name = Name::from(name.as_str());
-                        self.machines.entry(name.clone()).or_insert_with(|| {
-                            Machine::rented(name, &kind, &rental.zone, rental.spot, now)
-                        });
+                        self.machines
+                            .entry(name.clone())
+                            .or_insert_with(|| Machine::rented(name, &kind, &rental.zone, rental.spot, now));
                     }
                 }
             }
             (RentCall::Rent(rental), Outcome::Answered(CloudAnswer::NoCapacity)) => {
-                self.renting
-                    .open
-                    .retain(|(r, _)| r.request != rental.request);
-                tracing::info!(
-                    kind = rental.kind,
-                    zone = rental.zone,
-                    spot = rental.spot,
-                    "no capacity"
-                );
-                self.renting
-                    .refused
-                    .insert((rental.kind, rental.zone, rental.spot), now + REFUSED_FOR);
+                self.renting.open.retain(|(r, _)| r.request != rental.request);
+                tracing::info!(kind = rental.kind, zone = rental.zone, spot = rental.spot, "no capacity");
+                self.renting.refused.insert((rental.kind, rental.zone, rental.spot), now + REFUSED_FOR);
             }
             (RentCall::Rent(rental), Outcome::Answered(_) | Outcome::NotDone) => {
-                self.renting
-                    .open
-                    .retain(|(r, _)| r.request != rental.request);
-                self.renting
-                    .refused
-                    .insert((rental.kind, rental.zone, rental.spot), now + RETRY);
+                self.renting.open.retain(|(r, _)| r.request != rental.request);
+                self.renting.refused.insert((rental.kind, rental.zone, rental.spot), now + RETRY);
             }
             // Unanswered: it may have been carried out, so it is repeated by name.
             (RentCall::Rent(_), Outcome::Unknown) => {}
@@ -487,53 +402,31 @@
     }
 
     fn return_idle(&mut self, env: &mut Env, now: Instant) {
-        let policy = env.policy.clone();
-        let largest = env.types.iter().map(|t| t.cpus).fold(0.0, f64::max);
         let mut lost = Vec::new();
-        let mut free = [0.0, 0.0];
-        let mut in_use = 0.0;
         for machine in self.machines.values() {
-            let boot = env
-                .type_named(&machine.kind)
-                .map_or(60.0, |k| k.boot_s.max(1.0));
+            let boot = env.type_named(&machine.kind).map_or(60.0, |k| k.boot_s.max(1.0));
             let age = now.duration_since(machine.known).as_secs_f64();
             if machine.leaving {
                 if machine.release_sent.is_none() {
                     lost.push(machine.name.clone());
                 }
             } else if !machine.up && !machine.kind.is_empty() && age > boot * LOST_BOOT {
-                tracing::info!(
-                    machine = &*machine.name,
-                    age_s = age,
-                    "never came up; given up"
-                );
+                tracing::info!(machine = &*machine.name, age_s = age, "never came up; given up");
                 lost.push(machine.name.clone());
             } else if machine.quarantined && machine.places.is_empty() {
                 lost.push(machine.name.clone());
-            } else if machine.up && machine.counts() {
-                free[usize::from(machine.spot)] += machine.total.cpus - machine.used.cpus;
-                in_use += machine.used.cpus;
             }
         }
-        let headroom = (in_use * policy.headroom_share).max(policy.headroom_machines * largest);
-        let reserve = self.renting.service_reserve(env);
         let waiting: Vec<(&Job, Option<Vec<String>>)> = self
             .jobs
             .values()
             .filter(|job| job.waiting() > 0)
-            .filter(|job| {
-                self.quotas
-                    .usage(&job.spec.team)
-                    .is_some_and(|u| u.headroom(Room::of(&job.spec)) > 0)
-            })
+            .filter(|job| self.quotas.usage(&job.spec.team).is_some_and(|u| u.headroom(Room::of(&job.spec)) > 0))
             .map(|job| (job, self.bound_to(job)))
             .collect();
         let wanted = |machine: &Machine| {
             waiting.iter().any(|(job, zones)| {
-                allowed(&job.spec, machine)
-                    && zones
-                        .as_ref()
-                        .is_none_or(|zones| zones.contains(&machine.zone))
+                allowed(&job.spec, machine) && zones.as_ref().is_none_or(|zones| zones.contains(&machine.zone))
             })
         };
         let mut idle: Vec<&Machine> = self
@@ -544,16 +437,12 @@
             .collect();
         // The dearest first.
         idle.sort_by_key(|m| m.spot);
+        // Capacity takes a boot to come back, so a short lull is no reason to return any.
+        let need = self.renting.needs.iter().map(|(_, n)| *n).fold(0.0, f64::max);
+        let mut have: f64 = self.machines.values().filter(|m| m.counts()).map(|m| m.total.cpus).sum();
         for machine in idle {
-            let cpus = machine.total.cpus;
-            let spot = usize::from(machine.spot);
-            let keeps = if machine.spot {
-                free[0] - reserve + free[1] - cpus >= headroom
-            } else {
-                free[0] - cpus >= reserve && free[0] + free[1] - cpus >= reserve + headroom
-            };
-            if keeps {
-                free[spot] -= cpus;
+            if have - machine.total.cpus >= need {
+                have -= machine.total.cpus;
                 lost.push(machine.name.clone());
             }
         }
@@ -566,16 +455,11 @@
 
     fn send_returns(&mut self, env: &mut Env, now: Instant) {
         let renting = &mut self.renting;
-        if renting.return_open
-            || renting.returning.is_empty()
-            || renting.return_retry.is_some_and(|t| t > now)
-        {
+        if renting.return_open || renting.returning.is_empty() || renting.return_retry.is_some_and(|t| t > now) {
             return;
         }
         // One that was heard of again stays.
-        renting
-            .returning
-            .retain(|name| self.machines.get(name).is_none_or(|m| m.leaving));
+        renting.returning.retain(|name| self.machines.get(name).is_none_or(|m| m.leaving));
         let count = renting.returning.len().min(MOST_RETURNED);
         let names: Vec<Name> = renting.returning.drain(..count).collect();
         if names.is_empty() {
@@ -588,18 +472,11 @@
         }
         renting.return_open = true;
         let list = names.iter().map(|n| n.to_string()).collect();
-        env.cloud(
-            Purpose::Rent(RentCall::Release(names)),
-            CloudOp::Release(list),
-        );
+        env.cloud(Purpose::Rent(RentCall::Release(names)), CloudOp::Release(list));
     }
 }
 
 fn missing(need: Room, free: Room) -> Room {
     let gap = need.minus(free);
-    Room {
-        cpus: gap.cpus.max(0.0),
-        gpus: gap.gpus.max(0.0),
-        memory_gb: gap.memory_gb.max(0.0),
-    }
+    Room { cpus: gap.cpus.max(0.0), gpus: gap.gpus.max(0.0), memory_gb: gap.memory_gb.max(0.0) }
 }
--- a/crates/core/src/speculate.rs
+++ b/crates/core/src/speculate.rs
@@ -49,10 +49,7 @@
 
     /// The cell (μ, δ) if it may be used.
     pub fn cell(&self, minimum: u32) -> Option<Cell> {
-        let cell = Cell {
-            mean: self.mean(),
-            spread: self.variance(),
-        };
+        let cell = Cell { mean: self.mean(), spread: self.variance() };
         (self.count >= minimum && cell.spread > 1e-9).then_some(cell)
     }
 }
@@ -76,8 +73,7 @@
 
 /// The groups overlap in some dimension.
 fn overlaps(a: &Bounds, b: &Bounds) -> bool {
-    a.iter()
-        .any(|(dim, x)| b.get(dim).is_some_and(|y| x.0 <= y.1 && y.0 <= x.1))
+    a.iter().any(|(dim, x)| b.get(dim).is_some_and(|y| x.0 <= y.1 && y.0 <= x.1))
 }
 
 type Bounds = BTreeMap<Name, (f64, f64)>;
@@ -91,16 +87,9 @@
 
 /// Algorithm 1: merges machines that do not dominate one another into groups.
 pub fn groups(points: &[Performance]) -> Vec<Vec<usize>> {
-    let bounds_of = |p: &Performance| {
-        p.iter()
-            .map(|(dim, e)| (dim.clone(), (*e, *e)))
-            .collect::<Bounds>()
-    };
-    let mut groups: Vec<(Vec<usize>, Bounds)> = points
-        .iter()
-        .enumerate()
-        .map(|(i, p)| (vec![i], bounds_of(p)))
-        .collect();
+    let bounds_of = |p: &Performance| p.iter().map(|(dim, e)| (dim.clone(), (*e, *e))).collect::<Bounds>();
+    let mut groups: Vec<(Vec<usize>, Bounds)> =
+        points.iter().enumerate().map(|(i, p)| (vec![i], bounds_of(p))).collect();
     let mut i = 0;
     while i < groups.len() {
         let found = (i + 1..groups.len()).find(|j| crossed(&groups[i].1, &groups[*j].1));
@@ -111,9 +100,7 @@
         let (members, bounds) = groups.swap_remove(j);
         groups[i].0.extend(members);
         widen(&mut groups[i].1, &bounds);
-        while let Some(j) =
-            (0..groups.len()).find(|j| *j != i && overlaps(&groups[i].1, &groups[*j].1))
-        {
+        while let Some(j) = (0..groups.len()).find(|j| *j != i && overlaps(&groups[i].1, &groups[*j].1)) {
             let (members, bounds) = groups.swap_remove(j);
             if i == groups.len() {
                 i = j;
@@ -128,15 +115,8 @@
 
 /// Mean squared difference over the dimensions that both have.
 fn distance(a: &Performance, b: &Performance) -> f64 {
-    let shared: Vec<f64> = a
-        .iter()
-        .filter_map(|(dim, x)| b.get(dim).map(|y| (x - y) * (x - y)))
-        .collect();
-    if shared.is_empty() {
-        f64::INFINITY
-    } else {
-        shared.iter().sum::<f64>() / shared.len() as f64
-    }
+    let shared: Vec<f64> = a.iter().filter_map(|(dim, x)| b.get(dim).map(|y| (x - y) * (x - y))).collect();
+    if shared.is_empty() { f64::INFINITY } else { shared.iter().sum::<f64>() / shared.len() as f64 }
 }
 
 fn center(points: &[Performance], members: &[usize]) -> Performance {
@@ -145,9 +125,7 @@
         let sum = sums.entry(dim.clone()).or_default();
         *sum = (sum.0 + e, sum.1 + 1.0);
     }
-    sums.into_iter()
-        .map(|(dim, (sum, n))| (dim, sum / n))
-        .collect()
+    sums.into_iter().map(|(dim, (sum, n))| (dim, sum / n)).collect()
 }
 
 /// Algorithm 2: k-means in which a group moves as a whole, by its members' votes.
@@ -159,8 +137,7 @@
         return vec![0; points.len()];
     }
     let indices: Vec<usize> = (0..points.len()).collect();
-    let mut centers: Vec<Performance> =
-        indices.sample(rng, k).map(|i| points[*i].clone()).collect();
+    let mut centers: Vec<Performance> = indices.sample(rng, k).map(|i| points[*i].clone()).collect();
     let mut assigned = vec![usize::MAX; groups.len()];
     // It settles in a few rounds; the bound guards against ties that would alternate.
     for _ in 0..50 {
@@ -168,16 +145,11 @@
         for (g, members) in groups.iter().enumerate() {
             let mut votes = vec![0u32; k];
             for i in members {
-                let nearest = (0..k).min_by(|a, b| {
-                    distance(&points[*i], &centers[*a])
-                        .total_cmp(&distance(&points[*i], &centers[*b]))
-                });
+                let nearest = (0..k)
+                    .min_by(|a, b| distance(&points[*i], &centers[*a]).total_cmp(&distance(&points[*i], &centers[*b])));
                 votes[nearest.expect("k is above 1")] += 1;
             }
-            let choice = (0..k)
-                .rev()
-                .max_by_key(|c| votes[*c])
-                .expect("k is above 1");
+            let choice = (0..k).rev().max_by_key(|c| votes[*c]).expect("k is above 1");
             moved |= assigned[g] != choice;
             assigned[g] = choice;
         }
@@ -185,12 +157,8 @@
             break;
         }
         for (c, old) in centers.iter_mut().enumerate() {
-            let members: Vec<usize> = groups
-                .iter()
-                .zip(&assigned)
-                .filter(|(_, a)| **a == c)
-                .flat_map(|(m, _)| m.iter().copied())
-                .collect();
+            let members: Vec<usize> =
+                groups.iter().zip(&assigned).filter(|(_, a)| **a == c).flat_map(|(m, _)| m.iter().copied()).collect();
             if !members.is_empty() {
                 *old = center(points, &members);
             }
@@ -199,25 +167,15 @@
     // Types differ in length: what a cluster needs in comparison orders the levels.
     let overall = center(points, &indices);
     let slowness = |c: usize| -> f64 {
-        let ratios: Vec<f64> = centers[c]
-            .iter()
-            .filter_map(|(dim, e)| overall.get(dim).map(|o| e / o.max(1e-9)))
-            .collect();
+        let ratios: Vec<f64> =
+            centers[c].iter().filter_map(|(dim, e)| overall.get(dim).map(|o| e / o.max(1e-9))).collect();
         ratios.iter().sum::<f64>() / ratios.len().max(1) as f64
     };
-    let mut used: Vec<usize> = assigned
-        .iter()
-        .copied()
-        .collect::<BTreeSet<_>>()
-        .into_iter()
-        .collect();
+    let mut used: Vec<usize> = assigned.iter().copied().collect::<BTreeSet<_>>().into_iter().collect();
     used.sort_by(|a, b| slowness(*b).total_cmp(&slowness(*a)));
     let mut result = vec![0; points.len()];
     for (members, cluster) in groups.iter().zip(&assigned) {
-        let level = used
-            .iter()
-            .position(|c| c == cluster)
-            .expect("every used cluster is listed");
+        let level = used.iter().position(|c| c == cluster).expect("every used cluster is listed");
         for i in members {
             result[*i] = level;
         }
@@ -239,12 +197,8 @@
 pub fn minimum_level(from: usize, table: &[(Option<f64>, f64)]) -> Option<(usize, f64)> {
     let mut best: Option<(usize, f64)> = None;
     for level in from..table.len() {
-        let known = table[level..]
-            .iter()
-            .filter_map(|(mean, containers)| mean.map(|m| (m, *containers)));
-        let (sum, all) = known.fold((0.0, 0.0), |(sum, all), (mean, c)| {
-            (sum + mean * c, all + c)
-        });
+        let known = table[level..].iter().filter_map(|(mean, containers)| mean.map(|m| (m, *containers)));
+        let (sum, all) = known.fold((0.0, 0.0), |(sum, all), (mean, c)| (sum + mean * c, all + c));
         if all > 0.0 && best.is_none_or(|(_, least)| sum / all < least) {
             best = Some((level, sum / all));
         }
@@ -258,9 +212,7 @@
     if all <= 0.0 {
         return 0.0;
     }
-    let won = table[minimum..]
-        .iter()
-        .filter_map(|(mean, c)| mean.map(|m| c * (remaining_s - m)));
+    let won = table[minimum..].iter().filter_map(|(mean, c)| mean.map(|m| c * (remaining_s - m)));
     won.sum::<f64>() / all
 }
 
@@ -281,12 +233,7 @@
 
 impl Speculation {
     pub fn finished(&mut self, job: &Name, machine: &Name, run_s: f64) {
-        self.finished
-            .entry(job.clone())
-            .or_default()
-            .entry(machine.clone())
-            .or_default()
-            .add(run_s);
+        self.finished.entry(job.clone()).or_default().entry(machine.clone()).or_default().add(run_s);
     }
 
     pub fn forget(&mut self, job: &Name) {
@@ -296,12 +243,7 @@
     fn cells(&self, job: &Name, levels: usize, minimum: u32) -> Vec<Option<Cell>> {
         let mut merged = vec![Moments::default(); levels];
         for (machine, moments) in self.finished.get(job).into_iter().flatten() {
-            let level = self
-                .levels
-                .get(machine)
-                .copied()
-                .unwrap_or(0)
-                .min(levels - 1);
+            let level = self.levels.get(machine).copied().unwrap_or(0).min(levels - 1);
             merged[level].merge(moments);
         }
         merged.iter().map(|m| m.cell(minimum)).collect()
@@ -322,10 +264,7 @@
         let now = env.steady();
         let policy = env.policy.clone();
         if !policy.speculation
-            || self
-                .speculation
-                .last
-                .is_some_and(|t| now.duration_since(t) < policy.speculation_period)
+            || self.speculation.last.is_some_and(|t| now.duration_since(t) < policy.speculation_period)
         {
             return;
         }
@@ -333,10 +272,7 @@
         let levels = self.relevel(env);
         let mut cells: HashMap<Name, Vec<Option<Cell>>> = HashMap::new();
         for job in self.speculation.finished.keys() {
-            cells.insert(
-                job.clone(),
-                self.speculation.cells(job, levels, policy.cell_minimum),
-            );
+            cells.insert(job.clone(), self.speculation.cells(job, levels, policy.cell_minimum));
         }
         self.mark_stragglers(now, &cells, policy.straggler_threshold);
         let choices = self.candidates(env, &cells, levels);
@@ -354,11 +290,7 @@
         let job = self.jobs.get_mut(&best.key.0).expect("a candidate");
         job.restarted.insert(best.key.1);
         let need = Room::of(&job.spec);
-        let grace = if job.spec.checkpoint_s > 0.0 {
-            job.spec.save_s
-        } else {
-            0.0
-        };
+        let grace = if job.spec.checkpoint_s > 0.0 { job.spec.save_s } else { 0.0 };
         let target = self.machines.get_mut(&best.target).expect("a candidate");
         target.claim = Some((best.key.0.clone(), need, now + crate::place::CLAIM_FOR));
         self.stop_task(env, &best.key.0, best.key.1, grace);
@@ -369,10 +301,7 @@
         let mut vectors: BTreeMap<Name, Performance> = BTreeMap::new();
         for (job, machines) in &self.speculation.finished {
             for (machine, moments) in machines {
-                vectors
-                    .entry(machine.clone())
-                    .or_default()
-                    .insert(job.clone(), moments.mean());
+                vectors.entry(machine.clone()).or_default().insert(job.clone(), moments.mean());
             }
         }
         let names: Vec<Name> = vectors.keys().cloned().collect();
@@ -381,22 +310,12 @@
         let count = found.iter().max().map_or(1, |l| l + 1);
         self.speculation.levels = names.into_iter().zip(found).collect();
         for machine in self.machines.values_mut() {
-            machine.level = self
-                .speculation
-                .levels
-                .get(&machine.name)
-                .copied()
-                .unwrap_or(0);
+            machine.level = self.speculation.levels.get(&machine.name).copied().unwrap_or(0);
         }
         count
     }
 
-    fn mark_stragglers(
-        &mut self,
-        now: Instant,
-        cells: &HashMap<Name, Vec<Option<Cell>>>,
-        threshold: f64,
-    ) {
+    fn mark_stragglers(&mut self, now: Instant, cells: &HashMap<Name, Vec<Option<Cell>>>, threshold: f64) {
         for machine in self.machines.values_mut() {
             let mut running = 0;
             let mut compared = Vec::new();
@@ -413,14 +332,7 @@
             let value = straggler_value(&compared);
             let straggler = running > 0 && value > threshold * f64::from(running);
             if straggler != machine.straggler {
-                tracing::info!(
-                    machine = &*machine.name,
-                    level = machine.level,
-                    value,
-                    running,
-                    straggler,
-                    "straggler"
-                );
+                tracing::info!(machine = &*machine.name, level = machine.level, value, running, straggler, "straggler");
             } else if value > 0.0 {
                 tracing::debug!(
                     machine = &*machine.name,
@@ -435,12 +347,7 @@
         }
     }
 
-    fn candidates(
-        &self,
-        env: &Env,
-        cells: &HashMap<Name, Vec<Option<Cell>>>,
-        levels: usize,
-    ) -> Vec<Choice> {
+    fn candidates(&self, env: &Env, cells: &HashMap<Name, Vec<Option<Cell>>>, levels: usize) -> Vec<Choice> {
         let now = env.steady();
         let mut choices = Vec::new();
         for machine in self.machines.values().filter(|m| m.straggler) {
@@ -450,10 +357,7 @@
                 let (Stage::Running, Some(since)) = (place.stage, place.running) else {
                     continue;
                 };
-                if job.spec.kind != Kind::Array
-                    || place.stop.is_some()
-                    || job.restarted.contains(&key.1)
-                {
+                if job.spec.kind != Kind::Array || place.stop.is_some() || job.restarted.contains(&key.1) {
                     continue;
                 }
                 let Some(job_cells) = cells.get(&key.0) else {
@@ -481,13 +385,7 @@
                     continue;
                 }
                 if let Some(target) = self.target(now, job, minimum, &machine.name) {
-                    choices.push(Choice {
-                        key: key.clone(),
-                        minimum,
-                        expected_s,
-                        gain,
-                        target,
-                    });
+                    choices.push(Choice { key: key.clone(), minimum, expected_s, gain, target });
                 }
             }
         }
@@ -497,14 +395,8 @@
     /// Per level the mean run time of the type, and its containers.
     fn table(&self, job: &Job, cells: &[Option<Cell>], levels: usize) -> Vec<(Option<f64>, f64)> {
         let need = Room::of(&job.spec);
-        let mut table: Vec<(Option<f64>, f64)> = (0..levels)
-            .map(|l| (cells[l].map(|c| c.mean), 0.0))
-            .collect();
-        for machine in self
-            .machines
-            .values()
-            .filter(|m| m.up && m.counts() && allowed(&job.spec, m))
-        {
+        let mut table: Vec<(Option<f64>, f64)> = (0..levels).map(|l| (cells[l].map(|c| c.mean), 0.0)).collect();
+        for machine in self.machines.values().filter(|m| m.up && m.counts() && allowed(&job.spec, m)) {
             table[machine.level.min(levels - 1)].1 += f64::from(machine.total.times(need));
         }
         table
@@ -524,11 +416,10 @@
                 && zones.as_ref().is_none_or(|zones| zones.contains(&m.zone))
                 && self.room_for(m, &job.id).holds(need)
         };
-        let best = self.machines.values().filter(fits).max_by(|a, b| {
-            a.has_image(&job.spec.image)
-                .cmp(&b.has_image(&job.spec.image))
-                .then(a.level.cmp(&b.level))
-        });
+        let best =
+            self.machines.values().filter(fits).max_by(|a, b| {
+                a.has_image(&job.spec.image).cmp(&b.has_image(&job.spec.image)).then(a.level.cmp(&b.level))
+            });
         best.map(|m| m.name.clone())
     }
 }
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -105,11 +105,7 @@
             self.progress.clear();
         }
         for p in progress {
-            if self
-                .known
-                .get(&p.job)
-                .is_none_or(|k| k.state == RecordState::Open)
-            {
+            if self.known.get(&p.job).is_none_or(|k| k.state == RecordState::Open) {
                 self.progress.insert(p.job, (p.done, p.running));
             }
         }
@@ -120,13 +116,11 @@
     fn open(&mut self, req: Req, limit: Duration) -> bool {
         let now = self.env.steady();
         if self.store.down(now) {
-            self.env
-                .answer(req, Answer::later(503, "the state service does not answer"));
+            self.env.answer(req, Answer::later(503, "the state service does not answer"));
             return false;
         }
         if self.users.open.len() >= WAITING {
-            self.env
-                .answer(req, Answer::later(429, "too many requests at once"));
+            self.env.answer(req, Answer::later(429, "too many requests at once"));
             return false;
         }
         self.users.open.insert(req, now + limit);
@@ -168,8 +162,7 @@
 
     fn read(&mut self, job: String) {
         let op = StoreOp::Get(job_key(&job));
-        self.env
-            .store(Purpose::User(UserCall::Read { job }), Urgency::High, op);
+        self.env.store(Purpose::User(UserCall::Read { job }), Urgency::High, op);
     }
 
     /// Compares cached versions in the store: one transaction for all that wait.
@@ -181,24 +174,14 @@
         let jobs: Vec<String> = self.users.queue.drain(..count).collect();
         let mut txn = Txn::default();
         for job in &jobs {
-            txn = txn.when(
-                job_key(job),
-                self.users.known.get(job).map_or(0, |k| k.version),
-            );
+            txn = txn.when(job_key(job), self.users.known.get(job).map_or(0, |k| k.version));
         }
         self.users.checking = true;
-        self.env.store(
-            Purpose::User(UserCall::Check { jobs }),
-            Urgency::High,
-            StoreOp::Txn(txn),
-        );
+        self.env.store(Purpose::User(UserCall::Check { jobs }), Urgency::High, StoreOp::Txn(txn));
     }
 
     fn view(&self, id: &str, known: Known) -> Answer {
-        let (done, running) = match (
-            known.state,
-            self.reign.as_ref().and_then(|r| r.jobs.get(id)),
-        ) {
+        let (done, running) = match (known.state, self.reign.as_ref().and_then(|r| r.jobs.get(id))) {
             (RecordState::Done, _) => (known.tasks, 0),
             (_, Some(job)) => (job.done_count, job.running),
             _ => self.users.progress.get(id).copied().unwrap_or_default(),
@@ -209,15 +192,7 @@
             RecordState::Open if running > 0 => JobStatus::Running,
             RecordState::Open => JobStatus::Queued,
         };
-        Answer::json(
-            200,
-            &JobView {
-                id: id.to_owned(),
-                state,
-                done: Some(done),
-                running: Some(running),
-            },
-        )
+        Answer::json(200, &JobView { id: id.to_owned(), state, done: Some(done), running: Some(running) })
     }
 
     /// Answers all that wait for a job's state, which has just been checked.
@@ -241,11 +216,7 @@
         let Some(item) = item else { return true };
         match serde_json::from_value::<JobRecord>(item.value) {
             Ok(record) => {
-                let known = Known {
-                    state: record.state,
-                    tasks: record.tasks,
-                    version: item.version,
-                };
+                let known = Known { state: record.state, tasks: record.tasks, version: item.version };
                 self.users.learn(id, known);
                 true
             }
@@ -268,8 +239,7 @@
             return;
         }
         if self.env.types.is_empty() {
-            self.env
-                .answer(req, Answer::later(503, "machine types are not known yet"));
+            self.env.answer(req, Answer::later(503, "machine types are not known yet"));
             return;
         }
         if !self.open(req, CHANGE_LIMIT) {
@@ -277,42 +247,17 @@
         }
         if let Err(why) = can_run(&self.env, &spec) {
             let op = StoreOp::Get(job_key(&spec.id));
-            self.env.store(
-                Purpose::User(UserCall::Refuse {
-                    req,
-                    job: spec.id,
-                    why,
-                }),
-                Urgency::High,
-                op,
-            );
+            self.env.store(Purpose::User(UserCall::Refuse { req, job: spec.id, why }), Urgency::High, op);
             return;
         }
         let (job, tasks) = (spec.id.clone(), spec.tasks);
-        let record = JobRecord {
-            state: RecordState::Open,
-            tasks,
-        };
-        let live = LiveRecord {
-            at_ms: self.env.now.wall_ms,
-            cancelled: false,
-            spec,
-        };
+        let record = JobRecord { state: RecordState::Open, tasks };
+        let live = LiveRecord { at_ms: self.env.now.wall_ms, cancelled: false, spec };
         let txn = Txn::default()
             .when(job_key(&job), 0)
-            .put(
-                job_key(&job),
-                serde_json::to_value(record).expect("records always encode"),
-            )
-            .put(
-                live_key(&job),
-                serde_json::to_value(live).expect("records always encode"),
-            );
-        self.env.store(
-            Purpose::User(UserCall::Create { req, job, tasks }),
-            Urgency::High,
-            StoreOp::Txn(txn),
-        );
+            .put(job_key(&job), serde_json::to_value(record).expect("records always encode"))
+            .put(live_key(&job), serde_json::to_value(live).expect("records always encode"));
+        self.env.store(Purpose::User(UserCall::Create { req, job, tasks }), Urgency::High, StoreOp::Txn(txn));
     }
 
     pub(crate) fn cancel(&mut self, req: Req, id: String) {
@@ -330,11 +275,7 @@
 
     fn read_to_cancel(&mut self, req: Req, job: String) {
         let op = StoreOp::Get(live_key(&job));
-        self.env.store(
-            Purpose::User(UserCall::CancelRead { req, job }),
-            Urgency::High,
-            op,
-        );
+        self.env.store(Purpose::User(UserCall::CancelRead { req, job }), Urgency::High, op);
     }
 
     pub(crate) fn user_outcome(&mut self, call: UserCall, outcome: Outcome<StoreAnswer>) {
@@ -369,35 +310,12 @@
                 }
             }
             (UserCall::Read { job }, _) => self.fail_lookup(&job),
-            (
-                UserCall::Create { req, job, tasks },
-                Outcome::Answered(StoreAnswer::Committed(version)),
-            ) => {
-                self.users.learn(
-                    &job,
-                    Known {
-                        state: RecordState::Open,
-                        tasks,
-                        version,
-                    },
-                );
+            (UserCall::Create { req, job, tasks }, Outcome::Answered(StoreAnswer::Committed(version))) => {
+                self.users.learn(&job, Known { state: RecordState::Open, tasks, version });
                 let state = JobStatus::Queued;
-                self.close(
-                    req,
-                    Answer::json(
-                        201,
-                        &JobView {
-                            id: job,
-                            state,
-                            done: None,
-                            running: None,
-                        },
-                    ),
-                );
-            }
-            (UserCall::Create { req, job, .. }, Outcome::Answered(StoreAnswer::Refused(_))) => {
-                self.look_up(req, job)
+                self.close(req, Answer::json(201, &JobView { id: job, state, done: None, running: None }));
             }
+            (UserCall::Create { req, job, .. }, Outcome::Answered(StoreAnswer::Refused(_))) => self.look_up(req, job),
             (UserCall::Create { req, .. }, _) => self.close(req, unsure),
             (UserCall::Refuse { req, job, why }, Outcome::Answered(StoreAnswer::Item(item))) => {
                 let exists = item.is_some();
@@ -409,10 +327,7 @@
                 }
             }
             (UserCall::Refuse { req, .. }, _) => self.close(req, unsure),
-            (
-                UserCall::CancelRead { req, job },
-                Outcome::Answered(StoreAnswer::Item(Some(item))),
-            ) => {
+            (UserCall::CancelRead { req, job }, Outcome::Answered(StoreAnswer::Item(Some(item)))) => {
                 let Ok(mut live) = serde_json::from_value::<LiveRecord>(item.value) else {
                     self.close(req, Answer::later(503, "the job's record cannot be read"));
                     return;
@@ -423,22 +338,13 @@
                 }
                 live.cancelled = true;
                 let tasks = live.spec.tasks;
-                let record = JobRecord {
-                    state: RecordState::Cancelled,
-                    tasks,
-                };
+                let record = JobRecord { state: RecordState::Cancelled, tasks };
                 // Both keys are always written together, so they share their version.
                 let txn = Txn::default()
                     .when(job_key(&job), item.version)
                     .when(live_key(&job), item.version)
-                    .put(
-                        job_key(&job),
-                        serde_json::to_value(record).expect("records always encode"),
-                    )
-                    .put(
-                        live_key(&job),
-                        serde_json::to_value(live).expect("records always encode"),
-                    );
+                    .put(job_key(&job), serde_json::to_value(record).expect("records always encode"))
+                    .put(live_key(&job), serde_json::to_value(live).expect("records always encode"));
                 self.env.store(
                     Purpose::User(UserCall::CancelWrite { req, job, tasks }),
                     Urgency::High,
@@ -446,29 +352,14 @@
                 );
             }
             // Not live: over, or never accepted.
-            (UserCall::CancelRead { req, job }, Outcome::Answered(StoreAnswer::Item(None))) => {
-                self.look_up(req, job)
-            }
+            (UserCall::CancelRead { req, job }, Outcome::Answered(StoreAnswer::Item(None))) => self.look_up(req, job),
             (UserCall::CancelRead { req, .. }, _) => self.close(req, unsure),
-            (
-                UserCall::CancelWrite { req, job, tasks },
-                Outcome::Answered(StoreAnswer::Committed(version)),
-            ) => {
-                self.users.learn(
-                    &job,
-                    Known {
-                        state: RecordState::Cancelled,
-                        tasks,
-                        version,
-                    },
-                );
+            (UserCall::CancelWrite { req, job, tasks }, Outcome::Answered(StoreAnswer::Committed(version))) => {
+                self.users.learn(&job, Known { state: RecordState::Cancelled, tasks, version });
                 let answer = self.view(&job, self.users.known[&job]);
                 self.close(req, answer);
             }
-            (
-                UserCall::CancelWrite { req, job, .. },
-                Outcome::Answered(StoreAnswer::Refused(_)),
-            ) => {
+            (UserCall::CancelWrite { req, job, .. }, Outcome::Answered(StoreAnswer::Refused(_))) => {
                 // It changed in between; look once more while the user waits.
                 if self.users.open.contains_key(&req) {
                     self.read_to_cancel(req, job);
@@ -482,18 +373,10 @@
     pub(crate) fn users_tick(&mut self) {
         let now = self.env.steady();
         let down = self.store.down(now);
-        let late: Vec<Req> = self
-            .users
-            .open
-            .iter()
-            .filter(|(_, until)| down || **until <= now)
-            .map(|(req, _)| *req)
-            .collect();
+        let late: Vec<Req> =
+            self.users.open.iter().filter(|(_, until)| down || **until <= now).map(|(req, _)| *req).collect();
         for req in late {
-            self.close(
-                req,
-                Answer::later(503, "the state service did not answer in time"),
-            );
+            self.close(req, Answer::later(503, "the state service did not answer in time"));
         }
     }
 }
@@ -505,29 +388,15 @@
         return Err("crew: unknown team".into());
     };
     let fits = env.types.iter().any(|kind| {
-        let room = Room {
-            cpus: kind.cpus,
-            gpus: kind.gpus,
-            memory_gb: kind.memory_gb,
-        };
+        let room = Room { cpus: kind.cpus, gpus: kind.gpus, memory_gb: kind.memory_gb };
         room.holds(need)
-            && spec
-                .types
-                .as_ref()
-                .is_none_or(|types| types.contains(&kind.name))
-            && spec
-                .zone
-                .as_ref()
-                .is_none_or(|zone| kind.zones.contains(zone))
+            && spec.types.as_ref().is_none_or(|types| types.contains(&kind.name))
+            && spec.zone.as_ref().is_none_or(|zone| kind.zones.contains(zone))
     });
     if !fits {
         return Err("a task fits no allowed machine type".into());
     }
-    let tasks = if spec.kind == Kind::Service {
-        f64::from(spec.tasks)
-    } else {
-        1.0
-    };
+    let tasks = if spec.kind == Kind::Service { f64::from(spec.tasks) } else { 1.0 };
     if need.cpus * tasks > team.cpus_max + SLACK || need.gpus * tasks > team.gpus_max + SLACK {
         return Err("the job needs more than its team's limit".into());
     }
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -45,19 +45,11 @@
     assert_eq!(world.where_runs("wk-000001").len(), 3);
     let lead = world.lead().expect("a lead");
     world.crash(lead);
-    let cancelled = world
-        .cancel(other_than(lead), "wk-000001")
-        .expect("an answer");
+    let cancelled = world.cancel(other_than(lead), "wk-000001").expect("an answer");
     assert_eq!(cancelled.1.map(|v| v.state), Some(JobStatus::Cancelled));
     world.run(secs(12));
     assert!(world.where_runs("wk-000001").is_empty());
-    assert!(
-        !world
-            .store
-            .rows
-            .keys()
-            .any(|key| key.starts_with("live/") || key.starts_with("task/"))
-    );
+    assert!(!world.store.rows.keys().any(|key| key.starts_with("live/") || key.starts_with("task/")));
 }
 
 #[test]
@@ -73,10 +65,7 @@
     assert!(world.lead().is_some_and(|new| new != lead));
     assert_eq!(world.where_runs("wk-000001"), before);
     world.run(secs(10));
-    assert_eq!(
-        world.state(other_than(lead), "wk-000002"),
-        Some(JobStatus::Done)
-    );
+    assert_eq!(world.state(other_than(lead), "wk-000002"), Some(JobStatus::Done));
     assert_eq!(world.started, 14);
 }
 
@@ -92,19 +81,10 @@
     world.cut.insert(machine.clone());
     world.crash(lead);
     world.run(secs(9));
-    assert!(
-        world
-            .where_runs("wk-000001")
-            .iter()
-            .any(|(_, m)| *m == machine),
-        "its lease still runs"
-    );
+    assert!(world.where_runs("wk-000001").iter().any(|(_, m)| *m == machine), "its lease still runs");
     world.run(secs(40));
     let places = world.where_runs("wk-000001");
-    assert!(
-        places.len() == 4 && places.iter().all(|(_, m)| *m != machine),
-        "{places:?}"
-    );
+    assert!(places.len() == 4 && places.iter().all(|(_, m)| *m != machine), "{places:?}");
 }
 
 #[test]
@@ -117,11 +97,7 @@
     world.run(secs(6));
     let new = world.lead().expect("a lead");
     assert_ne!(new, old);
-    assert_eq!(
-        world.token_of(old),
-        None,
-        "it saw the higher token and stepped down"
-    );
+    assert_eq!(world.token_of(old), None, "it saw the higher token and stepped down");
     assert_eq!(world.submit(new, service(2, 2)), Some(201));
     world.run(secs(4));
     assert_eq!(world.where_runs("wk-000001").len(), 4);
@@ -168,10 +144,7 @@
     world.run(secs(4));
     world.store.outage = true;
     world.run(secs(40));
-    assert!(
-        world.where_runs("wk-000001").is_empty(),
-        "the lead had to fall silent"
-    );
+    assert!(world.where_runs("wk-000001").is_empty(), "the lead had to fall silent");
     let now = world.now;
     world.store.end_outage(now);
     world.run(secs(20));
@@ -197,9 +170,7 @@
 #[test]
 fn a_late_start_of_a_cancelled_job_runs_nothing() {
     let mut world = settled(1);
-    world
-        .hold_orders
-        .insert("n-000000".into(), world.now + secs(40));
+    world.hold_orders.insert("n-000000".into(), world.now + secs(40));
     world.submit(0, service(1, 2));
     world.run(Duration::from_millis(100));
     world.cancel(1, "wk-000001");
@@ -289,9 +260,7 @@
     assert_eq!(world.where_runs("wk-000001").len(), 4);
     // One zone is cut off; its two replicas may still run, so no third starts elsewhere.
     world.cloud.outage = true;
-    world
-        .cut
-        .extend(["n-000000".to_owned(), "n-000002".to_owned()]);
+    world.cut.extend(["n-000000".to_owned(), "n-000002".to_owned()]);
     world.run(secs(60));
     assert_eq!(world.where_runs("wk-000001").len(), 2);
     world.cut.clear();
@@ -318,10 +287,7 @@
     world.workers.remove(&machine);
     world.run(secs(10));
     let places = world.where_runs("wk-000001");
-    assert!(
-        places.len() == 2 && places.iter().all(|(_, m)| *m != machine),
-        "{places:?}"
-    );
+    assert!(places.len() == 2 && places.iter().all(|(_, m)| *m != machine), "{places:?}");
 }
 
 #[test]
@@ -339,10 +305,7 @@
     let before = world.workers.len();
     world.submit(0, job(2, 2));
     world.run(secs(20));
-    assert!(
-        world.workers.len() >= before,
-        "machines were returned for a bad job"
-    );
+    assert!(world.workers.len() >= before, "machines were returned for a bad job");
 }
 
 #[test]
@@ -371,10 +334,7 @@
     world.submit(0, job(2, 16));
     world.run(secs(4));
     assert_eq!(world.where_runs("wk-000002").len(), 16);
-    assert!(
-        world.where_runs("wk-000001").len() >= 32,
-        "blue keeps its own guarantee"
-    );
+    assert!(world.where_runs("wk-000001").len() >= 32, "blue keeps its own guarantee");
 }
 
 #[test]
@@ -385,10 +345,7 @@
     world.run(secs(60));
     assert_eq!(world.state(0, "wk-000001"), Some(JobStatus::Done));
     world.run(secs(60));
-    assert!(
-        !world.cloud.machines.contains_key("n-000000"),
-        "it was returned"
-    );
+    assert!(!world.cloud.machines.contains_key("n-000000"), "it was returned");
 }
 
 #[test]
@@ -405,10 +362,7 @@
     world.crash(lead);
     world.run(secs(15));
     assert!(world.where_runs("wk-000001").len() > 100);
-    let view = world
-        .status(other_than(lead), "wk-000001")
-        .and_then(|s| s.1)
-        .expect("an answer");
+    let view = world.status(other_than(lead), "wk-000001").and_then(|s| s.1).expect("an answer");
     assert!(view.done.is_some_and(|done| done > 100), "{view:?}");
 }
 
@@ -419,18 +373,8 @@
     world.submit(0, job(1, 28));
     world.run(secs(15));
     let places = world.where_runs("wk-000001");
-    let spot = places
-        .iter()
-        .map(|(_, m)| m.clone())
-        .find(|m| world.workers[m].spot)
-        .expect("spot machines are rented");
-    let on_spot = |world: &World| {
-        world
-            .where_runs("wk-000001")
-            .iter()
-            .filter(|(_, m)| *m == spot)
-            .count()
-    };
+    let spot = places.iter().map(|(_, m)| m.clone()).find(|m| world.workers[m].spot).expect("spot machines are rented");
+    let on_spot = |world: &World| world.where_runs("wk-000001").iter().filter(|(_, m)| *m == spot).count();
     world.workers.get_mut(&spot).expect("up").notice_s = Some(4.0);
     world.run(secs(3));
     assert_eq!(on_spot(&world), 0);
--- a/crates/rushyoke/src/budget.rs
+++ b/crates/rushyoke/src/budget.rs
@@ -21,17 +21,11 @@
 
 impl Bucket {
     fn new(rate: f64, burst: f64, now: Instant) -> Bucket {
-        Bucket {
-            rate,
-            burst,
-            level: burst,
-            filled: now,
-        }
+        Bucket { rate, burst, level: burst, filled: now }
     }
 
     fn fill(&mut self, now: Instant) {
-        self.level = (self.level + now.duration_since(self.filled).as_secs_f64() * self.rate)
-            .min(self.burst);
+        self.level = (self.level + now.duration_since(self.filled).as_secs_f64() * self.rate).min(self.burst);
         self.filled = now;
     }
 
@@ -81,12 +75,7 @@
         if queue.len() >= QUEUE {
             return Some(item);
         }
-        queue.push_back(Queued {
-            item,
-            urgency,
-            writes: writes as f64,
-            since: now,
-        });
+        queue.push_back(Queued { item, urgency, writes: writes as f64, since: now });
         None
     }
 
@@ -97,9 +86,7 @@
         for queue in &mut self.queues {
             let Some(first) = queue.front() else { continue };
             // Leadership never waits; what it uses is paid back by the others.
-            if first.urgency != Urgency::Lead
-                && !(self.requests.has(1.0) && self.writes.has(first.writes))
-            {
+            if first.urgency != Urgency::Lead && !(self.requests.has(1.0) && self.writes.has(first.writes)) {
                 return None;
             }
             let first = queue.pop_front().expect("a first one");
@@ -114,10 +101,7 @@
     pub fn expired(&mut self, now: Instant) -> Vec<T> {
         let mut expired = Vec::new();
         for queue in &mut self.queues {
-            while queue
-                .front()
-                .is_some_and(|q| now.duration_since(q.since) > PATIENCE)
-            {
+            while queue.front().is_some_and(|q| now.duration_since(q.since) > PATIENCE) {
                 expired.extend(queue.pop_front().map(|q| q.item));
             }
         }
@@ -136,10 +120,7 @@
         for n in 0..4 {
             assert!(budget.push(n, Urgency::High, 1, start).is_none());
         }
-        assert_eq!(
-            (budget.next(start), budget.next(start), budget.next(start)),
-            (Some(0), Some(1), None)
-        );
+        assert_eq!((budget.next(start), budget.next(start), budget.next(start)), (Some(0), Some(1), None));
         assert!(budget.push(9, Urgency::Lead, 0, start).is_none());
         assert_eq!(budget.next(start), Some(9));
         assert_eq!(budget.next(start + Duration::from_millis(600)), None);
--- a/crates/rushyoke/src/command.rs
+++ b/crates/rushyoke/src/command.rs
@@ -40,34 +40,18 @@
             (at, Method::POST, "/api/jobs".to_owned(), body)
         }
         Request::Status { at, id } => (at, Method::GET, format!("/api/jobs/{id}"), String::new()),
-        Request::Cancel { at, id } => (
-            at,
-            Method::POST,
-            format!("/api/jobs/{id}/cancel"),
-            String::new(),
-        ),
+        Request::Cancel { at, id } => (at, Method::POST, format!("/api/jobs/{id}/cancel"), String::new()),
     };
     let wait = Duration::from_secs(at.timeout);
-    let ask = Ask {
-        addr: at.server,
-        method,
-        path,
-        body: Bytes::from(body),
-        connect: wait,
-        wait,
-        most: 1 << 20,
-    };
+    let ask = Ask { addr: at.server, method, path, body: Bytes::from(body), connect: wait, wait, most: 1 << 20 };
     match LocalSet::new().run_until(Http::new().ask(ask)).await {
         Outcome::Answered((200 | 201, body)) => Ok(String::from_utf8_lossy(&body).into_owned()),
-        Outcome::Answered((status, body)) => Err(format!(
-            "{} answered {status}: {}",
-            at.server,
-            String::from_utf8_lossy(&body)
-        )),
+        Outcome::Answered((status, body)) => {
+            Err(format!("{} answered {status}: {}", at.server, String::from_utf8_lossy(&body)))
+        }
         Outcome::NotDone => Err(format!("{} cannot be reached", at.server)),
-        Outcome::Unknown => Err(format!(
-            "{} did not answer within {} s; it may still act on the request",
-            at.server, at.timeout
-        )),
+        Outcome::Unknown => {
+            Err(format!("{} did not answer within {} s; it may still act on the request", at.server, at.timeout))
+        }
     }
 }
--- a/crates/rushyoke/src/drive.rs
+++ b/crates/rushyoke/src/drive.rs
@@ -6,9 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use rushyoke_core::{
-    Answer, Call, CloudOp, Input, Node, Now, Outcome, Output, Req, StoreOp, Urgency,
-};
+use rushyoke_core::{Answer, Call, CloudOp, Input, Node, Now, Outcome, Output, Req, StoreOp, Urgency};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::LocalSet;
 
@@ -19,7 +17,7 @@
 use crate::settings::Settings;
 use crate::stats::{Delay, Stats};
 
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(100);
 /// Requests that wait for the core; more are turned away.
 const INBOX: usize = 512;
 /// Sockets kept back for our own calls.
@@ -51,13 +49,8 @@
 }
 
 fn now() -> Now {
-    let wall = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    Now {
-        steady: Instant::now(),
-        wall_ms: wall.as_millis() as u64,
-    }
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Now { steady: Instant::now(), wall_ms: wall.as_millis() as u64 }
 }
 
 /// Serves until the process is killed.
@@ -69,23 +62,11 @@
     let (core, mut inbox) = mpsc::channel::<Asked>(INBOX);
     // Outcomes of our own calls, whose number is bounded by the core and the budgets.
     let (back, mut outcomes) = mpsc::unbounded_channel::<Input>();
-    let most = settings
-        .max_sockets
-        .saturating_sub(OWN_SOCKETS)
-        .max(settings.max_sockets / 2)
-        .max(8);
+    let most = settings.max_sockets.saturating_sub(OWN_SOCKETS).max(settings.max_sockets / 2).max(8);
     let open = Rc::new(Cell::new(0));
-    for (side, addr) in [
-        (Side::Public, settings.public_addr),
-        (Side::Peers, settings.peer_bind),
-    ] {
+    for (side, addr) in [(Side::Public, settings.public_addr), (Side::Peers, settings.peer_bind)] {
         let listener = Server::bind(addr).await?;
-        let server = Server {
-            side,
-            core: core.clone(),
-            open: open.clone(),
-            most,
-        };
+        let server = Server { side, core: core.clone(), open: open.clone(), most };
         tokio::task::spawn_local(server.run(listener));
     }
     drop(core);
@@ -129,16 +110,10 @@
         };
         self.store.share(share);
         for (call, _) in self.store.expired(now) {
-            self.input(Input::Store {
-                call,
-                outcome: Outcome::NotDone,
-            });
+            self.input(Input::Store { call, outcome: Outcome::NotDone });
         }
         for (call, _) in self.cloud.expired(now) {
-            self.input(Input::Cloud {
-                call,
-                outcome: Outcome::NotDone,
-            });
+            self.input(Input::Cloud { call, outcome: Outcome::NotDone });
         }
         self.stats.borrow_mut().tick(now);
         self.input(Input::Tick);
@@ -147,11 +122,7 @@
     fn asked(&mut self, asked: Asked) {
         self.next_req += 1;
         let req = Req(self.next_req);
-        let waiting = Waiting {
-            answer: asked.answer,
-            submission: asked.submission,
-            since: Instant::now(),
-        };
+        let waiting = Waiting { answer: asked.answer, submission: asked.submission, since: Instant::now() };
         self.waiting.insert(req, waiting);
         self.input((asked.input)(req));
     }
@@ -168,9 +139,7 @@
             Output::Answer { req, answer } => {
                 if let Some(waiting) = self.waiting.remove(&req) {
                     if waiting.submission {
-                        self.stats
-                            .borrow_mut()
-                            .note(Delay::Accept, now.duration_since(waiting.since));
+                        self.stats.borrow_mut().note(Delay::Accept, now.duration_since(waiting.since));
                     }
                     if matches!(answer.status, 429 | 503) {
                         self.stats.borrow_mut().shed();
@@ -185,23 +154,16 @@
                     _ => 0,
                 };
                 if let Some((call, _)) = self.store.push((call, op), urgency, writes, now) {
-                    let _ = self.back.send(Input::Store {
-                        call,
-                        outcome: Outcome::NotDone,
-                    });
+                    let _ = self.back.send(Input::Store { call, outcome: Outcome::NotDone });
                 }
             }
             Output::Cloud { call, op } => {
                 if let Some((call, _)) = self.cloud.push((call, op), Urgency::Low, 0, now) {
-                    let _ = self.back.send(Input::Cloud {
-                        call,
-                        outcome: Outcome::NotDone,
-                    });
+                    let _ = self.back.send(Input::Cloud { call, outcome: Outcome::NotDone });
                 }
             }
             Output::Order { call, addr, orders } => {
-                let (http, back, stats) =
-                    (self.http.clone(), self.back.clone(), self.stats.clone());
+                let (http, back, stats) = (self.http.clone(), self.back.clone(), self.stats.clone());
                 tokio::task::spawn_local(async move {
                     let outcome = outside::order(&http, &addr, &orders).await;
                     stats.borrow_mut().note(Delay::Order, now.elapsed());
@@ -225,12 +187,7 @@
     fn pump(&mut self) {
         let now = Instant::now();
         while let Some((call, op)) = self.store.next(now) {
-            let (http, back, stats, addr) = (
-                self.http.clone(),
-                self.back.clone(),
-                self.stats.clone(),
-                self.store_addr,
-            );
+            let (http, back, stats, addr) = (self.http.clone(), self.back.clone(), self.stats.clone(), self.store_addr);
             tokio::task::spawn_local(async move {
                 let watch = matches!(op, StoreOp::Watch { .. });
                 let outcome = outside::store(&http, addr, op).await;
@@ -241,12 +198,7 @@
             });
         }
         while let Some((call, op)) = self.cloud.next(now) {
-            let (http, back, stats, addr) = (
-                self.http.clone(),
-                self.back.clone(),
-                self.stats.clone(),
-                self.cloud_addr,
-            );
+            let (http, back, stats, addr) = (self.http.clone(), self.back.clone(), self.stats.clone(), self.cloud_addr);
             tokio::task::spawn_local(async move {
                 let outcome = outside::cloud(&http, addr, op).await;
                 stats.borrow_mut().note(Delay::Cloud, now.elapsed());
--- a/crates/rushyoke/src/http.rs
+++ b/crates/rushyoke/src/http.rs
@@ -41,9 +41,7 @@
 
 impl Http {
     pub fn new() -> Http {
-        Http {
-            idle: Rc::default(),
-        }
+        Http { idle: Rc::default() }
     }
 
     pub async fn ask(&self, ask: Ask) -> Outcome<(u16, Bytes)> {
@@ -114,10 +112,7 @@
                 e.take_message().is_some()
             })?;
             let status = response.status().as_u16();
-            let body = Limited::new(response.into_body(), ask.most)
-                .collect()
-                .await
-                .map_err(|_| false)?;
+            let body = Limited::new(response.into_body(), ask.most).collect().await.map_err(|_| false)?;
             Ok((status, body.to_bytes()))
         };
         match timeout(ask.wait, answer).await {
--- a/crates/rushyoke/src/main.rs
+++ b/crates/rushyoke/src/main.rs
@@ -18,11 +18,7 @@
 const BAD_SETTINGS: u8 = 2;
 
 #[derive(Parser)]
-#[command(
-    version,
-    about = "A cluster scheduler after eSplash",
-    arg_required_else_help = true
-)]
+#[command(version, about = "A cluster scheduler after eSplash", arg_required_else_help = true)]
 struct Cli {
     /// Settings handed over by the platform (TOML); without a command, serve with them
     #[arg(long, value_name = "FILE", global = true)]
@@ -61,9 +57,7 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(error) => return fail(1, &format!("the runtime cannot start: {error}")),
--- a/crates/rushyoke/src/outside.rs
+++ b/crates/rushyoke/src/outside.rs
@@ -28,22 +28,8 @@
 /// Machines per page of the list.
 const LISTED: usize = 500;
 
-fn ask(
-    addr: SocketAddr,
-    method: Method,
-    path: impl Into<String>,
-    body: Vec<u8>,
-    wait: Duration,
-) -> Ask {
-    Ask {
-        addr,
-        method,
-        path: path.into(),
-        body: Bytes::from(body),
-        connect: CONNECT,
-        wait,
-        most: MOST,
-    }
+fn ask(addr: SocketAddr, method: Method, path: impl Into<String>, body: Vec<u8>, wait: Duration) -> Ask {
+    Ask { addr, method, path: path.into(), body: Bytes::from(body), connect: CONNECT, wait, most: MOST }
 }
 
 fn json<T: Serialize>(body: &T) -> Vec<u8> {
@@ -72,62 +58,20 @@
 
 pub async fn store(http: &Http, addr: SocketAddr, op: StoreOp) -> Outcome<StoreAnswer> {
     let request = match &op {
-        StoreOp::Get(key) => ask(
-            addr,
-            Method::GET,
-            format!("/kv/{key}"),
-            Vec::new(),
-            STORE_WAIT,
-        ),
+        StoreOp::Get(key) => ask(addr, Method::GET, format!("/kv/{key}"), Vec::new(), STORE_WAIT),
         StoreOp::List { prefix, after } => {
-            let after = if after.is_empty() {
-                String::new()
-            } else {
-                format!("&since={after}")
-            };
-            ask(
-                addr,
-                Method::GET,
-                format!("/kv?starts={prefix}{after}&most=1000"),
-                Vec::new(),
-                STORE_WAIT,
-            )
+            let after = if after.is_empty() { String::new() } else { format!("&since={after}") };
+            ask(addr, Method::GET, format!("/kv?starts={prefix}{after}&most=1000"), Vec::new(), STORE_WAIT)
         }
         StoreOp::Txn(txn) => ask(addr, Method::POST, "/txn", json(txn), STORE_WAIT),
-        StoreOp::NewLease { ttl_ms } => ask(
-            addr,
-            Method::POST,
-            "/leases",
-            json(&NewLease { ttl_ms: *ttl_ms }),
-            STORE_WAIT,
-        ),
-        StoreOp::Touch(lease) => ask(
-            addr,
-            Method::POST,
-            format!("/leases/{lease}/touch"),
-            Vec::new(),
-            STORE_WAIT,
-        ),
-        StoreOp::EndLease(lease) => ask(
-            addr,
-            Method::DELETE,
-            format!("/leases/{lease}"),
-            Vec::new(),
-            STORE_WAIT,
-        ),
-        StoreOp::Watch {
-            prefix,
-            after,
-            wait_ms,
-        } => {
+        StoreOp::NewLease { ttl_ms } => {
+            ask(addr, Method::POST, "/leases", json(&NewLease { ttl_ms: *ttl_ms }), STORE_WAIT)
+        }
+        StoreOp::Touch(lease) => ask(addr, Method::POST, format!("/leases/{lease}/touch"), Vec::new(), STORE_WAIT),
+        StoreOp::EndLease(lease) => ask(addr, Method::DELETE, format!("/leases/{lease}"), Vec::new(), STORE_WAIT),
+        StoreOp::Watch { prefix, after, wait_ms } => {
             let path = format!("/changes?starts={prefix}&since={after}&block_ms={wait_ms}");
-            ask(
-                addr,
-                Method::GET,
-                path,
-                Vec::new(),
-                Duration::from_millis(*wait_ms) + WATCH_SLACK,
-            )
+            ask(addr, Method::GET, path, Vec::new(), Duration::from_millis(*wait_ms) + WATCH_SLACK)
         }
     };
     let (status, body) = match http.ask(request).await {
@@ -140,17 +84,11 @@
         return Outcome::Answered(StoreAnswer::Unavailable);
     }
     match (&op, status) {
-        (StoreOp::Get(_), 200) => {
-            known(parse::<Item>("state", &body).map(|item| StoreAnswer::Item(Some(item))))
-        }
+        (StoreOp::Get(_), 200) => known(parse::<Item>("state", &body).map(|item| StoreAnswer::Item(Some(item)))),
         (StoreOp::Get(_), 404) => Outcome::Answered(StoreAnswer::Item(None)),
         (StoreOp::List { .. }, 200) => known(parse::<Page>("state", &body).map(StoreAnswer::Page)),
-        (StoreOp::Txn(_), 200) => {
-            known(parse::<Committed>("state", &body).map(|c| StoreAnswer::Committed(c.revision)))
-        }
-        (StoreOp::Txn(_), 409) => {
-            known(parse::<Refused>("state", &body).map(|r| StoreAnswer::Refused(r.failed)))
-        }
+        (StoreOp::Txn(_), 200) => known(parse::<Committed>("state", &body).map(|c| StoreAnswer::Committed(c.revision))),
+        (StoreOp::Txn(_), 409) => known(parse::<Refused>("state", &body).map(|r| StoreAnswer::Refused(r.failed))),
         (StoreOp::Txn(_), 400) => {
             let text = String::from_utf8_lossy(&body);
             if !text.contains("no such lease") {
@@ -158,18 +96,10 @@
             }
             Outcome::Answered(StoreAnswer::NoSuchLease)
         }
-        (StoreOp::NewLease { .. }, 200) => {
-            known(parse::<Lease>("state", &body).map(|l| StoreAnswer::Lease(l.lease)))
-        }
-        (StoreOp::Touch(_) | StoreOp::EndLease(_), 200 | 204) => {
-            Outcome::Answered(StoreAnswer::LeaseLives)
-        }
-        (StoreOp::Touch(_) | StoreOp::EndLease(_), 404) => {
-            Outcome::Answered(StoreAnswer::NoSuchLease)
-        }
-        (StoreOp::Watch { .. }, 200) => {
-            known(parse::<Changes>("state", &body).map(StoreAnswer::Changes))
-        }
+        (StoreOp::NewLease { .. }, 200) => known(parse::<Lease>("state", &body).map(|l| StoreAnswer::Lease(l.lease))),
+        (StoreOp::Touch(_) | StoreOp::EndLease(_), 200 | 204) => Outcome::Answered(StoreAnswer::LeaseLives),
+        (StoreOp::Touch(_) | StoreOp::EndLease(_), 404) => Outcome::Answered(StoreAnswer::NoSuchLease),
+        (StoreOp::Watch { .. }, 200) => known(parse::<Changes>("state", &body).map(StoreAnswer::Changes)),
         (StoreOp::Watch { .. }, 410) => Outcome::Answered(StoreAnswer::TooOld),
         _ => unexpected("state", status),
     }
@@ -179,27 +109,12 @@
     let request = match &op {
         CloudOp::Types => ask(addr, Method::GET, "/flavors", Vec::new(), CLOUD_WAIT),
         CloudOp::Rent(rental) => ask(addr, Method::POST, "/machines", json(rental), CLOUD_WAIT),
-        CloudOp::Release(machines) => ask(
-            addr,
-            Method::POST,
-            "/machines/release",
-            json(&Names {
-                machines: machines.clone(),
-            }),
-            CLOUD_WAIT,
-        ),
+        CloudOp::Release(machines) => {
+            ask(addr, Method::POST, "/machines/release", json(&Names { machines: machines.clone() }), CLOUD_WAIT)
+        }
         CloudOp::List { after } => {
-            let after = after
-                .as_ref()
-                .map(|a| format!("since={a}&"))
-                .unwrap_or_default();
-            ask(
-                addr,
-                Method::GET,
-                format!("/machines?{after}most={LISTED}"),
-                Vec::new(),
-                CLOUD_WAIT,
-            )
+            let after = after.as_ref().map(|a| format!("since={a}&")).unwrap_or_default();
+            ask(addr, Method::GET, format!("/machines?{after}most={LISTED}"), Vec::new(), CLOUD_WAIT)
         }
     };
     let (status, body) = match http.ask(request).await {
@@ -208,16 +123,10 @@
         Outcome::Unknown => return Outcome::Unknown,
     };
     match (&op, status) {
-        (CloudOp::Types, 200) => {
-            known(parse::<Types>("cloud", &body).map(|t| CloudAnswer::Types(t.types)))
-        }
-        (CloudOp::Rent(_), 200) => {
-            known(parse::<Names>("cloud", &body).map(|n| CloudAnswer::Rented(n.machines)))
-        }
+        (CloudOp::Types, 200) => known(parse::<Types>("cloud", &body).map(|t| CloudAnswer::Types(t.types))),
+        (CloudOp::Rent(_), 200) => known(parse::<Names>("cloud", &body).map(|n| CloudAnswer::Rented(n.machines))),
         (CloudOp::Release(_), 200) => Outcome::Answered(CloudAnswer::Released),
-        (CloudOp::List { .. }, 200) => {
-            known(parse::<Listing>("cloud", &body).map(CloudAnswer::Listing))
-        }
+        (CloudOp::List { .. }, 200) => known(parse::<Listing>("cloud", &body).map(CloudAnswer::Listing)),
         (CloudOp::Rent(_), 503) if String::from_utf8_lossy(&body).contains("no capacity") => {
             Outcome::Answered(CloudAnswer::NoCapacity)
         }
@@ -235,19 +144,8 @@
         tracing::error!(addr, "a worker's address cannot be used");
         return Outcome::NotDone;
     };
-    match http
-        .ask(ask(
-            addr,
-            Method::POST,
-            "/orders",
-            json(orders),
-            WORKER_WAIT,
-        ))
-        .await
-    {
-        Outcome::Answered((status @ (200 | 409), body)) => {
-            known(parse("worker", &body).map(|report| (status, report)))
-        }
+    match http.ask(ask(addr, Method::POST, "/orders", json(orders), WORKER_WAIT)).await {
+        Outcome::Answered((status @ (200 | 409), body)) => known(parse("worker", &body).map(|report| (status, report))),
         Outcome::Answered((status, _)) => unexpected("worker", status),
         Outcome::NotDone => Outcome::NotDone,
         Outcome::Unknown => Outcome::Unknown,
@@ -255,10 +153,7 @@
 }
 
 pub async fn peer(http: &Http, addr: SocketAddr, message: &PeerAsk) -> Outcome<PeerTell> {
-    match http
-        .ask(ask(addr, Method::POST, "/peer", encode(message), PEER_WAIT))
-        .await
-    {
+    match http.ask(ask(addr, Method::POST, "/peer", encode(message), PEER_WAIT)).await {
         Outcome::Answered((200, body)) => known(decode(&body)),
         _ => Outcome::Unknown,
     }
--- a/crates/rushyoke/src/serve.rs
+++ b/crates/rushyoke/src/serve.rs
@@ -50,9 +50,7 @@
 
 impl Server {
     pub async fn bind(addr: SocketAddr) -> Result<TcpListener, String> {
-        TcpListener::bind(addr)
-            .await
-            .map_err(|e| format!("{addr}: {e}"))
+        TcpListener::bind(addr).await.map_err(|e| format!("{addr}: {e}"))
     }
 
     pub async fn run(self, listener: TcpListener) {
@@ -97,9 +95,7 @@
         };
         if method != allowed {
             let mut response = respond(Answer::error(405, "method not allowed"));
-            response
-                .headers_mut()
-                .insert("allow", allowed.as_str().parse().expect("a method's name"));
+            response.headers_mut().insert("allow", allowed.as_str().parse().expect("a method's name"));
             return Ok(response);
         }
         let body = match Limited::new(request.into_body(), MOST_BODY).collect().await {
@@ -111,9 +107,7 @@
                     false => Answer::error(400, "the body could not be read"),
                 };
                 let mut response = respond(answer);
-                response
-                    .headers_mut()
-                    .insert("connection", "close".parse().expect("a fixed value"));
+                response.headers_mut().insert("connection", "close".parse().expect("a fixed value"));
                 return Ok(response);
             }
         };
@@ -124,10 +118,7 @@
         let submission = matches!(route, Route::Submit);
         let input: Box<dyn FnOnce(Req) -> Input> = match route {
             Route::Submit => match JobSpec::parse(body) {
-                Ok(spec) => Box::new(move |req| Input::Submit {
-                    req,
-                    spec: Box::new(spec),
-                }),
+                Ok(spec) => Box::new(move |req| Input::Submit { req, spec: Box::new(spec) }),
                 Err(why) => return Answer::error(400, &why),
             },
             Route::Status(id) | Route::Cancel(id) if !is_job_id(&id) => {
@@ -137,10 +128,7 @@
             Route::Cancel(id) => Box::new(move |req| Input::Cancel { req, id }),
             Route::Ready => Box::new(|req| Input::Ready { req }),
             Route::Report => match serde_json::from_slice::<Report>(body) {
-                Ok(report) => Box::new(move |req| Input::Report {
-                    req,
-                    report: Box::new(report),
-                }),
+                Ok(report) => Box::new(move |req| Input::Report { req, report: Box::new(report) }),
                 Err(error) => {
                     tracing::error!(%error, "malformed report");
                     return Answer::error(400, &error.to_string());
@@ -152,20 +140,10 @@
             },
         };
         let (answer, answered) = oneshot::channel();
-        if self
-            .core
-            .try_send(Asked {
-                input,
-                answer,
-                submission,
-            })
-            .is_err()
-        {
+        if self.core.try_send(Asked { input, answer, submission }).is_err() {
             return Answer::later(503, "too many requests at once");
         }
-        answered
-            .await
-            .unwrap_or_else(|_| Answer::later(503, "no answer"))
+        answered.await.unwrap_or_else(|_| Answer::later(503, "no answer"))
     }
 }
 
@@ -195,13 +173,9 @@
 
 fn respond(answer: Answer) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(answer.body)));
-    *response.status_mut() =
-        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = response.headers_mut();
-    headers.insert(
-        "content-type",
-        "application/json".parse().expect("a fixed value"),
-    );
+    headers.insert("content-type", "application/json".parse().expect("a fixed value"));
     if let Some(seconds) = answer.retry_after_s {
         headers.insert("retry-after", seconds.into());
     }
--- a/crates/rushyoke/src/settings.rs
+++ b/crates/rushyoke/src/settings.rs
@@ -142,9 +142,7 @@
 }
 
 fn toml_reason(text: &str, error: &toml::de::Error) -> String {
-    let line = error
-        .span()
-        .map(|span| text[..span.start.min(text.len())].matches('\n').count() + 1);
+    let line = error.span().map(|span| text[..span.start.min(text.len())].matches('\n').count() + 1);
     let at = line.map(|l| format!("line {l}: ")).unwrap_or_default();
     format!("{at}{}", error.message().replace('\n', " "))
 }
@@ -163,17 +161,9 @@
     for team in &facts.teams {
         let amounts = [team.cpus, team.cpus_max, team.gpus, team.gpus_max];
         if amounts.iter().any(|a| !a.is_finite() || *a < 0.0) {
-            return Err(format!(
-                "facts.teams: {}: amounts must be 0 or above",
-                team.name
-            ));
+            return Err(format!("facts.teams: {}: amounts must be 0 or above", team.name));
         }
-        let value = Team {
-            cpus: team.cpus,
-            cpus_max: team.cpus_max,
-            gpus: team.gpus,
-            gpus_max: team.gpus_max,
-        };
+        let value = Team { cpus: team.cpus, cpus_max: team.cpus_max, gpus: team.gpus, gpus_max: team.gpus_max };
         if teams.insert(team.name.clone(), value).is_some() {
             return Err(format!("facts.teams: {} stands twice", team.name));
         }
@@ -181,16 +171,9 @@
     let objectives = facts.objectives.iter().map(|o| Objective {
         kind: o.kind.clone(),
         class: o.class.clone(),
-        within: o
-            .within_s
-            .filter(|s| *s >= 0.0 && s.is_finite())
-            .map(|s| Duration::from_secs_f64(s.min(1e9))),
+        within: o.within_s.filter(|s| *s >= 0.0 && s.is_finite()).map(|s| Duration::from_secs_f64(s.min(1e9))),
     });
-    let peers: BTreeMap<String, SocketAddr> = file
-        .others
-        .iter()
-        .map(|o| (o.label.clone(), o.endpoint))
-        .collect();
+    let peers: BTreeMap<String, SocketAddr> = file.others.iter().map(|o| (o.label.clone(), o.endpoint)).collect();
     if peers.contains_key(&file.label) {
         return Err("others: names this node itself".into());
     }
@@ -229,17 +212,23 @@
         serde_yaml_ng::from_str(text).map_err(|e| e.to_string())?
     };
     let mut policy = Policy::default();
-    let seconds =
-        |name: &str, value: Option<f64>, low: f64, high: f64, target: &mut Duration| match value {
-            None => Ok(()),
-            Some(v) if (low..=high).contains(&v) => {
-                *target = Duration::from_secs_f64(v);
-                Ok(())
-            }
-            Some(_) => Err(format!("{name}: must be {low} to {high} seconds")),
-        };
-    let number = |name: &str, value: Option<f64>, low: f64, high: f64, target: &mut f64| match value
-    {
+    let seconds = |name: &str, value: Option<f64>, low: f64, high: f64, target: &mut Duration| match value {
+        None => Ok(()),
+        Some(v) if (low..=high).contains(&v) => {
+            *target = Duration::from_secs_f64(v);
+            Ok(())
+        }
+        Some(_) => Err(format!("{name}: must be {low} to {high} seconds")),
+    };
+    let number = |name: &str, value: Option<f64>, low: f64, high: f64, target: &mut f64| match value {
+        None => Ok(()),
+        Some(v) if (low..=high).contains(&v) => {
+            *target = v;
+            Ok(())
+        }
+        Some(_) => Err(format!("{name}: must be {low} to {high}")),
+    };
+    let whole = |name: &str, value: Option<usize>, low: usize, high: usize, target: &mut usize| match value {
         None => Ok(()),
         Some(v) if (low..=high).contains(&v) => {
             *target = v;
@@ -247,84 +236,20 @@
         }
         Some(_) => Err(format!("{name}: must be {low} to {high}")),
     };
-    let whole =
-        |name: &str, value: Option<usize>, low: usize, high: usize, target: &mut usize| match value
-        {
-            None => Ok(()),
-            Some(v) if (low..=high).contains(&v) => {
-                *target = v;
-                Ok(())
-            }
-            Some(_) => Err(format!("{name}: must be {low} to {high}")),
-        };
     policy.speculation = file.speculation.unwrap_or(policy.speculation);
-    seconds(
-        "speculation_period_s",
-        file.speculation_period_s,
-        1.0,
-        3600.0,
-        &mut policy.speculation_period,
-    )?;
-    number(
-        "straggler_threshold",
-        file.straggler_threshold,
-        0.0,
-        1e6,
-        &mut policy.straggler_threshold,
-    )?;
+    seconds("speculation_period_s", file.speculation_period_s, 1.0, 3600.0, &mut policy.speculation_period)?;
+    number("straggler_threshold", file.straggler_threshold, 0.0, 1e6, &mut policy.straggler_threshold)?;
     let mut cell_minimum = policy.cell_minimum as usize;
-    whole(
-        "cell_minimum",
-        file.cell_minimum.map(|n| n as usize),
-        2,
-        10_000,
-        &mut cell_minimum,
-    )?;
+    whole("cell_minimum", file.cell_minimum.map(|n| n as usize), 2, 10_000, &mut cell_minimum)?;
     policy.cell_minimum = cell_minimum as u32;
     whole("levels", file.levels, 1, 32, &mut policy.levels)?;
-    seconds(
-        "lead_ttl_s",
-        file.lead_ttl_s,
-        0.5,
-        60.0,
-        &mut policy.lead_ttl,
-    )?;
-    number(
-        "headroom_share",
-        file.headroom_share,
-        0.0,
-        10.0,
-        &mut policy.headroom_share,
-    )?;
-    number(
-        "headroom_machines",
-        file.headroom_machines,
-        0.0,
-        1000.0,
-        &mut policy.headroom_machines,
-    )?;
-    number(
-        "service_reserve",
-        file.service_reserve,
-        0.0,
-        100.0,
-        &mut policy.service_reserve,
-    )?;
-    number(
-        "patience_share",
-        file.patience_share,
-        0.0,
-        1.0,
-        &mut policy.patience_share,
-    )?;
+    seconds("lead_ttl_s", file.lead_ttl_s, 0.5, 60.0, &mut policy.lead_ttl)?;
+    number("headroom_share", file.headroom_share, 0.0, 10.0, &mut policy.headroom_share)?;
+    number("headroom_machines", file.headroom_machines, 0.0, 1000.0, &mut policy.headroom_machines)?;
+    number("service_reserve", file.service_reserve, 0.0, 100.0, &mut policy.service_reserve)?;
+    number("patience_share", file.patience_share, 0.0, 1.0, &mut policy.patience_share)?;
     seconds("idle_s", file.idle_s, 0.0, 86_400.0, &mut policy.idle)?;
-    number(
-        "silent_reports",
-        file.silent_reports,
-        1.5,
-        100.0,
-        &mut policy.silent_reports,
-    )?;
+    number("silent_reports", file.silent_reports, 1.5, 100.0, &mut policy.silent_reports)?;
     whole("sample", file.sample, 1, 100_000, &mut policy.sample)?;
     Ok(policy)
 }
--- a/crates/rushyoke/src/stats.rs
+++ b/crates/rushyoke/src/stats.rs
@@ -32,11 +32,7 @@
 impl Stats {
     pub fn new(now: Instant) -> Stats {
         let histogram = || Histogram::new_with_max(LONGEST_MS, 2).expect("the bounds are fixed");
-        Stats {
-            delays: [histogram(), histogram(), histogram(), histogram()],
-            shed: 0,
-            since: now,
-        }
+        Stats { delays: [histogram(), histogram(), histogram(), histogram()], shed: 0, since: now }
     }
 
     pub fn note(&mut self, what: Delay, delay: Duration) {
@@ -58,20 +54,11 @@
         for (name, histogram) in NAMES.iter().zip(&mut self.delays) {
             if !histogram.is_empty() {
                 let at = |q| histogram.value_at_quantile(q);
-                line += &format!(
-                    "{name} {}x {}/{}/{} ms; ",
-                    histogram.len(),
-                    at(0.5),
-                    at(0.95),
-                    histogram.max()
-                );
+                line += &format!("{name} {}x {}/{}/{} ms; ", histogram.len(), at(0.5), at(0.95), histogram.max());
             }
             histogram.reset();
         }
-        tracing::info!(
-            shed = self.shed,
-            "delays (count, median, 95%, most): {line}"
-        );
+        tracing::info!(shed = self.shed, "delays (count, median, 95%, most): {line}");
         self.shed = 0;
     }
 }
--- a/crates/testkit/src/cloud.rs
+++ b/crates/testkit/src/cloud.rs
@@ -59,16 +59,7 @@
         let name = format!("n-{:06}", self.serial);
         self.serial += 1;
         let kind = self.types[0].name.clone();
-        self.machines.insert(
-            name.clone(),
-            Rented {
-                kind,
-                zone: zone.into(),
-                spot,
-                since: now,
-                up: false,
-            },
-        );
+        self.machines.insert(name.clone(), Rented { kind, zone: zone.into(), spot, since: now, up: false });
         name
     }
 
@@ -87,9 +78,8 @@
                     return CloudAnswer::NoCapacity;
                 }
                 self.rentals += 1;
-                let names: Vec<String> = (0..rental.count.min(free))
-                    .map(|_| self.add(now, &rental.zone, rental.spot))
-                    .collect();
+                let names: Vec<String> =
+                    (0..rental.count.min(free)).map(|_| self.add(now, &rental.zone, rental.spot)).collect();
                 self.requests.insert(rental.request.clone(), names.clone());
                 CloudAnswer::Rented(names)
             }
@@ -100,10 +90,7 @@
                 CloudAnswer::Released
             }
             CloudOp::List { after } => {
-                let rows = self
-                    .machines
-                    .iter()
-                    .filter(|(name, _)| after.as_ref().is_none_or(|a| *name > a));
+                let rows = self.machines.iter().filter(|(name, _)| after.as_ref().is_none_or(|a| *name > a));
                 let machines = rows.map(|(name, m)| Listed {
                     id: name.clone(),
                     addr: name.clone(),
@@ -113,10 +100,7 @@
                     phase: if m.up { Phase::Running } else { Phase::Booting },
                     age_s: (now - m.since).as_secs_f64(),
                 });
-                CloudAnswer::Listing(Listing {
-                    machines: machines.collect(),
-                    more: false,
-                })
+                CloudAnswer::Listing(Listing { machines: machines.collect(), more: false })
             }
         }
     }
--- a/crates/testkit/src/store.rs
+++ b/crates/testkit/src/store.rs
@@ -28,10 +28,7 @@
 
 impl Store {
     pub fn new() -> Store {
-        Store {
-            page: 1000,
-            ..Store::default()
-        }
+        Store { page: 1000, ..Store::default() }
     }
 
     /// Ends leases that were not renewed; returns whether keys changed.
@@ -40,12 +37,7 @@
             return false;
         }
         let due = |end: Duration| end <= now;
-        let ended: Vec<u64> = self
-            .leases
-            .iter()
-            .filter(|(_, (_, end))| due(*end))
-            .map(|(l, _)| *l)
-            .collect();
+        let ended: Vec<u64> = self.leases.iter().filter(|(_, (_, end))| due(*end)).map(|(l, _)| *l).collect();
         let before = self.revision;
         for lease in ended {
             self.end_lease(lease);
@@ -62,12 +54,8 @@
 
     fn end_lease(&mut self, lease: u64) {
         self.leases.remove(&lease);
-        let keys: Vec<String> = self
-            .rows
-            .iter()
-            .filter(|(_, row)| row.2 == Some(lease))
-            .map(|(k, _)| k.clone())
-            .collect();
+        let keys: Vec<String> =
+            self.rows.iter().filter(|(_, row)| row.2 == Some(lease)).map(|(k, _)| k.clone()).collect();
         if !keys.is_empty() {
             self.revision += 1;
         }
@@ -78,13 +66,7 @@
 
     fn delete(&mut self, key: &str) {
         if self.rows.remove(key).is_some() {
-            self.log.push((
-                self.revision,
-                Event::Delete {
-                    key: key.into(),
-                    version: self.revision,
-                },
-            ));
+            self.log.push((self.revision, Event::Delete { key: key.into(), version: self.revision }));
         }
     }
 
@@ -109,13 +91,11 @@
     pub fn execute(&mut self, now: Duration, op: &StoreOp) -> StoreAnswer {
         self.expire(now);
         match op {
-            StoreOp::Get(key) => {
-                StoreAnswer::Item(self.rows.get(key).map(|(value, version, _)| Item {
-                    key: key.clone(),
-                    value: value.clone(),
-                    version: *version,
-                }))
-            }
+            StoreOp::Get(key) => StoreAnswer::Item(self.rows.get(key).map(|(value, version, _)| Item {
+                key: key.clone(),
+                value: value.clone(),
+                version: *version,
+            })),
             StoreOp::List { prefix, after } => {
                 let mut rows: Vec<Item> = self
                     .rows
@@ -130,11 +110,7 @@
                     .collect();
                 let more = rows.len() > self.page;
                 rows.truncate(self.page);
-                StoreAnswer::Page(Page {
-                    rows,
-                    more,
-                    revision: self.revision,
-                })
+                StoreAnswer::Page(Page { rows, more, revision: self.revision })
             }
             StoreOp::Txn(txn) => self.txn(txn),
             StoreOp::NewLease { ttl_ms } => {
@@ -159,32 +135,20 @@
     }
 
     fn txn(&mut self, txn: &Txn) -> StoreAnswer {
-        assert!(
-            txn.writes.len() <= MAX_OPS,
-            "too many writes in a transaction"
-        );
-        assert!(
-            txn.conditions.len() <= 4 * MAX_OPS,
-            "too many conditions in a transaction"
-        );
+        assert!(txn.writes.len() <= MAX_OPS, "too many writes in a transaction");
+        assert!(txn.conditions.len() <= 4 * MAX_OPS, "too many conditions in a transaction");
         let size = serde_json::to_vec(txn).expect("transactions encode").len();
         assert!(size <= 64 * 1024, "a transaction of {size} bytes");
         for write in &txn.writes {
-            if let Write::Put {
-                lease: Some(lease), ..
-            } = write
+            if let Write::Put { lease: Some(lease), .. } = write
                 && !self.leases.contains_key(lease)
             {
                 return StoreAnswer::NoSuchLease;
             }
         }
         let version = |key: &str| self.rows.get(key).map_or(0, |row| row.1);
-        let failed: Vec<String> = txn
-            .conditions
-            .iter()
-            .filter(|c| version(&c.key) != c.version)
-            .map(|c| c.key.clone())
-            .collect();
+        let failed: Vec<String> =
+            txn.conditions.iter().filter(|c| version(&c.key) != c.version).map(|c| c.key.clone()).collect();
         if !failed.is_empty() {
             return StoreAnswer::Refused(failed);
         }
@@ -197,13 +161,8 @@
                     let size = serde_json::to_vec(value).expect("values encode").len();
                     assert!(size <= 8 * 1024, "{key}: a value of {size} bytes");
                     self.largest_value = self.largest_value.max(size);
-                    self.rows
-                        .insert(key.clone(), (value.clone(), self.revision, *lease));
-                    let event = Event::Put {
-                        key: key.clone(),
-                        value: value.clone(),
-                        version: self.revision,
-                    };
+                    self.rows.insert(key.clone(), (value.clone(), self.revision, *lease));
+                    let event = Event::Put { key: key.clone(), value: value.clone(), version: self.revision };
                     self.log.push((self.revision, event));
                 }
                 Write::Delete { key } => self.delete(key),
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -104,18 +104,10 @@
                 TaskState::Fetching => {
                     task.state = TaskState::Running;
                     let run = Duration::from_secs_f64(self.run_s * self.slow);
-                    task.until = if service(&task.name) {
-                        Duration::MAX
-                    } else {
-                        now + run
-                    };
-                }
-                TaskState::Running => {
-                    (task.state, task.why) = (TaskState::Exited, Some(Cause::Done))
-                }
-                TaskState::Saving => {
-                    (task.state, task.why) = (TaskState::Exited, Some(Cause::Stopped))
+                    task.until = if service(&task.name) { Duration::MAX } else { now + run };
                 }
+                TaskState::Running => (task.state, task.why) = (TaskState::Exited, Some(Cause::Done)),
+                TaskState::Saving => (task.state, task.why) = (TaskState::Exited, Some(Cause::Stopped)),
                 TaskState::Exited => continue,
             }
             changed = true;
@@ -147,41 +139,17 @@
         for order in orders {
             match order {
                 Order::Start { task, attempt } => {
-                    if self
-                        .tasks
-                        .iter()
-                        .any(|t| t.name == *task && t.attempt == *attempt)
-                    {
+                    if self.tasks.iter().any(|t| t.name == *task && t.attempt == *attempt) {
                         continue;
                     }
-                    let busy = self
-                        .tasks
-                        .iter()
-                        .any(|t| t.name == *task && t.state != TaskState::Exited);
-                    let (state, why) = if busy {
-                        (TaskState::Exited, Some(Cause::Busy))
-                    } else {
-                        (TaskState::Fetching, None)
-                    };
+                    let busy = self.tasks.iter().any(|t| t.name == *task && t.state != TaskState::Exited);
+                    let (state, why) =
+                        if busy { (TaskState::Exited, Some(Cause::Busy)) } else { (TaskState::Fetching, None) };
                     let until = now + Duration::from_millis(500);
-                    self.tasks.push(Task {
-                        name: task.clone(),
-                        attempt: *attempt,
-                        state,
-                        why,
-                        until,
-                    });
+                    self.tasks.push(Task { name: task.clone(), attempt: *attempt, state, why, until });
                 }
-                Order::Stop {
-                    task,
-                    attempt,
-                    grace_s,
-                } => {
-                    for t in self
-                        .tasks
-                        .iter_mut()
-                        .filter(|t| t.name == *task && t.attempt == *attempt)
-                    {
+                Order::Stop { task, attempt, grace_s } => {
+                    for t in self.tasks.iter_mut().filter(|t| t.name == *task && t.attempt == *attempt) {
                         if t.state == TaskState::Running && *grace_s > 0.0 {
                             t.state = TaskState::Saving;
                             t.until = now + Duration::from_secs_f64(*grace_s);
@@ -191,9 +159,7 @@
                     }
                 }
                 Order::Forget { task, attempt } => {
-                    self.tasks.retain(|t| {
-                        !(t.name == *task && t.attempt == *attempt && t.state == TaskState::Exited)
-                    });
+                    self.tasks.retain(|t| !(t.name == *task && t.attempt == *attempt && t.state == TaskState::Exited));
                 }
             }
         }
