--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -20,19 +20,11 @@
 /// The platform's facts of a small test deployment.
 pub fn facts(node: usize, nodes: usize) -> Facts {
     let label = |n: usize| format!("node-{n}");
-    let team = |cpus, cpus_max| Team {
-        cpus,
-        cpus_max,
-        gpus: 0.0,
-        gpus_max: 0.0,
-    };
+    let team = |cpus, cpus_max| Team { cpus, cpus_max, gpus: 0.0, gpus_max: 0.0 };
     Facts {
         label: label(node),
         others: (0..nodes).filter(|n| *n != node).map(label).collect(),
-        teams: BTreeMap::from([
-            ("red".into(), team(32.0, 64.0)),
-            ("blue".into(), team(32.0, 64.0)),
-        ]),
+        teams: BTreeMap::from([("red".into(), team(32.0, 64.0)), ("blue".into(), team(32.0, 64.0))]),
         objectives: Vec::new(),
         report: Duration::from_secs(2),
         lease: Duration::from_secs(12),
@@ -82,44 +74,12 @@
 }
 
 enum Event {
-    ToNode {
-        node: usize,
-        incarnation: u64,
-        input: Box<Input>,
-    },
-    Store {
-        node: usize,
-        incarnation: u64,
-        call: Call,
-        op: StoreOp,
-        reply: bool,
-    },
-    Cloud {
-        node: usize,
-        incarnation: u64,
-        call: Call,
-        op: CloudOp,
-        reply: bool,
-    },
-    Order {
-        node: usize,
-        incarnation: u64,
-        call: Call,
-        machine: String,
-        orders: Orders,
-        reply: bool,
-    },
-    Report {
-        node: usize,
-        machine: String,
-        id: u64,
-        report: Box<Report>,
-    },
-    ReportAnswer {
-        machine: String,
-        id: u64,
-        answer: Answer,
-    },
+    ToNode { node: usize, incarnation: u64, input: Box<Input> },
+    Store { node: usize, incarnation: u64, call: Call, op: StoreOp, reply: bool },
+    Cloud { node: usize, incarnation: u64, call: Call, op: CloudOp, reply: bool },
+    Order { node: usize, incarnation: u64, call: Call, machine: String, orders: Orders, reply: bool },
+    Report { node: usize, machine: String, id: u64, report: Box<Report> },
+    ReportAnswer { machine: String, id: u64, answer: Answer },
 }
 
 struct Watch {
@@ -212,11 +172,7 @@
             world.boot(&name);
         }
         for _ in 0..3 {
-            world.slots.push(Slot {
-                node: None,
-                incarnation: 0,
-                next_tick: world.now,
-            });
+            world.slots.push(Slot { node: None, incarnation: 0, next_tick: world.now });
         }
         (0..3).for_each(|n| world.start_node(n));
         world
@@ -225,13 +181,7 @@
     fn boot(&mut self, name: &str) {
         let rented = self.cloud.machines.get_mut(name).expect("rented");
         rented.up = true;
-        let worker = Worker::new(
-            name.into(),
-            rented.zone.clone(),
-            rented.spot,
-            rented.kind.clone(),
-            self.now,
-        );
+        let worker = Worker::new(name.into(), rented.zone.clone(), rented.spot, rented.kind.clone(), self.now);
         self.workers.insert(name.into(), worker);
     }
 
@@ -239,11 +189,7 @@
         self.serial += 1;
         let incarnation = self.serial;
         let node = Node::new(facts(n, 3), self.policy.clone(), incarnation, self.clocks());
-        self.slots[n] = Slot {
-            node: Some(node),
-            incarnation,
-            next_tick: self.now,
-        };
+        self.slots[n] = Slot { node: Some(node), incarnation, next_tick: self.now };
     }
 
     /// The process ends; what it had sent is still under way.
@@ -254,15 +200,11 @@
     }
 
     fn clocks(&self) -> Now {
-        Now {
-            steady: self.start + self.now,
-            wall_ms: 1_700_000_000_000 + self.now.as_millis() as u64,
-        }
+        Now { steady: self.start + self.now, wall_ms: 1_700_000_000_000 + self.now.as_millis() as u64 }
     }
 
     pub fn lead(&self) -> Option<usize> {
-        let leads =
-            (0..self.slots.len()).filter_map(|n| Some((self.slots[n].node.as_ref()?.token()?, n)));
+        let leads = (0..self.slots.len()).filter_map(|n| Some((self.slots[n].node.as_ref()?.token()?, n)));
         leads.max().map(|(_, n)| n)
     }
 
@@ -287,63 +229,27 @@
 
     fn output(&mut self, node: usize, output: Output) {
         let incarnation = self.slots[node].incarnation;
-        let late = |input| Event::ToNode {
-            node,
-            incarnation,
-            input: Box::new(input),
-        };
+        let late = |input| Event::ToNode { node, incarnation, input: Box::new(input) };
         match output {
             Output::Answer { req, answer } => match self.askers.remove(&(node, req)) {
                 Some(Asker::User(id)) => {
                     self.answers.insert(id, answer);
                 }
                 Some(Asker::Worker { machine, id }) if !self.no_workers.contains(&node) => {
-                    self.push(
-                        self.now + HOP,
-                        Event::ReportAnswer {
-                            machine,
-                            id,
-                            answer,
-                        },
-                    );
+                    self.push(self.now + HOP, Event::ReportAnswer { machine, id, answer });
                 }
-                Some(Asker::Peer {
-                    node: asker,
-                    incarnation,
-                }) => {
+                Some(Asker::Peer { node: asker, incarnation }) => {
                     let tell = decode::<PeerTell>(&answer.body).expect("peers answer well");
                     let label = format!("node-{node}");
-                    let input = Box::new(Input::PeerTold {
-                        label,
-                        outcome: Outcome::Answered(tell),
-                    });
-                    self.push(
-                        self.now + HOP,
-                        Event::ToNode {
-                            node: asker,
-                            incarnation,
-                            input,
-                        },
-                    );
+                    let input = Box::new(Input::PeerTold { label, outcome: Outcome::Answered(tell) });
+                    self.push(self.now + HOP, Event::ToNode { node: asker, incarnation, input });
                 }
                 _ => {}
             },
             Output::Store { call, op, .. } => {
-                if let StoreOp::Watch {
-                    prefix,
-                    after,
-                    wait_ms,
-                } = op
-                {
+                if let StoreOp::Watch { prefix, after, wait_ms } = op {
                     let until = self.now + Duration::from_millis(wait_ms);
-                    self.watches.push(Watch {
-                        node,
-                        incarnation,
-                        call,
-                        prefix,
-                        after,
-                        until,
-                    });
+                    self.watches.push(Watch { node, incarnation, call, prefix, after, until });
                     return;
                 }
                 if self.no_store.contains(&node) {
@@ -354,219 +260,77 @@
                 match self.hold_txns.get(&node) {
                     Some(until) if matches!(op, StoreOp::Txn(_)) => {
                         let until = *until;
-                        self.push(
-                            self.now + CALL_LIMIT,
-                            late(Input::Store {
-                                call,
-                                outcome: Outcome::Unknown,
-                            }),
-                        );
-                        self.push(
-                            until,
-                            Event::Store {
-                                node,
-                                incarnation,
-                                call,
-                                op,
-                                reply: false,
-                            },
-                        );
+                        self.push(self.now + CALL_LIMIT, late(Input::Store { call, outcome: Outcome::Unknown }));
+                        self.push(until, Event::Store { node, incarnation, call, op, reply: false });
                     }
-                    _ => self.push(
-                        self.now + HOP,
-                        Event::Store {
-                            node,
-                            incarnation,
-                            call,
-                            op,
-                            reply: true,
-                        },
-                    ),
+                    _ => self.push(self.now + HOP, Event::Store { node, incarnation, call, op, reply: true }),
                 }
             }
             Output::Cloud { call, op } => {
                 let lost = self.lose_rental_answers && matches!(op, CloudOp::Rent(_));
                 if lost {
-                    self.push(
-                        self.now + CALL_LIMIT,
-                        late(Input::Cloud {
-                            call,
-                            outcome: Outcome::Unknown,
-                        }),
-                    );
+                    self.push(self.now + CALL_LIMIT, late(Input::Cloud { call, outcome: Outcome::Unknown }));
                 }
-                self.push(
-                    self.now + HOP,
-                    Event::Cloud {
-                        node,
-                        incarnation,
-                        call,
-                        op,
-                        reply: !lost,
-                    },
-                );
+                self.push(self.now + HOP, Event::Cloud { node, incarnation, call, op, reply: !lost });
             }
-            Output::Order {
-                call,
-                addr: machine,
-                orders,
-            } => {
+            Output::Order { call, addr: machine, orders } => {
                 let unreachable = self.cut.contains(&machine)
                     || !self.workers.contains_key(&machine)
                     || self.no_workers.contains(&node);
                 if unreachable {
-                    self.push(
-                        self.now + CALL_LIMIT,
-                        late(Input::Ordered {
-                            call,
-                            outcome: Outcome::NotDone,
-                        }),
-                    );
+                    self.push(self.now + CALL_LIMIT, late(Input::Ordered { call, outcome: Outcome::NotDone }));
                 } else if let Some(until) = self.hold_orders.get(&machine) {
                     let until = *until;
-                    self.push(
-                        self.now + CALL_LIMIT,
-                        late(Input::Ordered {
-                            call,
-                            outcome: Outcome::Unknown,
-                        }),
-                    );
-                    self.push(
-                        until,
-                        Event::Order {
-                            node,
-                            incarnation,
-                            call,
-                            machine,
-                            orders,
-                            reply: false,
-                        },
-                    );
+                    self.push(self.now + CALL_LIMIT, late(Input::Ordered { call, outcome: Outcome::Unknown }));
+                    self.push(until, Event::Order { node, incarnation, call, machine, orders, reply: false });
                 } else {
-                    self.push(
-                        self.now + HOP,
-                        Event::Order {
-                            node,
-                            incarnation,
-                            call,
-                            machine,
-                            orders,
-                            reply: true,
-                        },
-                    );
+                    self.push(self.now + HOP, Event::Order { node, incarnation, call, machine, orders, reply: true });
                 }
             }
             Output::Peer { label, ask } => {
-                let other: usize = label
-                    .trim_start_matches("node-")
-                    .parse()
-                    .expect("labels end in a number");
+                let other: usize = label.trim_start_matches("node-").parse().expect("labels end in a number");
                 if self.slots[other].node.is_none() {
-                    self.push(
-                        self.now + HOP,
-                        late(Input::PeerTold {
-                            label,
-                            outcome: Outcome::Unknown,
-                        }),
-                    );
+                    self.push(self.now + HOP, late(Input::PeerTold { label, outcome: Outcome::Unknown }));
                     return;
                 }
                 self.serial += 1;
                 let req = Req(self.serial);
-                self.askers
-                    .insert((other, req), Asker::Peer { node, incarnation });
+                self.askers.insert((other, req), Asker::Peer { node, incarnation });
                 let incarnation = self.slots[other].incarnation;
                 let input = Box::new(Input::Peer { req, ask });
-                self.push(
-                    self.now + HOP,
-                    Event::ToNode {
-                        node: other,
-                        incarnation,
-                        input,
-                    },
-                );
+                self.push(self.now + HOP, Event::ToNode { node: other, incarnation, input });
             }
         }
     }
 
     fn event(&mut self, event: Event) {
         match event {
-            Event::ToNode {
-                node,
-                incarnation,
-                input,
-            } => {
+            Event::ToNode { node, incarnation, input } => {
                 if self.slots[node].incarnation == incarnation {
                     self.give(node, *input);
                 }
             }
-            Event::Store {
-                node,
-                incarnation,
-                call,
-                op,
-                reply,
-            } => {
-                let answer = if self.store.outage {
-                    StoreAnswer::Unavailable
-                } else {
-                    self.store.execute(self.now, &op)
-                };
+            Event::Store { node, incarnation, call, op, reply } => {
+                let answer =
+                    if self.store.outage { StoreAnswer::Unavailable } else { self.store.execute(self.now, &op) };
                 if reply {
-                    let input = Box::new(Input::Store {
-                        call,
-                        outcome: Outcome::Answered(answer),
-                    });
-                    self.push(
-                        self.now + HOP,
-                        Event::ToNode {
-                            node,
-                            incarnation,
-                            input,
-                        },
-                    );
+                    let input = Box::new(Input::Store { call, outcome: Outcome::Answered(answer) });
+                    self.push(self.now + HOP, Event::ToNode { node, incarnation, input });
                 }
             }
-            Event::Cloud {
-                node,
-                incarnation,
-                call,
-                op,
-                reply,
-            } => {
+            Event::Cloud { node, incarnation, call, op, reply } => {
                 let answer = self.cloud.execute(self.now, &op);
-                let gone: Vec<String> = self
-                    .workers
-                    .keys()
-                    .filter(|w| !self.cloud.machines.contains_key(*w))
-                    .cloned()
-                    .collect();
+                let gone: Vec<String> =
+                    self.workers.keys().filter(|w| !self.cloud.machines.contains_key(*w)).cloned().collect();
                 for name in gone {
                     self.workers.remove(&name);
                 }
                 if reply {
-                    let input = Box::new(Input::Cloud {
-                        call,
-                        outcome: Outcome::Answered(answer),
-                    });
-                    self.push(
-                        self.now + HOP,
-                        Event::ToNode {
-                            node,
-                            incarnation,
-                            input,
-                        },
-                    );
+                    let input = Box::new(Input::Cloud { call, outcome: Outcome::Answered(answer) });
+                    self.push(self.now + HOP, Event::ToNode { node, incarnation, input });
                 }
             }
-            Event::Order {
-                node,
-                incarnation,
-                call,
-                machine,
-                orders,
-                reply,
-            } => {
+            Event::Order { node, incarnation, call, machine, orders, reply } => {
                 let now = self.now;
                 let Some(worker) = self.workers.get_mut(&machine) else {
                     return;
@@ -574,40 +338,20 @@
                 let status = worker.direct(now, &orders);
                 let report = worker.report();
                 if reply {
-                    let input = Box::new(Input::Ordered {
-                        call,
-                        outcome: Outcome::Answered((status, report)),
-                    });
-                    self.push(
-                        now + HOP,
-                        Event::ToNode {
-                            node,
-                            incarnation,
-                            input,
-                        },
-                    );
+                    let input = Box::new(Input::Ordered { call, outcome: Outcome::Answered((status, report)) });
+                    self.push(now + HOP, Event::ToNode { node, incarnation, input });
                 }
             }
-            Event::Report {
-                node,
-                machine,
-                id,
-                report,
-            } => {
+            Event::Report { node, machine, id, report } => {
                 if self.slots[node].node.is_none() || self.no_workers.contains(&node) {
                     return;
                 }
                 self.serial += 1;
                 let req = Req(self.serial);
-                self.askers
-                    .insert((node, req), Asker::Worker { machine, id });
+                self.askers.insert((node, req), Asker::Worker { machine, id });
                 self.give(node, Input::Report { req, report });
             }
-            Event::ReportAnswer {
-                machine,
-                id,
-                answer,
-            } => self.report_answered(&machine, id, &answer),
+            Event::ReportAnswer { machine, id, answer } => self.report_answered(&machine, id, &answer),
         }
     }
 
@@ -626,28 +370,19 @@
         worker.waiting = None;
         match answer.status {
             200 => {
-                let orders: Orders =
-                    serde_json::from_slice(&answer.body).expect("orders are well formed");
+                let orders: Orders = serde_json::from_slice(&answer.body).expect("orders are well formed");
                 worker.answered(now, sent, session, &orders);
             }
             421 => {
-                let elsewhere: Elsewhere =
-                    serde_json::from_slice(&answer.body).expect("a 421 is well formed");
-                match elsewhere
-                    .report_to
-                    .and_then(|l| l.trim_start_matches("node-").parse().ok())
-                {
+                let elsewhere: Elsewhere = serde_json::from_slice(&answer.body).expect("a 421 is well formed");
+                match elsewhere.report_to.and_then(|l| l.trim_start_matches("node-").parse().ok()) {
                     Some(node) => (worker.node, worker.next_report) = (node, now),
                     None => {
-                        (worker.node, worker.next_report) =
-                            ((worker.node + 1) % nodes, now + Duration::from_secs(1))
+                        (worker.node, worker.next_report) = ((worker.node + 1) % nodes, now + Duration::from_secs(1))
                     }
                 }
             }
-            _ => {
-                (worker.node, worker.next_report) =
-                    ((worker.node + 1) % nodes, now + Duration::from_secs(1))
-            }
+            _ => (worker.node, worker.next_report) = ((worker.node + 1) % nodes, now + Duration::from_secs(1)),
         }
     }
 
@@ -688,10 +423,7 @@
                 return true;
             }
             let answer = self.store.watch(&watch.prefix, watch.after).or_else(|| {
-                let none = rushyoke_wire::store::Changes {
-                    revision: watch.after,
-                    events: Vec::new(),
-                };
+                let none = rushyoke_wire::store::Changes { revision: watch.after, events: Vec::new() };
                 (watch.until <= now).then_some(StoreAnswer::Changes(none))
             });
             if let Some(answer) = answer {
@@ -701,18 +433,8 @@
             true
         });
         for (node, incarnation, call, answer) in due {
-            let input = Box::new(Input::Store {
-                call,
-                outcome: Outcome::Answered(answer),
-            });
-            self.push(
-                now + HOP,
-                Event::ToNode {
-                    node,
-                    incarnation,
-                    input,
-                },
-            );
+            let input = Box::new(Input::Store { call, outcome: Outcome::Answered(answer) });
+            self.push(now + HOP, Event::ToNode { node, incarnation, input });
         }
     }
 
@@ -722,9 +444,7 @@
             .machines
             .iter()
             .filter(|(name, m)| {
-                !m.up
-                    && !self.cloud.stillborn.contains(*name)
-                    && self.now >= m.since + Duration::from_secs(10)
+                !m.up && !self.cloud.stillborn.contains(*name) && self.now >= m.since + Duration::from_secs(10)
             })
             .map(|(name, _)| name.clone())
             .collect();
@@ -749,8 +469,7 @@
                 && now > sent + REPORT_LIMIT
             {
                 worker.waiting = None;
-                (worker.node, worker.next_report) =
-                    ((worker.node + 1) % nodes, now + Duration::from_secs(1));
+                (worker.node, worker.next_report) = ((worker.node + 1) % nodes, now + Duration::from_secs(1));
             }
             if worker.waiting.is_none() && worker.next_report <= now {
                 self.serial += 1;
@@ -780,69 +499,30 @@
         let mut used: BTreeMap<&str, f64> = BTreeMap::new();
         let mut zones: BTreeMap<&str, BTreeMap<&str, u32>> = BTreeMap::new();
         for worker in self.workers.values() {
-            for task in worker
-                .tasks
-                .iter()
-                .filter(|t| matches!(t.state, TaskState::Running | TaskState::Saving))
-            {
-                on.entry(task.name.clone())
-                    .or_default()
-                    .insert(worker.name.clone());
-                let id = task
-                    .name
-                    .split('/')
-                    .next()
-                    .expect("a task's name starts with its job");
+            for task in worker.tasks.iter().filter(|t| matches!(t.state, TaskState::Running | TaskState::Saving)) {
+                on.entry(task.name.clone()).or_default().insert(worker.name.clone());
+                let id = task.name.split('/').next().expect("a task's name starts with its job");
                 let spec = &self.specs[id];
                 *used.entry(&spec.team).or_default() += spec.cpus;
-                *zones
-                    .entry(id)
-                    .or_default()
-                    .entry(&worker.zone)
-                    .or_default() += 1;
-                assert!(
-                    spec.spot || !worker.spot,
-                    "{} runs on a spot machine",
-                    task.name
-                );
+                *zones.entry(id).or_default().entry(&worker.zone).or_default() += 1;
+                assert!(spec.spot || !worker.spot, "{} runs on a spot machine", task.name);
                 if let Some(since) = self.cancelled.get(id) {
-                    assert!(
-                        self.now <= *since + facts(0, 3).cancel,
-                        "{} runs although it is cancelled",
-                        task.name
-                    );
+                    assert!(self.now <= *since + facts(0, 3).cancel, "{} runs although it is cancelled", task.name);
                 }
             }
         }
         let facts = facts(0, 3);
         for (team, cpus) in used {
-            assert!(
-                cpus <= facts.teams[team].cpus_max + 1e-6,
-                "team {team} uses {cpus} CPUs"
-            );
+            assert!(cpus <= facts.teams[team].cpus_max + 1e-6, "team {team} uses {cpus} CPUs");
         }
         for (id, zones) in zones {
             let spec = &self.specs[id];
-            let most = if spec.spread {
-                spec.tasks.div_ceil(2)
-            } else {
-                u32::MAX
-            };
-            assert!(
-                zones.values().all(|n| *n <= most),
-                "{id} is not spread: {zones:?}"
-            );
-            assert!(
-                !spec.one_zone || zones.len() <= 1,
-                "{id} is not together: {zones:?}"
-            );
+            let most = if spec.spread { spec.tasks.div_ceil(2) } else { u32::MAX };
+            assert!(zones.values().all(|n| *n <= most), "{id} is not spread: {zones:?}");
+            assert!(!spec.one_zone || zones.len() <= 1, "{id} is not together: {zones:?}");
         }
         for (task, machines) in &on {
-            assert!(
-                machines.len() <= 1,
-                "at {:?} {task} is on {machines:?}",
-                self.now
-            );
+            assert!(machines.len() <= 1, "at {:?} {task} is on {machines:?}", self.now);
             if !self.running.contains_key(task) {
                 self.started += 1;
             }
@@ -852,13 +532,8 @@
 
     /// Machines on which a job's tasks run now.
     pub fn where_runs(&self, id: &str) -> Vec<(String, String)> {
-        let of_job = self
-            .running
-            .iter()
-            .filter(|(task, _)| task.split('/').next() == Some(id));
-        of_job
-            .flat_map(|(task, on)| on.iter().map(|m| (task.clone(), m.clone())))
-            .collect()
+        let of_job = self.running.iter().filter(|(task, _)| task.split('/').next() == Some(id));
+        of_job.flat_map(|(task, on)| on.iter().map(|m| (task.clone(), m.clone()))).collect()
     }
 
     fn ask(&mut self, node: usize, input: impl FnOnce(Req) -> Input) -> u64 {
@@ -883,19 +558,13 @@
     /// Submits at a node; the status of the answer, if one came.
     pub fn submit(&mut self, node: usize, spec: JobSpec) -> Option<u16> {
         self.specs.insert(spec.id.clone(), spec.clone());
-        let id = self.ask(node, |req| Input::Submit {
-            req,
-            spec: Box::new(spec),
-        });
+        let id = self.ask(node, |req| Input::Submit { req, spec: Box::new(spec) });
         Some(self.wait(id)?.status)
     }
 
     /// Asks a node for a job's state: the status and, with 200, the state.
     pub fn status(&mut self, node: usize, job: &str) -> Option<(u16, Option<JobView>)> {
-        let id = self.ask(node, |req| Input::Status {
-            req,
-            id: job.into(),
-        });
+        let id = self.ask(node, |req| Input::Status { req, id: job.into() });
         let answer = self.wait(id)?;
         Some((answer.status, serde_json::from_slice(&answer.body).ok()))
     }
@@ -905,16 +574,10 @@
     }
 
     pub fn cancel(&mut self, node: usize, job: &str) -> Option<(u16, Option<JobView>)> {
-        let id = self.ask(node, |req| Input::Cancel {
-            req,
-            id: job.into(),
-        });
+        let id = self.ask(node, |req| Input::Cancel { req, id: job.into() });
         let answer = self.wait(id)?;
         let view: Option<JobView> = serde_json::from_slice(&answer.body).ok();
-        if view
-            .as_ref()
-            .is_some_and(|v| v.state == JobStatus::Cancelled)
-        {
+        if view.as_ref().is_some_and(|v| v.state == JobStatus::Cancelled) {
             self.cancelled.entry(job.into()).or_insert(self.now);
         }
         Some((answer.status, view))
--- a/crates/wire/src/job.rs
+++ b/crates/wire/src/job.rs
@@ -69,9 +69,8 @@
 
 /// Whether `id` has the form that job ids always have.
 pub fn is_job_id(id: &str) -> bool {
-    id.strip_prefix("wk-").is_some_and(|rest| {
-        (1..=18).contains(&rest.len()) && rest.bytes().all(|b| b.is_ascii_digit())
-    })
+    id.strip_prefix("wk-")
+        .is_some_and(|rest| (1..=18).contains(&rest.len()) && rest.bytes().all(|b| b.is_ascii_digit()))
 }
 
 impl JobSpec {
@@ -93,11 +92,7 @@
         if self.tasks == 0 || self.tasks > MAX_TASKS {
             return Err(format!("loads: must be 1 to {MAX_TASKS}"));
         }
-        for (name, text) in [
-            ("lane", &self.class),
-            ("crew", &self.team),
-            ("kit", &self.image),
-        ] {
+        for (name, text) in [("lane", &self.class), ("crew", &self.team), ("kit", &self.image)] {
             if text.is_empty() || text.len() > 200 {
                 return Err(format!("{name}: must have 1 to 200 bytes"));
             }
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -57,28 +57,17 @@
 
 impl Txn {
     pub fn when(mut self, key: impl Into<String>, version: u64) -> Txn {
-        self.conditions.push(Condition {
-            key: key.into(),
-            version,
-        });
+        self.conditions.push(Condition { key: key.into(), version });
         self
     }
 
     pub fn put(mut self, key: impl Into<String>, value: Value) -> Txn {
-        self.writes.push(Write::Put {
-            key: key.into(),
-            value,
-            lease: None,
-        });
+        self.writes.push(Write::Put { key: key.into(), value, lease: None });
         self
     }
 
     pub fn put_leased(mut self, key: impl Into<String>, value: Value, lease: u64) -> Txn {
-        self.writes.push(Write::Put {
-            key: key.into(),
-            value,
-            lease: Some(lease),
-        });
+        self.writes.push(Write::Put { key: key.into(), value, lease: Some(lease) });
         self
     }
 
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -103,10 +103,6 @@
 /// The body of a 421: which node to report to, if known.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Elsewhere {
-    #[serde(
-        rename = "dispatcher",
-        default,
-        skip_serializing_if = "Option::is_none"
-    )]
+    #[serde(rename = "dispatcher", default, skip_serializing_if = "Option::is_none")]
     pub report_to: Option<String>,
 }
