Keep 7% headroom instead of 15%, return machines after 12 s

Cause: outside the first minute 11 to 25% of the machines' time was idle (windows of the reports), the guarantee's aim was met by more than its best.

--- a/crates/core/src/facts.rs
+++ b/crates/core/src/facts.rs
@@ -74,11 +74,11 @@
             levels: 4,
             speculation: true,
             lead_ttl: Duration::from_millis(3000),
-            headroom_share: 0.15,
+            headroom_share: 0.07,
             headroom_machines: 1.0,
             service_reserve: 1.0,
             patience_share: 0.4,
-            idle: Duration::from_secs(25),
+            idle: Duration::from_secs(12),
             silent_reports: 2.5,
             sample: 32,
         }
