Move tasks that save their progress off retiring machines

Cause: a fifth to two fifths of the cost falls after the last submission, when machines stand with a few long tasks (used/have 0.35 to 0.59 there). One machine at a time, while nothing waits, tasks that have run 32 s and save are moved if that empties it. Moving services was ruled out: one move in a window of 30 s costs the worst window more than the machine's price wins.

--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -26,6 +26,9 @@
 const LOST_BOOT: f64 = 5.0;
 /// The cloud charges a machine for at least this time.
 const MIN_CHARGE: Duration = Duration::from_secs(58);
+/// A task that was started is left alone for this time before it is moved: the users do
+/// not count starts that are stopped sooner.
+const MOVE_AFTER_S: f64 = 32.0;
 /// Weight of a new job in the mean size of services.
 const LEARN: f64 = 0.2;
 
@@ -113,6 +116,7 @@
         if !env.types.is_empty() {
             self.rent_what_is_missing(env);
         }
+        self.empty_retiring(env);
         self.return_idle(env, now);
         self.send_returns(env, now);
     }
@@ -253,6 +257,60 @@
         }
     }
 
+    /// Moves the tasks of a retiring machine that save their progress, where that empties
+    /// it: one machine at a time, while nothing waits and the others have the room.
+    fn empty_retiring(&mut self, env: &mut Env) {
+        let now = env.steady();
+        if self.jobs.values().any(|job| job.waiting() > 0) {
+            return;
+        }
+        let mut free: Vec<Room> = Vec::new();
+        for machine in self.machines.values().filter(|m| m.usable(now) && !m.retiring) {
+            free.push(machine.total.minus(machine.used));
+        }
+        let mut best: Option<(f64, Name, Vec<(Name, u32)>)> = None;
+        for machine in self.machines.values().filter(|m| m.retiring && !m.places.is_empty()) {
+            let Some(moved) = self.movable(now, machine) else { continue };
+            let mut room = free.clone();
+            let fits = moved.iter().all(|(job, _)| {
+                let need = Room::of(&self.jobs[job].spec);
+                let target = room.iter_mut().find(|r| r.holds(need));
+                target.map(|r| r.sub(need)).is_some()
+            });
+            let used = machine.used.cpus;
+            if fits && best.as_ref().is_none_or(|(least, ..)| used < *least) {
+                best = Some((used, machine.name.clone(), moved));
+            }
+        }
+        let Some((_, name, moved)) = best else { return };
+        tracing::info!(machine = &*name, tasks = moved.len(), "moving what saves, to return it");
+        for (job, task) in moved {
+            let grace = self.jobs[&job].spec.save_s;
+            self.stop_task(env, &job, task, grace);
+        }
+    }
+
+    /// The tasks to move for a machine to become empty; `None` if it would not, or if
+    /// nothing needs a move.
+    fn movable(&self, now: Instant, machine: &Machine) -> Option<Vec<(Name, u32)>> {
+        let mut moved = Vec::new();
+        for (name, task) in &machine.places {
+            let job = &self.jobs[name];
+            let place = &job.places[task];
+            let ran = now.duration_since(place.running?).as_secs_f64();
+            let left = job.mean_run_s - ran;
+            if place.stop.is_some() {
+                continue;
+            }
+            if job.spec.kind == Kind::Array && job.spec.checkpoint_s > 0.0 && ran > MOVE_AFTER_S {
+                moved.push((name.clone(), *task));
+            } else if job.spec.kind == Kind::Service || left > MOVE_AFTER_S / 2.0 {
+                return None;
+            }
+        }
+        (!moved.is_empty()).then_some(moved)
+    }
+
     /// Seconds until a machine's tasks are expected to have ended.
     fn empty_in(&self, now: Instant, machine: &Machine) -> f64 {
         let left = machine.places.iter().filter_map(|(name, task)| {
