Weigh images under fetch when placing; rank machines once per array

Cause: on herve an image takes 7 to 15 s and images fetched together share the rate, which the choice of a machine did not see. Ranking once per array instead of once per task also saves processor time.

--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -132,20 +132,58 @@
         let mut placed = 0;
         while placed < most {
             let job = &self.jobs[name];
-            let Some(task) = job.peek(now) else { break };
-            let need = Room::of(&job.spec);
-            if self.quotas.usage(&job.spec.team).is_none_or(|usage| usage.headroom(need) == 0) {
-                break;
+            let ranked = self.rank(env, job, Room::of(&job.spec));
+            // What is weighed changes with every replica; an array's tasks fill the
+            // machines in their order.
+            let one_by_one = job.spec.kind == Kind::Service || job.spec.spread || job.spec.one_zone;
+            let mut reserve = self.reserve_left(env, job);
+            let before = placed;
+            for machine in ranked {
+                while placed < most && self.starts_there(now, name, &machine, &mut reserve) {
+                    placed += 1;
+                    if one_by_one {
+                        break;
+                    }
+                }
+                if one_by_one && placed > before {
+                    break;
+                }
             }
-            let Some(machine) = self.choose(env, job, need) else {
+            if !one_by_one || placed == before {
                 break;
-            };
-            self.plan(name, task, &machine, now);
-            placed += 1;
+            }
         }
         placed
     }
 
+    /// CPUs on ordinary machines that a job may take without touching what is kept for
+    /// services.
+    fn reserve_left(&self, env: &Env, job: &Job) -> f64 {
+        if job.spec.priority == Priority::Production {
+            return f64::INFINITY;
+        }
+        let firm = self.machines.values().filter(|m| !m.spot && m.usable(env.steady()));
+        firm.map(|m| m.total.cpus - m.used.cpus).sum::<f64>() - self.renting.service_reserve(env)
+    }
+
+    /// Plans one more task of the job on the machine, if limit and room allow.
+    fn starts_there(&mut self, now: Instant, name: &Name, machine: &Name, reserve: &mut f64) -> bool {
+        let job = &self.jobs[name];
+        let need = Room::of(&job.spec);
+        let Some(task) = job.peek(now) else { return false };
+        let target = &self.machines[machine];
+        let reserved = !target.spot && *reserve < need.cpus;
+        let limited = self.quotas.usage(&job.spec.team).is_none_or(|usage| usage.headroom(need) == 0);
+        if reserved || limited || !self.room_for(target, name).holds(need) {
+            return false;
+        }
+        if !target.spot {
+            *reserve -= need.cpus;
+        }
+        self.plan(name, task, machine, now);
+        true
+    }
+
     fn plan(&mut self, name: &Name, task: u32, machine: &Name, now: Instant) {
         let attempt = self.attempt();
         let job = self.jobs.get_mut(name).expect("chosen");
@@ -216,8 +254,8 @@
         Some(counts.into_iter().filter(|(_, n)| n + unknown < most).map(|(zone, _)| zone).collect())
     }
 
-    /// The best machine for one more task of a job.
-    fn choose(&self, env: &mut Env, job: &Job, need: Room) -> Option<Name> {
+    /// The machines that could take one more task of a job, the best first.
+    fn rank(&self, env: &mut Env, job: &Job, need: Room) -> Vec<Name> {
         let now = env.steady();
         let zones = self.zones_for(job);
         let mut fitting: Vec<&Machine> = self
@@ -232,42 +270,49 @@
         if fitting.len() > sample {
             fitting = fitting.into_iter().sample(&mut env.rng, sample);
         }
-        let service = job.spec.kind == Kind::Service;
-        if job.spec.priority < Priority::Production {
-            let reserve = self.renting.service_reserve(env);
-            let free: f64 =
-                self.machines.values().filter(|m| !m.spot && m.usable(now)).map(|m| m.total.cpus - m.used.cpus).sum();
-            if free - need.cpus < reserve {
-                fitting.retain(|m| m.spot);
+        let mut ranked: Vec<(f64, &Machine)> = fitting.into_iter().map(|m| (self.cost(env, job, m), m)).collect();
+        ranked.sort_by(|(a, m), (b, n)| a.total_cmp(b).then_with(|| m.name.cmp(&n.name)));
+        ranked.into_iter().map(|(_, m)| m.name.clone()).collect()
+    }
+
+    /// What speaks against a machine for a task of the job, in seconds.
+    fn cost(&self, env: &Env, job: &Job, machine: &Machine) -> f64 {
+        let free = machine.total.cpus - machine.used.cpus;
+        // The fuller machine first, so that others can be returned.
+        let packing = 2.0 * free / machine.total.cpus.max(1.0);
+        // Services stand together on few machines, so that the others can be returned,
+        // but replicas of one service apart, so that one machine's end costs one.
+        let (hosting, mates) = if job.spec.kind == Kind::Service {
+            let key = |task| (job.id.clone(), task);
+            let mates = machine.places.range(key(0)..=key(u32::MAX)).count();
+            (if self.hosts_service(machine) { 0.0 } else { 4.0 }, mates as f64 * 2.5)
+        } else {
+            (0.0, 0.0)
+        };
+        let retiring = if machine.retiring { 40.0 } else { 0.0 };
+        let kind = if job.spec.spot && !machine.spot { 3.0 } else { 0.0 };
+        let doubt = if job.failed_on.contains(&machine.name) { 60.0 } else { 0.0 };
+        let slow = if machine.straggler { 30.0 } else { 0.0 };
+        self.fetch_s(env, job, machine) + packing + hosting + mates + retiring + kind + doubt + slow
+    }
+
+    /// How long the job's image takes to be on the machine. Images that are fetched at
+    /// the same time may share the rate.
+    fn fetch_s(&self, env: &Env, job: &Job, machine: &Machine) -> f64 {
+        if machine.has_image(&job.spec.image) {
+            return 0.0;
+        }
+        let rate = env.type_named(&machine.kind).map_or(1.0, |k| k.fetch_gb_per_s.max(0.01));
+        let alone = job.spec.image_gb / rate;
+        let mut fetched: BTreeSet<&str> = BTreeSet::new();
+        for (name, task) in &machine.places {
+            let Some(owner) = self.jobs.get(name) else { continue };
+            let waits = owner.places.get(task).is_some_and(|place| place.running.is_none());
+            if waits && !machine.has_image(&owner.spec.image) {
+                fetched.insert(&owner.spec.image);
             }
         }
-        let cost = |machine: &Machine| -> f64 {
-            let kind = env.type_named(&machine.kind);
-            let rate = kind.map_or(1.0, |k| k.fetch_gb_per_s.max(0.01));
-            let fetch = if machine.has_image(&job.spec.image) { 0.0 } else { job.spec.image_gb / rate };
-            let free = machine.total.cpus - machine.used.cpus;
-            // The fuller machine first, so that others can be returned.
-            let packing = 2.0 * free / machine.total.cpus.max(1.0);
-            // Services stand together on few machines, so that the others can be returned,
-            // but replicas of one service apart, so that one machine's end costs one.
-            let hosting = if service && !self.hosts_service(machine) { 4.0 } else { 0.0 };
-            let mates = if service {
-                let key = |task| (job.id.clone(), task);
-                machine.places.range(key(0)..=key(u32::MAX)).count() as f64 * 2.5
-            } else {
-                0.0
-            };
-            let retiring = if machine.retiring { 40.0 } else { 0.0 };
-            let kind_cost = if job.spec.spot && !machine.spot { 3.0 } else { 0.0 };
-            let doubt = if job.failed_on.contains(&machine.name) { 60.0 } else { 0.0 };
-            let slow = if machine.straggler { 30.0 } else { 0.0 };
-            fetch + packing + hosting + mates + retiring + kind_cost + doubt + slow
-        };
-        fitting
-            .into_iter()
-            .map(|m| (cost(m), m))
-            .min_by(|(a, m), (b, n)| a.total_cmp(b).then_with(|| m.name.cmp(&n.name)))
-            .map(|(_, m)| m.name.clone())
+        if fetched.contains(job.spec.image.as_str()) { alone * 0.6 } else { alone * (1.0 + fetched.len() as f64) }
     }
 
     pub fn hosts_service(&self, machine: &Machine) -> bool {
