A team at its limit stops its own work of lower priority for more urgent jobs

A task is now stopped, saving, when a job of higher priority is held back by the limit. Ruled out: capacity and image fetches.

--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -110,7 +110,10 @@
             let job = &self.jobs[&turn.job];
             if job.peek(now).is_some() {
                 misses += 1;
-                if turn.class == 0 || (turn.class == 1 && self.patience_over(env, job)) {
+                let usage = self.quotas.usage(&job.spec.team);
+                if usage.is_some_and(|usage| usage.headroom(Room::of(&job.spec)) == 0) {
+                    self.make_quota(env, &turn.job);
+                } else if turn.class == 0 || (turn.class == 1 && self.patience_over(env, job)) {
                     self.make_room(env, &turn.job, &within);
                 }
             }
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -2,6 +2,7 @@
 //! teams run beyond their guarantee when a team wants its own.
 
 use std::collections::BTreeSet;
+use std::time::Instant;
 
 use rushyoke_wire::job::{Kind, Priority};
 
@@ -23,6 +24,13 @@
     lost_s: f64,
 }
 
+/// CPU seconds of work lost if the task were stopped now, and a little for the restart.
+fn lost_s(now: Instant, job: &Job, place: &Place) -> f64 {
+    let ran = place.running.map_or(0.0, |t| now.duration_since(t).as_secs_f64());
+    let lost = if job.spec.checkpoint_s > 0.0 { ran % job.spec.checkpoint_s } else { ran };
+    (lost + 1.0) * job.spec.cpus
+}
+
 impl Reign {
     pub fn make_room(&mut self, env: &mut Env, name: &Name, within: &BTreeSet<Name>) {
         let job = &self.jobs[name];
@@ -62,6 +70,45 @@
         }
     }
 
+    /// Makes room below the team's limit for a job that it holds back: stops tasks of
+    /// the same team's work of lower priority, those that lose the least first.
+    pub fn make_quota(&mut self, env: &mut Env, name: &Name) {
+        let now = env.steady();
+        let job = &self.jobs[name];
+        let need = Room::of(&job.spec);
+        let Some(usage) = self.quotas.usage(&job.spec.team) else { return };
+        let mut have = usage.left();
+        let mut victims: Vec<(f64, TaskKey, Room)> = Vec::new();
+        for other in self.jobs.values().filter(|other| other.spec.team == job.spec.team) {
+            let room = Room::of(&other.spec);
+            for (task, place) in &other.places {
+                if place.stop.is_some() {
+                    have.add(room);
+                } else if other.spec.priority < job.spec.priority {
+                    victims.push((lost_s(now, other, place), (other.id.clone(), *task), room));
+                }
+            }
+        }
+        have.memory_gb = f64::INFINITY;
+        victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let wanted = job.waiting();
+        let urgent = job.spec.priority == Priority::Production;
+        let mut stopped = 0;
+        for (_, (victim, task), room) in victims {
+            if have.times(need) >= wanted {
+                break;
+            }
+            have.add(room);
+            stopped += 1;
+            let spec = &self.jobs[&victim].spec;
+            let grace = if urgent || spec.checkpoint_s == 0.0 { 0.0 } else { spec.save_s };
+            self.stop_task(env, &victim, task, grace);
+        }
+        if stopped > 0 {
+            tracing::debug!(job = &**name, stopped, "making room below the team's limit");
+        }
+    }
+
     fn may_stop(&self, victim: &Job, job: &Job, within: &BTreeSet<Name>) -> bool {
         let inside = within.contains(&job.id);
         let victim_inside = within.contains(&victim.id);
@@ -100,9 +147,7 @@
                     // Its room comes free by itself.
                     freed.add(Room::of(&owner.spec));
                 } else if self.may_stop(owner, job, within) {
-                    let ran = place.running.map_or(0.0, |t| now.duration_since(t).as_secs_f64());
-                    let lost = if owner.spec.checkpoint_s > 0.0 { ran % owner.spec.checkpoint_s } else { ran };
-                    victims.push(((lost + 1.0) * owner.spec.cpus, key.clone(), Room::of(&owner.spec)));
+                    victims.push((lost_s(now, owner, place), key.clone(), Room::of(&owner.spec)));
                 }
             }
             if freed.holds(need) {
--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -74,8 +74,12 @@
 impl Usage {
     /// How many more tasks of this size the limit allows.
     pub fn headroom(&self, need: Room) -> u32 {
-        let free = Room { cpus: self.team.cpus_max - self.cpus, gpus: self.team.gpus_max - self.gpus, memory_gb: 0.0 };
-        free.times(Room { memory_gb: 0.0, ..need })
+        self.left().times(Room { memory_gb: 0.0, ..need })
+    }
+
+    /// What the limit leaves; memory is not limited.
+    pub fn left(&self) -> Room {
+        Room { cpus: self.team.cpus_max - self.cpus, gpus: self.team.gpus_max - self.gpus, memory_gb: 0.0 }
     }
 
     /// Whether the team uses more than it is guaranteed.
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -287,7 +287,16 @@
                 }
             }
             None => {
-                tracing::debug!(job = id, tasks = record.spec.tasks, class = record.spec.class, "new job");
+                tracing::debug!(
+                    job = id,
+                    tasks = record.spec.tasks,
+                    class = record.spec.class,
+                    team = record.spec.team,
+                    cpus = record.spec.cpus,
+                    estimate_s = record.spec.estimate_s,
+                    due_s = record.spec.deadline_s,
+                    "new job"
+                );
                 self.renting.saw_job(&record.spec, env.steady());
                 let job = Job::new(record.spec, record.at_ms, version, record.cancelled);
                 self.jobs.insert(name.clone(), job);
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -5,7 +5,7 @@
 
 use rushyoke_core::Policy;
 use rushyoke_testkit::{World, job, service};
-use rushyoke_wire::job::JobStatus;
+use rushyoke_wire::job::{JobStatus, Priority};
 
 fn secs(s: u64) -> Duration {
     Duration::from_secs(s)
@@ -321,6 +321,23 @@
     assert_eq!(world.where_runs("wk-000002").len(), 6);
 }
 
+#[test]
+fn a_team_at_its_limit_stops_its_own_work_of_lower_priority() {
+    // Found on herve's quiet day: route sheets waited a minute for a backfill of their
+    // own team to end, while machines stood free.
+    let mut world = settled(6);
+    world.workers.values_mut().for_each(|w| w.run_s = 300.0);
+    let mut backfill = job(1, 64);
+    backfill.priority = Priority::BestEffort;
+    world.submit(0, backfill);
+    world.run(secs(3));
+    assert_eq!(world.where_runs("wk-000001").len(), 64);
+    world.submit(0, job(2, 10));
+    world.run(secs(3));
+    assert_eq!(world.where_runs("wk-000002").len(), 10);
+    assert_eq!(world.where_runs("wk-000001").len(), 54);
+}
+
 #[test]
 fn a_guarantee_takes_back_what_others_borrowed() {
     let mut world = settled(3);
