Freed quota goes to the job that waits; no stopping from beyond a guarantee within one

Cause: on herve steady 'making room below the team's limit' stood 1765 times in the log: a best-effort job within its guarantee goes first in the queue, took the freed quota in the same pass, and was stopped again for a standard job beyond the guarantee. Work within a guarantee is now left alone by work beyond one, and what comes free is held for the job that waits.

--- a/crates/core/src/facts.rs
+++ b/crates/core/src/facts.rs
@@ -74,7 +74,7 @@
             levels: 4,
             speculation: true,
             lead_ttl: Duration::from_millis(3000),
-            headroom_share: 0.07,
+            headroom_share: 0.1,
             headroom_machines: 1.0,
             service_reserve: 1.0,
             patience_share: 0.4,
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -1,7 +1,7 @@
 //! Where waiting tasks go: the order of jobs and the choice of a machine.
 
 use std::cmp::Ordering;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use rand::seq::IteratorRandom;
@@ -100,7 +100,14 @@
         turns.sort_by(Turn::order);
         let mut left = PASS_TASKS;
         let mut misses = 0;
+        // Teams at their limit, and the priority of the job that waits for it: what comes
+        // free goes to that job and not to a lesser one of the same pass.
+        let mut held: BTreeMap<String, Priority> = BTreeMap::new();
         for turn in turns {
+            let team = &self.jobs[&turn.job].spec.team;
+            if held.get(team).is_some_and(|waiting| *waiting > turn.priority) {
+                continue;
+            }
             if left == 0 || misses > PASS_MISSES {
                 self.place_due = true;
                 break;
@@ -112,7 +119,8 @@
                 misses += 1;
                 let usage = self.quotas.usage(&job.spec.team);
                 if usage.is_some_and(|usage| usage.headroom(Room::of(&job.spec)) == 0) {
-                    self.make_quota(env, &turn.job);
+                    held.entry(job.spec.team.clone()).or_insert(turn.priority);
+                    self.make_quota(env, &turn.job, &within);
                 } else if turn.class == 0 || (turn.class == 1 && self.patience_over(env, job)) {
                     self.make_room(env, &turn.job, &within);
                 }
@@ -226,7 +234,7 @@
             return None;
         }
         let zone_of = |place: &Place| self.machines.get(&place.machine).map(|m| m.zone.clone());
-        let mut counts: std::collections::BTreeMap<String, u32> = std::collections::BTreeMap::new();
+        let mut counts: BTreeMap<String, u32> = BTreeMap::new();
         for machine in self.machines.values() {
             counts.entry(machine.zone.clone()).or_default();
         }
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -31,6 +31,13 @@
     (lost + 1.0) * job.spec.cpus
 }
 
+/// Whether a job may stop another for its higher priority. One beyond its guarantee
+/// leaves those within theirs alone: they would only come back and go first.
+fn outranks(job: &Job, victim: &Job, within: &BTreeSet<Name>) -> bool {
+    let entitled = job.spec.priority == Priority::Production || within.contains(&job.id);
+    victim.spec.priority < job.spec.priority && (entitled || !within.contains(&victim.id))
+}
+
 impl Reign {
     pub fn make_room(&mut self, env: &mut Env, name: &Name, within: &BTreeSet<Name>) {
         let job = &self.jobs[name];
@@ -72,7 +79,7 @@
 
     /// Makes room below the team's limit for a job that it holds back: stops tasks of
     /// the same team's work of lower priority, those that lose the least first.
-    pub fn make_quota(&mut self, env: &mut Env, name: &Name) {
+    pub fn make_quota(&mut self, env: &mut Env, name: &Name, within: &BTreeSet<Name>) {
         let now = env.steady();
         let job = &self.jobs[name];
         let need = Room::of(&job.spec);
@@ -84,7 +91,7 @@
             for (task, place) in &other.places {
                 if place.stop.is_some() {
                     have.add(room);
-                } else if other.spec.priority < job.spec.priority {
+                } else if outranks(job, other, within) {
                     victims.push((lost_s(now, other, place), (other.id.clone(), *task), room));
                 }
             }
@@ -115,8 +122,7 @@
         if victim.spec.kind == Kind::Service && victim.spec.priority == Priority::Production {
             return false;
         }
-        let lower = victim.spec.priority < job.spec.priority
-            && (job.spec.priority == Priority::Production || inside || !victim_inside);
+        let lower = outranks(job, victim, within);
         let borrowed = inside
             && !victim_inside
             && victim.spec.team != job.spec.team
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -327,6 +327,7 @@
     // own team to end, while machines stood free.
     let mut world = settled(6);
     world.workers.values_mut().for_each(|w| w.run_s = 300.0);
+    // Beyond its guarantee, so that the more urgent job may stop it.
     let mut backfill = job(1, 64);
     backfill.priority = Priority::BestEffort;
     world.submit(0, backfill);
