A lead that workers cannot reach gives way; no machine given up while most are overdue

When four fifths of at least three machines are overdue, directly too, it gives its key up and rests. On the way there it gave up the first machines to fall silent as dead: now none is while more than half are overdue. Also a lint that had slipped in.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -29,6 +29,10 @@
 /// Allowance for clocks that drift apart, beside the published bound.
 const DRIFT: f64 = 1.002;
 const LAPSE_MARGIN: Duration = Duration::from_millis(250);
+/// A machine whose report is overdue gets this long to answer a direct call.
+const PROBE: Duration = Duration::from_millis(1200);
+/// Workers of a lead that fell find the next one within this time.
+const SETTLING: Duration = Duration::from_secs(8);
 /// Names of returned machines that are remembered, against late reports.
 const GONE_KEPT: usize = 1000;
 
@@ -70,6 +74,8 @@
     /// When it first showed that it has seen our token.
     fenced: Option<Instant>,
     pub heard: Instant,
+    /// The last report, or when this lead came to know the machine.
+    reported: Instant,
     answered: Option<Instant>,
     pub taken_at: Option<Instant>,
     direct: Option<Direct>,
@@ -115,6 +121,7 @@
             lapsed: None,
             fenced: None,
             heard: now,
+            reported: now,
             answered: None,
             taken_at: None,
             direct: None,
@@ -253,6 +260,7 @@
             let orders = self.orders_for(now, &name, Via::Report);
             if let Some(machine) = self.machines.get_mut(&name) {
                 machine.answered = Some(now);
+                machine.reported = now;
             }
             orders
         } else {
@@ -667,13 +675,16 @@
         let give_up = report.mul_f64(env.policy.silent_reports);
         let mut lapsed = Vec::new();
         let mut silent = Vec::new();
-        let mut up = 0;
+        let (mut up, mut overdue, mut unheard, mut unreported) = (0, 0, 0, 0);
         for machine in self.machines.values_mut().filter(|m| m.up) {
             up += 1;
             if machine.claim.as_ref().is_some_and(|(_, _, until)| *until <= now) {
                 machine.claim = None;
             }
             let quiet = now.duration_since(machine.heard);
+            overdue += usize::from(quiet > late);
+            unheard += usize::from(quiet > late + PROBE);
+            unreported += usize::from(now.duration_since(machine.reported) > late + PROBE);
             if quiet > late && !machine.suspect {
                 machine.suspect = true;
                 tracing::debug!(machine = &*machine.name, "its report is overdue");
@@ -688,9 +699,14 @@
         for name in lapsed {
             self.lease_lapsed(env, &name);
         }
+        // A lead that the workers cannot reach keeps them from one that they could, until
+        // their leases end. After a takeover they take a while to find it.
+        let most = |count: usize| up >= 3 && count * 5 >= up * 4;
+        let settled = now.duration_since(self.since) > SETTLING;
+        self.cut_off = most(unreported) && (most(unheard) || settled);
         // Many silent at once: more likely the network, or this node, than the machines.
         // Returning them would kill what still runs.
-        let many = silent.len() > 2 && silent.len() * 2 > up;
+        let many = overdue > 2 && overdue * 2 > up;
         for name in silent.into_iter().filter(|_| !many) {
             let machine = self.machines.get_mut(&name).expect("listed");
             tracing::info!(machine = &*name, tasks = machine.places.len(), "silent; given up");
@@ -768,6 +784,7 @@
             // Its worker may report to another node still: show it the token.
             machine.up = true;
             machine.heard = now;
+            machine.reported = now;
             self.urgent.insert(name);
         }
     }
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -18,6 +18,7 @@
 
 const WATCH_MS: u64 = 20_000;
 const RETRY: Duration = Duration::from_millis(300);
+const REST: Duration = Duration::from_secs(6);
 
 /// How long a lead goes on answering reports after the last confirmed renewal of its
 /// lease: a cancellation told elsewhere must still be over in time once it falls silent.
@@ -74,11 +75,20 @@
     watching: bool,
     /// The newest change that a watch has told: an answer to a read may be older.
     seen: u64,
+    /// After giving way the node lets the others compete first.
+    rests_until: Option<Instant>,
 }
 
 impl Election {
     pub fn new(label: String, incarnation: u64) -> Election {
-        Election { me: HolderRecord { label, incarnation }, phase: None, holder: None, watching: false, seen: 0 }
+        Election {
+            me: HolderRecord { label, incarnation },
+            phase: None,
+            holder: None,
+            watching: false,
+            seen: 0,
+            rests_until: None,
+        }
     }
 
     /// Whether a lead may still answer reports.
@@ -95,6 +105,10 @@
         (holder.record.label != self.me.label).then(|| holder.record.label.clone())
     }
 
+    pub fn rest(&mut self, now: Instant) {
+        self.rests_until = Some(now + REST);
+    }
+
     fn read_at(&mut self, from: Instant) {
         self.phase = Some(Phase::Unread { from });
     }
@@ -262,6 +276,10 @@
 
     fn compete(&mut self) {
         self.election.holder = None;
+        if let Some(until) = self.election.rests_until.filter(|until| *until > self.env.steady()) {
+            self.election.read_at(until);
+            return;
+        }
         self.election.phase = Some(Phase::Busy);
         let ttl_ms = self.env.policy.lead_ttl.as_millis() as u64;
         let sent = self.env.steady();
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -206,6 +206,10 @@
         self.peers_tick();
         if let Some(reign) = &mut self.reign {
             reign.tick(&mut self.env);
+            if reign.cut_off {
+                self.step_down("hardly any worker reaches this node");
+                self.election.rest(self.env.now.steady);
+            }
         }
     }
 
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -63,6 +63,8 @@
     next_attempt: u64,
     last_second: Option<Instant>,
     progress: BTreeSet<Name>,
+    /// The workers seem to be out of this node's reach.
+    pub cut_off: bool,
 }
 
 impl Reign {
@@ -89,6 +91,7 @@
             next_attempt: 0,
             last_second: None,
             progress: BTreeSet::new(),
+            cut_off: false,
         }
     }
 
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -7,7 +7,7 @@
 use rushyoke_wire::cloud::{MachineType, Rental};
 use rushyoke_wire::job::{JobSpec, Kind, Priority};
 
-use crate::fleet::Machine;
+use crate::fleet::{Machine, TaskKey};
 use crate::io::*;
 use crate::jobs::{Job, Name};
 use crate::node::{Env, Purpose};
@@ -268,7 +268,7 @@
         for machine in self.machines.values().filter(|m| m.usable(now) && !m.retiring) {
             free.push(machine.total.minus(machine.used));
         }
-        let mut best: Option<(f64, Name, Vec<(Name, u32)>)> = None;
+        let mut best: Option<(f64, Vec<TaskKey>)> = None;
         for machine in self.machines.values().filter(|m| m.retiring && !m.places.is_empty()) {
             let Some(moved) = self.movable(now, machine) else { continue };
             let mut room = free.clone();
@@ -278,12 +278,13 @@
                 target.map(|r| r.sub(need)).is_some()
             });
             let used = machine.used.cpus;
-            if fits && best.as_ref().is_none_or(|(least, ..)| used < *least) {
-                best = Some((used, machine.name.clone(), moved));
+            if fits && best.as_ref().is_none_or(|(least, _)| used < *least) {
+                best = Some((used, moved));
             }
         }
-        let Some((_, name, moved)) = best else { return };
-        tracing::info!(machine = &*name, tasks = moved.len(), "moving what saves, to return it");
+        let Some((_, moved)) = best else { return };
+        let place = &self.jobs[&moved[0].0].places[&moved[0].1];
+        tracing::info!(machine = &*place.machine, tasks = moved.len(), "moving what saves, to return it");
         for (job, task) in moved {
             let grace = self.jobs[&job].spec.save_s;
             self.stop_task(env, &job, task, grace);
@@ -292,7 +293,7 @@
 
     /// The tasks to move for a machine to become empty; `None` if it would not, or if
     /// nothing needs a move.
-    fn movable(&self, now: Instant, machine: &Machine) -> Option<Vec<(Name, u32)>> {
+    fn movable(&self, now: Instant, machine: &Machine) -> Option<Vec<TaskKey>> {
         let mut moved = Vec::new();
         for (name, task) in &machine.places {
             let job = &self.jobs[name];
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -108,6 +108,19 @@
     assert_eq!(world.ready(new), Some(200));
 }
 
+#[test]
+fn a_lead_cut_off_from_the_workers_gives_way_before_their_leases_end() {
+    let mut world = settled(4);
+    world.submit(0, service(1, 8));
+    world.run(secs(4));
+    let old = world.lead().expect("a lead");
+    world.no_workers.insert(old);
+    world.run(secs(25));
+    assert!(world.lead().is_some_and(|new| new != old));
+    assert_eq!(world.where_runs("wk-000001").len(), 8);
+    assert_eq!(world.started, 8, "no lease ended, no machine was returned");
+}
+
 #[test]
 fn a_lead_back_within_a_moment_drops_its_own_key() {
     let mut world = settled(1);
