--- a/crates/rushyoke/src/settings.rs
+++ b/crates/rushyoke/src/settings.rs
@@ -141,10 +141,14 @@
     build(file, policy).map_err(in_config)
 }
 
+/// The error's line, with the field that stands there, and its reason.
 fn toml_reason(text: &str, error: &toml::de::Error) -> String {
-    let line = error.span().map(|span| text[..span.start.min(text.len())].matches('\n').count() + 1);
-    let at = line.map(|l| format!("line {l}: ")).unwrap_or_default();
-    format!("{at}{}", error.message().replace('\n', " "))
+    let reason = error.message().replace('\n', " ");
+    let Some(span) = error.span() else { return reason };
+    let line = text[..span.start.min(text.len())].matches('\n').count();
+    let there = text.lines().nth(line).unwrap_or_default();
+    let field = there.split('=').next().unwrap_or_default().trim();
+    format!("line {}: {field}: {reason}", line + 1)
 }
 
 fn build(file: File, policy: Policy) -> Result<Settings, String> {
