Keep freed room for a job within its guarantee while it waits

Cause: while a task of 4 CPUs waited its two seconds, 1-CPU tasks took every CPU that came free, and four of them were stopped for it in the end (brest rough: 65 stops in a job of 23 tasks). A machine's freed room is now held for one waiting task.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -53,6 +53,16 @@
     change: u64,
 }
 
+/// Room on a machine that is kept for a job.
+#[derive(Clone, Debug)]
+pub(crate) struct Claim {
+    pub job: Name,
+    pub room: Room,
+    pub until: Instant,
+    /// Others were stopped for it; else it waits for what comes free.
+    pub made: bool,
+}
+
 #[derive(Clone, Debug)]
 pub(crate) struct Machine {
     pub name: Name,
@@ -97,8 +107,7 @@
     /// More than enough is there: it gets no work that fits elsewhere, to be returned.
     pub retiring: bool,
     full_until: Option<Instant>,
-    /// Room made for a job by stopping others.
-    pub claim: Option<(Name, Room, Instant)>,
+    pub claim: Option<Claim>,
     pub straggler: bool,
     pub level: usize,
 }
@@ -678,7 +687,7 @@
         let (mut up, mut overdue, mut unheard, mut unreported) = (0, 0, 0, 0);
         for machine in self.machines.values_mut().filter(|m| m.up) {
             up += 1;
-            if machine.claim.as_ref().is_some_and(|(_, _, until)| *until <= now) {
+            if machine.claim.as_ref().is_some_and(|claim| claim.until <= now) {
                 machine.claim = None;
             }
             let quiet = now.duration_since(machine.heard);
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -123,6 +123,8 @@
                     self.make_quota(env, &turn.job, &within);
                 } else if turn.class == 0 || (turn.class == 1 && self.patience_over(env, job)) {
                     self.make_room(env, &turn.job, &within);
+                } else if turn.class == 1 {
+                    self.hold_room(env, &turn.job);
                 }
             }
         }
@@ -216,11 +218,11 @@
         self.quotas.add(&job.spec);
         let target = self.machines.get_mut(machine).expect("chosen");
         target.hold((name.clone(), task), &job.spec);
-        if let Some((claimant, room, _)) = &mut target.claim
-            && claimant == name
+        if let Some(claim) = &mut target.claim
+            && claim.job == *name
         {
-            room.sub(Room::of(&job.spec));
-            if room.cpus <= 1e-6 {
+            claim.room.sub(Room::of(&job.spec));
+            if claim.room.is_nothing() {
                 target.claim = None;
             }
         }
@@ -334,10 +336,10 @@
     /// Free room on a machine for this job: room made for another is left alone.
     pub fn room_for(&self, machine: &Machine, job: &Name) -> Room {
         let mut room = machine.total.minus(machine.used);
-        if let Some((claimant, claimed, _)) = &machine.claim
-            && claimant != job
+        if let Some(claim) = &machine.claim
+            && claim.job != *job
         {
-            room.sub(*claimed);
+            room.sub(claim.room);
         }
         room
     }
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -2,17 +2,19 @@
 //! teams run beyond their guarantee when a team wants its own.
 
 use std::collections::BTreeSet;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rushyoke_wire::job::{Kind, Priority};
 
-use crate::fleet::TaskKey;
+use crate::fleet::{Claim, Machine, TaskKey};
 use crate::jobs::*;
 use crate::node::Env;
 use crate::place::{CLAIM_FOR, allowed};
 use crate::quota::Room;
 use crate::recover::Reign;
 
+/// How long room that comes free is kept for a job.
+const HOLD_FOR: Duration = Duration::from_secs(3);
 /// Machines on which one pass makes room for a job.
 const PER_PASS: usize = 4;
 
@@ -46,8 +48,8 @@
         let claimed: u32 = self
             .machines
             .values()
-            .filter_map(|m| m.claim.as_ref().filter(|(claimant, ..)| claimant == name))
-            .map(|(_, room, _)| room.times(need))
+            .filter_map(|m| m.claim.as_ref().filter(|claim| claim.job == *name && claim.made))
+            .map(|claim| claim.room.times(need))
             .sum();
         let mut wanted = job.waiting().min(quota).saturating_sub(claimed);
         for _ in 0..PER_PASS {
@@ -73,7 +75,33 @@
             }
             let until = env.steady() + CLAIM_FOR;
             let machine = self.machines.get_mut(&plan.machine).expect("planned");
-            machine.claim = Some((name.clone(), plan.freed, until));
+            machine.claim = Some(Claim { job: name.clone(), room: plan.freed, until, made: true });
+        }
+    }
+
+    /// Keeps what comes free for a job within its guarantee while its patience lasts, one
+    /// task's room a machine: smaller tasks would take every CPU as it comes free, and
+    /// more of them would have to be stopped in the end.
+    pub fn hold_room(&mut self, env: &Env, name: &Name) {
+        let now = env.steady();
+        let job = &self.jobs[name];
+        let need = Room::of(&job.spec);
+        let zones = self.zones_for(job);
+        let fits = |m: &&Machine| {
+            m.usable(now)
+                && m.claim.is_none()
+                && allowed(&job.spec, m)
+                && m.total.holds(need)
+                && zones.as_ref().is_none_or(|zones| zones.contains(&m.zone))
+        };
+        let held = self.machines.values().filter(|m| m.claim.as_ref().is_some_and(|c| c.job == *name)).count();
+        let mut free: Vec<(f64, Name)> =
+            self.machines.values().filter(fits).map(|m| (m.total.cpus - m.used.cpus, m.name.clone())).collect();
+        free.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let wanted = (job.waiting() as usize).saturating_sub(held);
+        for (_, machine) in free.into_iter().take(wanted) {
+            let machine = self.machines.get_mut(&machine).expect("listed");
+            machine.claim = Some(Claim { job: name.clone(), room: need, until: now + HOLD_FOR, made: false });
         }
     }
 
@@ -138,7 +166,8 @@
         let zones = self.zones_for(job);
         let mut best: Option<Plan> = None;
         for machine in self.machines.values() {
-            if !machine.usable(now) || machine.claim.is_some() || !allowed(&job.spec, machine) {
+            let taken = machine.claim.as_ref().is_some_and(|claim| claim.job != *name || claim.made);
+            if !machine.usable(now) || taken || !allowed(&job.spec, machine) {
                 continue;
             }
             if zones.as_ref().is_some_and(|zones| !zones.contains(&machine.zone)) || !machine.total.holds(need) {
--- a/crates/core/src/speculate.rs
+++ b/crates/core/src/speculate.rs
@@ -10,7 +10,7 @@
 use rand::seq::IndexedRandom;
 use rushyoke_wire::job::Kind;
 
-use crate::fleet::TaskKey;
+use crate::fleet::{Claim, Machine, TaskKey};
 use crate::jobs::{Job, Name, Stage};
 use crate::node::Env;
 use crate::place::allowed;
@@ -292,7 +292,8 @@
         let need = Room::of(&job.spec);
         let grace = if job.spec.checkpoint_s > 0.0 { job.spec.save_s } else { 0.0 };
         let target = self.machines.get_mut(&best.target).expect("a candidate");
-        target.claim = Some((best.key.0.clone(), need, now + crate::place::CLAIM_FOR));
+        let until = now + crate::place::CLAIM_FOR;
+        target.claim = Some(Claim { job: best.key.0.clone(), room: need, until, made: true });
         self.stop_task(env, &best.key.0, best.key.1, grace);
     }
 
@@ -406,7 +407,7 @@
     fn target(&self, now: Instant, job: &Job, minimum: usize, from: &Name) -> Option<Name> {
         let need = Room::of(&job.spec);
         let zones = self.zones_for(job);
-        let fits = |m: &&crate::fleet::Machine| {
+        let fits = |m: &&Machine| {
             m.name != *from
                 && !m.straggler
                 && m.level >= minimum
