--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -257,11 +257,17 @@
         }
     }
 
+    /// Whether tasks of the job wait that its team's limit would let run.
+    fn could_start(&self, job: &Job) -> bool {
+        let usage = self.quotas.usage(&job.spec.team);
+        job.waiting() > 0 && usage.is_some_and(|u| u.headroom(Room::of(&job.spec)) > 0)
+    }
+
     /// Moves the tasks of a retiring machine that save their progress, where that empties
     /// it: one machine at a time, while nothing waits and the others have the room.
     fn empty_retiring(&mut self, env: &mut Env) {
         let now = env.steady();
-        if self.jobs.values().any(|job| job.waiting() > 0) {
+        if self.jobs.values().any(|job| self.could_start(job)) {
             return;
         }
         let mut free: Vec<Room> = Vec::new();
@@ -476,13 +482,8 @@
                 lost.push(machine.name.clone());
             }
         }
-        let waiting: Vec<(&Job, Option<Vec<String>>)> = self
-            .jobs
-            .values()
-            .filter(|job| job.waiting() > 0)
-            .filter(|job| self.quotas.usage(&job.spec.team).is_some_and(|u| u.headroom(Room::of(&job.spec)) > 0))
-            .map(|job| (job, self.bound_to(job)))
-            .collect();
+        let waiting: Vec<(&Job, Option<Vec<String>>)> =
+            self.jobs.values().filter(|job| self.could_start(job)).map(|job| (job, self.bound_to(job))).collect();
         let wanted = |machine: &Machine| {
             waiting.iter().any(|(job, zones)| {
                 allowed(&job.spec, machine) && zones.as_ref().is_none_or(|zones| zones.contains(&machine.zone))
