--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -25,10 +25,14 @@
 /// A stop that shows no effect is repeated after this time.
 const REPEAT_STOP: Duration = Duration::from_secs(1);
 /// After a direct order failed, the next one waits.
-const DIRECT_RETRY: Duration = Duration::from_secs(1);
+const DIRECT_RETRY: Duration = Duration::from_millis(500);
 /// Allowance for clocks that drift apart, beside the published bound.
 const DRIFT: f64 = 1.002;
 const LAPSE_MARGIN: Duration = Duration::from_millis(250);
+/// Reports come at their interval, give or take a quarter.
+const LATEST_REPORT: f64 = 1.25;
+/// Direct calls that an overdue machine may miss before it is given up.
+const PROBES: u32 = 2;
 /// A machine whose report is overdue gets this long to answer a direct call.
 const PROBE: Duration = Duration::from_millis(1200);
 /// Workers of a lead that fell find the next one within this time.
@@ -100,6 +104,8 @@
     pub leaving: bool,
     pub release_sent: Option<Instant>,
     pub suspect: bool,
+    /// Direct calls that failed since its report was overdue.
+    probes_failed: u32,
     pub quarantined: bool,
     /// Jobs whose tasks failed here since a task that started later completed.
     strikes: BTreeMap<Name, Instant>,
@@ -143,6 +149,7 @@
             leaving: false,
             release_sent: None,
             suspect: false,
+            probes_failed: 0,
             quarantined: false,
             strikes: BTreeMap::new(),
             idle_since: Some(now),
@@ -306,8 +313,12 @@
                     self.urgent.insert(name.clone());
                 }
             }
-            Outcome::NotDone => machine.direct_from = Some(now + DIRECT_RETRY),
+            Outcome::NotDone => {
+                machine.probes_failed += 1;
+                machine.direct_from = Some(now + DIRECT_RETRY);
+            }
             _ => {
+                machine.probes_failed += 1;
                 machine.direct_from = Some(now + DIRECT_RETRY);
                 if machine.session == direct.session {
                     machine.unresolved.extend(direct.starts);
@@ -340,6 +351,7 @@
         machine.addr = report.addr.clone();
         machine.heard = now;
         machine.suspect = false;
+        machine.probes_failed = 0;
         machine.leaving &= machine.release_sent.is_some();
         let new_session = report.session > machine.session && machine.session > 0;
         machine.session = report.session;
@@ -675,12 +687,12 @@
         env.order(name.clone(), machine.addr.clone(), body);
     }
 
-    /// Once a second: leases that have ended, machines that fell silent.
+    /// A few times a second: leases that have ended, machines that fell silent.
     pub fn check_silence(&mut self, env: &mut Env) {
         let now = env.steady();
         let lease = env.facts.lease;
         let report = env.facts.report;
-        let late = report.mul_f64(1.25) + Duration::from_millis(750);
+        let late = report.mul_f64(LATEST_REPORT) + Duration::from_millis(300);
         let give_up = report.mul_f64(env.policy.silent_reports);
         let mut lapsed = Vec::new();
         let mut silent = Vec::new();
@@ -696,12 +708,15 @@
             unreported += usize::from(now.duration_since(machine.reported) > late + PROBE);
             if quiet > late && !machine.suspect {
                 machine.suspect = true;
+                machine.probes_failed = 0;
+                machine.direct_from = None;
                 tracing::debug!(machine = &*machine.name, "its report is overdue");
             }
             if now > machine.lapse_at(self.old_silent, lease) && quiet > lease && !machine.places.is_empty() {
                 lapsed.push(machine.name.clone());
             }
-            if quiet > give_up && !machine.leaving {
+            let mute = machine.probes_failed >= PROBES && quiet > late + PROBE;
+            if (mute || quiet > give_up) && !machine.leaving {
                 silent.push(machine.name.clone());
             }
         }
@@ -729,8 +744,7 @@
             .map(|m| m.name.clone())
             .collect();
         for name in probes {
-            let orders = self.orders_for(now, &name, Via::Direct);
-            self.direct(env, &name, orders);
+            self.direct(env, &name, Vec::new());
         }
     }
 
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -62,6 +62,7 @@
     pub placed_at: Option<Instant>,
     next_attempt: u64,
     last_second: Option<Instant>,
+    last_look: Option<Instant>,
     progress: BTreeSet<Name>,
     /// The workers seem to be out of this node's reach.
     pub cut_off: bool,
@@ -90,6 +91,7 @@
             placed_at: None,
             next_attempt: 0,
             last_second: None,
+            last_look: None,
             progress: BTreeSet::new(),
             cut_off: false,
         }
@@ -359,9 +361,12 @@
         if !self.ready() {
             return;
         }
+        if self.last_look.is_none_or(|t| now.duration_since(t) >= Duration::from_millis(300)) {
+            self.last_look = Some(now);
+            self.check_silence(env);
+        }
         if self.last_second.is_none_or(|t| now.duration_since(t) >= Duration::from_secs(1)) {
             self.last_second = Some(now);
-            self.check_silence(env);
             self.rent_tick(env);
             self.speculate_tick(env);
             self.place_due = true;
--- a/crates/rushyoke/src/outside.rs
+++ b/crates/rushyoke/src/outside.rs
@@ -22,6 +22,7 @@
 const STORE_WAIT: Duration = Duration::from_millis(1500);
 const CLOUD_WAIT: Duration = Duration::from_secs(5);
 const WORKER_WAIT: Duration = Duration::from_secs(3);
+const PROBE_WAIT: Duration = Duration::from_millis(800);
 const PEER_WAIT: Duration = Duration::from_secs(1);
 const CONNECT: Duration = Duration::from_secs(1);
 const MOST: usize = 4 * 1024 * 1024;
@@ -144,7 +145,10 @@
         tracing::error!(addr, "a worker's address cannot be used");
         return Outcome::NotDone;
     };
-    match http.ask(ask(addr, Method::POST, "/orders", json(orders), WORKER_WAIT)).await {
+    // Without orders it only asks for a sign of life, which must not take long.
+    let wait = if orders.orders.is_empty() { PROBE_WAIT } else { WORKER_WAIT };
+    let request = Ask { connect: PROBE_WAIT, ..ask(addr, Method::POST, "/orders", json(orders), wait) };
+    match http.ask(request).await {
         Outcome::Answered((status @ (200 | 409), body)) => known(parse("worker", &body).map(|report| (status, report))),
         Outcome::Answered((status, _)) => unexpected("worker", status),
         Outcome::NotDone => Outcome::NotDone,
