Lead lease of 2 s; machines lost around a takeover are given up sooner

Cause: a lead that fell was missed for 2.8 s (brest troubles), and machines taken just before a takeover were given up 7 s after it, since their silence counted from there.

--- a/crates/core/src/facts.rs
+++ b/crates/core/src/facts.rs
@@ -73,7 +73,7 @@
             cell_minimum: 5,
             levels: 4,
             speculation: true,
-            lead_ttl: Duration::from_millis(3000),
+            lead_ttl: Duration::from_millis(2000),
             headroom_share: 0.1,
             headroom_machines: 1.0,
             service_reserve: 1.0,
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -316,6 +316,9 @@
             Outcome::NotDone => {
                 machine.probes_failed += 1;
                 machine.direct_from = Some(now + DIRECT_RETRY);
+                if machine.fenced.is_none() {
+                    self.urgent.insert(name.clone());
+                }
             }
             _ => {
                 machine.probes_failed += 1;
@@ -715,7 +718,9 @@
             if now > machine.lapse_at(self.old_silent, lease) && quiet > lease && !machine.places.is_empty() {
                 lapsed.push(machine.name.clone());
             }
-            let mute = machine.probes_failed >= PROBES && quiet > late + PROBE;
+            // One that a new lead never reached has no report that could be overdue.
+            let waited = if machine.fenced.is_some() { late + PROBE } else { PROBE * 2 };
+            let mute = machine.probes_failed >= PROBES && quiet > waited;
             if (mute || quiet > give_up) && !machine.leaving {
                 silent.push(machine.name.clone());
             }
