Bound unfinished jobs and descriptions; a story for late reports

Cause: nothing bounded the number of unfinished jobs, and a description larger than the store takes was answered 503 for ever. Submissions beyond max_jobs get 429 with Retry-After (a repeat of an accepted job still 200), too large a description 400. Passes over the queue become rarer as it grows. A late report proves nothing: now told as a story.

--- a/crates/core/src/facts.rs
+++ b/crates/core/src/facts.rs
@@ -61,6 +61,8 @@
     pub idle: Duration,
     /// Report intervals without a sign of life after which a machine is given up.
     pub silent_reports: f64,
+    /// Unfinished jobs that are held at the most; more are turned away.
+    pub max_jobs: usize,
     /// Machines looked at for one placement when many are known.
     pub sample: usize,
 }
@@ -80,6 +82,7 @@
             patience_share: 0.4,
             idle: Duration::from_secs(12),
             silent_reports: 2.5,
+            max_jobs: 5000,
             sample: 32,
         }
     }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -312,13 +312,17 @@
         self.progress_sent = Some(now);
         let progress = self.reign.as_mut().map(Reign::take_progress).unwrap_or_default();
         let token = self.token();
+        let full = self.reign.as_ref().is_some_and(|r| r.jobs.len() >= self.env.policy.max_jobs);
+        if token.is_some() {
+            self.users.full = full;
+        }
         for (label, peer) in &mut self.peers {
             if peer.waiting {
                 continue;
             }
             peer.asked = Some(now);
             peer.waiting = true;
-            let ask = PeerAsk { label: self.env.facts.label.clone(), token, progress: progress.clone() };
+            let ask = PeerAsk { label: self.env.facts.label.clone(), token, full, progress: progress.clone() };
             self.env.out.push(Output::Peer { label: label.clone(), ask });
         }
     }
@@ -326,6 +330,7 @@
     fn peer_asked(&mut self, req: Req, ask: PeerAsk) {
         if ask.token.is_some() {
             self.users.take_progress(ask.progress);
+            self.users.full = ask.full;
         }
         let tell = PeerTell {
             label: self.env.facts.label.clone(),
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -20,6 +20,8 @@
 
 const WATCH_MS: u64 = 20_000;
 const RETRY: Duration = Duration::from_millis(250);
+const PASS_GAP: Duration = Duration::from_millis(20);
+const PASS_GAP_PER_JOB: Duration = Duration::from_micros(30);
 const LIVE: &str = "live/";
 const TASK: &str = "task/";
 
@@ -379,7 +381,9 @@
             return;
         }
         let now = env.steady();
-        if self.place_due && self.placed_at.is_none_or(|t| now.duration_since(t) >= Duration::from_millis(20)) {
+        // A pass looks at every unfinished job, so many jobs make passes rarer.
+        let gap = PASS_GAP + PASS_GAP_PER_JOB * self.jobs.len() as u32;
+        if self.place_due && self.placed_at.is_none_or(|t| now.duration_since(t) >= gap) {
             self.place_due = false;
             self.placed_at = Some(now);
             self.place_pass(env);
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -40,11 +40,11 @@
         job: String,
         tasks: u32,
     },
-    /// Before a 422: an accepted job is never refused.
+    /// Before a refusal: an accepted job is never refused.
     Refuse {
         req: Req,
         job: String,
-        why: String,
+        answer: Answer,
     },
     CancelRead {
         req: Req,
@@ -75,6 +75,8 @@
     /// Jobs to compare in the next transaction.
     queue: VecDeque<String>,
     checking: bool,
+    /// The lead holds as many unfinished jobs as it can.
+    pub full: bool,
     /// Requests not yet answered, and when to give up on them.
     open: BTreeMap<Req, Instant>,
 }
@@ -246,20 +248,35 @@
             return;
         }
         if let Err(why) = can_run(&self.env, &spec) {
-            let op = StoreOp::Get(job_key(&spec.id));
-            self.env.store(Purpose::User(UserCall::Refuse { req, job: spec.id, why }), Urgency::High, op);
+            self.refuse(req, spec.id, Answer::error(422, &why));
             return;
         }
         let (job, tasks) = (spec.id.clone(), spec.tasks);
         let record = JobRecord { state: RecordState::Open, tasks };
         let live = LiveRecord { at_ms: self.env.now.wall_ms, cancelled: false, spec };
+        let live = serde_json::to_value(live).expect("records always encode");
+        // A little is left for what a cancellation adds.
+        if live.to_string().len() + 16 > self.env.facts.value_bytes {
+            self.close(req, Answer::error(400, "the description is too large"));
+            return;
+        }
+        if self.users.full {
+            self.refuse(req, job, Answer::later(429, "too many unfinished jobs"));
+            return;
+        }
         let txn = Txn::default()
             .when(job_key(&job), 0)
             .put(job_key(&job), serde_json::to_value(record).expect("records always encode"))
-            .put(live_key(&job), serde_json::to_value(live).expect("records always encode"));
+            .put(live_key(&job), live);
         self.env.store(Purpose::User(UserCall::Create { req, job, tasks }), Urgency::High, StoreOp::Txn(txn));
     }
 
+    /// Turns a submission away, unless the store has the job.
+    fn refuse(&mut self, req: Req, job: String, answer: Answer) {
+        let op = StoreOp::Get(job_key(&job));
+        self.env.store(Purpose::User(UserCall::Refuse { req, job, answer }), Urgency::High, op);
+    }
+
     pub(crate) fn cancel(&mut self, req: Req, id: String) {
         if let Some(known) = self.users.known.get(&id)
             && known.state != RecordState::Open
@@ -317,13 +334,13 @@
             }
             (UserCall::Create { req, job, .. }, Outcome::Answered(StoreAnswer::Refused(_))) => self.look_up(req, job),
             (UserCall::Create { req, .. }, _) => self.close(req, unsure),
-            (UserCall::Refuse { req, job, why }, Outcome::Answered(StoreAnswer::Item(item))) => {
+            (UserCall::Refuse { req, job, answer }, Outcome::Answered(StoreAnswer::Item(item))) => {
                 let exists = item.is_some();
                 if exists && self.learn_item(&job, item) {
                     let answer = self.view(&job, self.users.known[&job]);
                     self.close(req, answer);
                 } else {
-                    self.close(req, Answer::error(422, &why));
+                    self.close(req, answer);
                 }
             }
             (UserCall::Refuse { req, .. }, _) => self.close(req, unsure),
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -181,6 +181,46 @@
     assert_eq!(world.where_runs("wk-000001").len(), 4);
 }
 
+#[test]
+fn a_late_report_proves_nothing() {
+    let mut world = settled(1);
+    // Reports that show the machine empty arrive after its tasks have started.
+    world.hold_reports.insert("n-000000".into(), world.now + secs(3));
+    world.run(secs(2));
+    world.submit(0, service(1, 5));
+    world.run(secs(1));
+    assert_eq!(world.where_runs("wk-000001").len(), 5);
+    world.hold_reports.clear();
+    world.run(secs(15));
+    assert_eq!(world.where_runs("wk-000001").len(), 5);
+    assert_eq!(world.started, 5);
+}
+
+#[test]
+fn bad_and_excessive_submissions_are_turned_away_at_once() {
+    let mut world = World::with(1, Policy { max_jobs: 2, ..Policy::default() }, &["a"]);
+    world.run(secs(6));
+    let mut large = job(1, 1);
+    large.types = Some(vec!["x".repeat(100); 90].into_iter().chain(["m16".to_owned()]).collect());
+    assert_eq!(world.submit(0, large), Some(400));
+    let mut stranger = job(2, 1);
+    stranger.team = "green".into();
+    assert_eq!(world.submit(1, stranger), Some(422));
+    let mut wide = job(3, 1);
+    wide.cpus = 17.0;
+    assert_eq!(world.submit(2, wide), Some(422));
+    assert_eq!(world.submit(0, service(4, 65)), Some(422));
+    assert_eq!(world.submit(0, job(5, 4)), Some(201));
+    assert_eq!(world.submit(1, job(6, 4)), Some(201));
+    world.run(secs(3));
+    for node in 0..3 {
+        assert_eq!(world.submit(node, job(7, 4)), Some(429));
+        assert_eq!(world.submit(node, job(6, 4)), Some(200), "a repeat is always answered");
+    }
+    world.run(secs(20));
+    assert_eq!(world.submit(2, job(7, 4)), Some(201));
+}
+
 #[test]
 fn a_late_start_does_not_run_a_task_twice() {
     let mut world = settled(2);
--- a/crates/rushyoke/src/settings.rs
+++ b/crates/rushyoke/src/settings.rs
@@ -121,6 +121,7 @@
     patience_share: Option<f64>,
     idle_s: Option<f64>,
     silent_reports: Option<f64>,
+    max_jobs: Option<usize>,
     sample: Option<usize>,
 }
 
@@ -158,6 +159,9 @@
         false => Err(format!("{name}: must be a number above 0")),
     };
     let count = |name: &str, value: f64| positive(name, value).map(|_| value);
+    if facts.state.value_kb < 8.0 {
+        return Err("facts.state.value_kb: must be at least 8, which a record of places may take".into());
+    }
     if facts.state.txn_ops < 4 {
         return Err("facts.state.txn_ops: must be at least 4".into());
     }
@@ -254,6 +258,7 @@
     number("patience_share", file.patience_share, 0.0, 1.0, &mut policy.patience_share)?;
     seconds("idle_s", file.idle_s, 0.0, 86_400.0, &mut policy.idle)?;
     number("silent_reports", file.silent_reports, 1.5, 100.0, &mut policy.silent_reports)?;
+    whole("max_jobs", file.max_jobs, 1, 1_000_000, &mut policy.max_jobs)?;
     whole("sample", file.sample, 1, 100_000, &mut policy.sample)?;
     Ok(policy)
 }
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -126,6 +126,8 @@
     pub cut: BTreeSet<String>,
     /// Machines to which direct orders are held back until this time.
     pub hold_orders: BTreeMap<String, Duration>,
+    /// Machines whose reports are held back until this time, unanswered.
+    pub hold_reports: BTreeMap<String, Duration>,
     /// Transactions of these nodes are held back until a time, unanswered.
     pub hold_txns: BTreeMap<usize, Duration>,
     /// Rentals are carried out, but their answers are lost.
@@ -161,6 +163,7 @@
             no_workers: BTreeSet::new(),
             cut: BTreeSet::new(),
             hold_orders: BTreeMap::new(),
+            hold_reports: BTreeMap::new(),
             hold_txns: BTreeMap::new(),
             lose_rental_answers: false,
             started: 0,
@@ -488,7 +491,8 @@
             if let Event::Report { machine, .. } = &event
                 && !self.cut.contains(machine)
             {
-                self.push(now + HOP, event);
+                let late = self.hold_reports.get(machine).copied();
+                self.push(late.unwrap_or(now + HOP), event);
             }
         }
     }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -16,6 +16,8 @@
     pub label: String,
     /// The asker's token while it leads.
     pub token: Option<u64>,
+    /// The lead takes no more jobs.
+    pub full: bool,
     /// For display, from the lead only.
     pub progress: Vec<Progress>,
 }
