Stories of two leads at once and of an old page applied late

Found by breaking guards one by one: no test failed when the lead key's version, or the page's, was left out of a transaction. Each now has a story that fails without it.

--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -248,6 +248,52 @@
     assert!(world.where_runs("wk-000001").is_empty());
 }
 
+#[test]
+fn of_two_leads_at_once_only_one_starts_tasks() {
+    let mut world = settled(2);
+    let old = world.lead().expect("a lead");
+    let others = [(old + 1) % 3, (old + 2) % 3];
+    // The old lead hears nothing of its end, and what it writes takes five seconds; the
+    // new one cannot reach the machines yet, while the old one can.
+    world.slow_txns.insert(old, world.now + secs(5));
+    for machine in ["n-000000", "n-000001"] {
+        world.cut_links.extend(others.map(|node| (node, machine.to_owned())));
+    }
+    world.submit(others[0], service(1, 1));
+    world.run(Duration::from_millis(100));
+    world.adrift.insert(old);
+    world.run(secs(8));
+    world.slow_txns.clear();
+    assert!(world.lead().is_some_and(|new| new != old));
+    assert!(world.where_runs("wk-000001").is_empty(), "the old lead's placement was refused");
+    world.cut_links.retain(|(_, machine)| machine != "n-000001");
+    world.run(secs(12));
+    assert_eq!(world.where_runs("wk-000001").len(), 1);
+    assert_eq!(world.started, 1);
+}
+
+#[test]
+fn an_old_page_applied_late_does_not_mislead_the_next_lead() {
+    let mut world = settled(3);
+    let lead = world.lead().expect("a lead");
+    let mut spec = service(1, 2);
+    spec.cpus = 16.0;
+    world.hold_txns.insert(lead, world.now + secs(30));
+    world.submit(other_than(lead), spec);
+    world.run(secs(1));
+    world.hold_txns.clear();
+    world.run(secs(6));
+    let (_, machine) = world.where_runs("wk-000001")[0].clone();
+    world.workers.remove(&machine);
+    world.run(secs(26));
+    // By now the first page, which names the dead machine, has been tried again.
+    let before = world.where_runs("wk-000001");
+    assert_eq!((before.len(), world.started), (2, 3));
+    world.crash(lead);
+    world.run(secs(25));
+    assert_eq!((world.where_runs("wk-000001"), world.started), (before, 3));
+}
+
 #[test]
 fn a_late_transaction_does_not_bring_back_old_records() {
     let mut world = settled(2);
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -128,6 +128,13 @@
     pub hold_orders: BTreeMap<String, Duration>,
     /// Machines whose reports are held back until this time, unanswered.
     pub hold_reports: BTreeMap<String, Duration>,
+    /// Links between a node and a machine that carry nothing.
+    pub cut_links: BTreeSet<(usize, String)>,
+    /// Nodes that hear of no change: their renewals are lost, their watches silent and
+    /// their peers out of reach, while their transactions pass.
+    pub adrift: BTreeSet<usize>,
+    /// Transactions of these nodes take until this time, and are then answered.
+    pub slow_txns: BTreeMap<usize, Duration>,
     /// Transactions of these nodes are held back until a time, unanswered.
     pub hold_txns: BTreeMap<usize, Duration>,
     /// Rentals are carried out, but their answers are lost.
@@ -164,6 +171,9 @@
             cut: BTreeSet::new(),
             hold_orders: BTreeMap::new(),
             hold_reports: BTreeMap::new(),
+            cut_links: BTreeSet::new(),
+            adrift: BTreeSet::new(),
+            slow_txns: BTreeMap::new(),
             hold_txns: BTreeMap::new(),
             lose_rental_answers: false,
             started: 0,
@@ -238,7 +248,9 @@
                 Some(Asker::User(id)) => {
                     self.answers.insert(id, answer);
                 }
-                Some(Asker::Worker { machine, id }) if !self.no_workers.contains(&node) => {
+                Some(Asker::Worker { machine, id })
+                    if !self.no_workers.contains(&node) && !self.cut_links.contains(&(node, machine.clone())) =>
+                {
                     self.push(self.now + HOP, Event::ReportAnswer { machine, id, answer });
                 }
                 Some(Asker::Peer { node: asker, incarnation }) => {
@@ -260,6 +272,14 @@
                     self.push(self.now + HOP, late(Input::Store { call, outcome }));
                     return;
                 }
+                if matches!(op, StoreOp::Touch(_)) && self.adrift.contains(&node) {
+                    self.push(self.now + CALL_LIMIT, late(Input::Store { call, outcome: Outcome::Unknown }));
+                    return;
+                }
+                if let (StoreOp::Txn(_), Some(until)) = (&op, self.slow_txns.get(&node).copied()) {
+                    self.push(until, Event::Store { node, incarnation, call, op, reply: true });
+                    return;
+                }
                 match self.hold_txns.get(&node) {
                     Some(until) if matches!(op, StoreOp::Txn(_)) => {
                         let until = *until;
@@ -277,7 +297,8 @@
                 self.push(self.now + HOP, Event::Cloud { node, incarnation, call, op, reply: !lost });
             }
             Output::Order { call, addr: machine, orders } => {
-                let unreachable = self.cut.contains(&machine)
+                let unreachable = self.cut_links.contains(&(node, machine.clone()))
+                    || self.cut.contains(&machine)
                     || !self.workers.contains_key(&machine)
                     || self.no_workers.contains(&node);
                 if unreachable {
@@ -292,7 +313,8 @@
             }
             Output::Peer { label, ask } => {
                 let other: usize = label.trim_start_matches("node-").parse().expect("labels end in a number");
-                if self.slots[other].node.is_none() {
+                let apart = self.adrift.contains(&node) || self.adrift.contains(&other);
+                if self.slots[other].node.is_none() || apart {
                     self.push(self.now + HOP, late(Input::PeerTold { label, outcome: Outcome::Unknown }));
                     return;
                 }
@@ -346,7 +368,8 @@
                 }
             }
             Event::Report { node, machine, id, report } => {
-                if self.slots[node].node.is_none() || self.no_workers.contains(&node) {
+                let cut = self.cut_links.contains(&(node, machine.clone())) || self.no_workers.contains(&node);
+                if self.slots[node].node.is_none() || cut {
                     return;
                 }
                 self.serial += 1;
@@ -422,7 +445,7 @@
         let now = self.now;
         let mut due = Vec::new();
         self.watches.retain(|watch| {
-            if self.no_store.contains(&watch.node) {
+            if self.no_store.contains(&watch.node) || self.adrift.contains(&watch.node) {
                 return true;
             }
             let answer = self.store.watch(&watch.prefix, watch.after).or_else(|| {
