--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -512,7 +512,7 @@
             || job.places.values().any(|p| {
                 p.machine != place.machine && p.running.is_some_and(|t| now.duration_since(t) > Duration::from_secs(5))
             });
-        let bad_job = !works && job.failed_on.len() >= 3;
+        let bad_job = !works && job.failed_on.len() >= FAILS_EVERYWHERE;
         let failures = job.failures;
         let machine = self.machines.get_mut(&place.machine).expect("placed");
         if !bad_job {
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -15,6 +15,9 @@
 /// digits and a machine with its address.
 pub const PAGE: u32 = 80;
 
+/// Machines on which a job must have failed before the fault is sought in the job.
+pub const FAILS_EVERYWHERE: usize = 3;
+
 /// What stands under `job/<id>`: all that a user can be told after the end.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobRecord {
@@ -302,6 +305,13 @@
         }
     }
 
+    /// Whether the job keeps off a machine where it failed. When the others are full a
+    /// faulty machine is the one with room, and would fail task after task. A job that
+    /// fails on several machines is at fault itself, and may try any.
+    pub fn shuns(&self, machine: &Name) -> bool {
+        self.failed_on.len() < FAILS_EVERYWHERE && self.failed_on.contains(machine)
+    }
+
     /// Learns from a finished run.
     pub fn learn_run(&mut self, run_s: f64) {
         self.failures = 0;
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -277,6 +277,7 @@
             .filter(|m| m.usable(now) && allowed(&job.spec, m))
             .filter(|m| zones.as_ref().is_none_or(|zones| zones.contains(&m.zone)))
             .filter(|m| self.room_for(m, &job.id).holds(need))
+            .filter(|m| !job.shuns(&m.name))
             .collect();
         // With more machines than can be weighed for every task, a sample does.
         let sample = env.policy.sample;
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -424,6 +424,19 @@
     assert!(world.workers.len() >= before, "machines were returned for a bad job");
 }
 
+#[test]
+fn a_full_fleet_does_not_feed_a_machine_that_fails_every_task() {
+    // Found on brest's rough day: with all others full the faulty machine was the one with
+    // room, and failed 279 tasks.
+    let mut world = settled(2);
+    world.cloud.capacity = 2;
+    world.workers.values_mut().for_each(|w| w.run_s = 60.0);
+    world.workers.get_mut("n-000000").expect("up").fails_all = true;
+    world.submit(0, job(1, 64));
+    world.run(secs(20));
+    assert!(world.failed <= 16, "{} tasks failed", world.failed);
+}
+
 #[test]
 fn a_service_takes_room_from_work_of_lower_priority() {
     let mut world = settled(2);
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Tasks listed as failed.
+    pub fn errors(&self) -> u64 {
+        self.tasks.iter().filter(|t| t.why == Some(Cause::Error)).count() as u64
+    }
+
     /// Lets time pass: images arrive, tasks end, the lease may run out.
     pub fn pass(&mut self, now: Duration, lease: Duration, service: impl Fn(&str) -> bool) -> bool {
         let mut changed = false;
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -139,6 +139,8 @@
     pub hold_txns: BTreeMap<usize, Duration>,
     /// Rentals are carried out, but their answers are lost.
     pub lose_rental_answers: bool,
+    /// Tasks that failed on machines that fail all.
+    pub failed: u64,
     /// Tasks that ever began to run.
     pub started: u64,
     running: BTreeMap<String, BTreeSet<String>>,
@@ -176,6 +178,7 @@
             slow_txns: BTreeMap::new(),
             hold_txns: BTreeMap::new(),
             lose_rental_answers: false,
+            failed: 0,
             started: 0,
             running: BTreeMap::new(),
         };
@@ -488,7 +491,9 @@
                 let id = task.split('/').next().unwrap_or_default();
                 self.specs.get(id).is_some_and(|s| s.kind == Kind::Service)
             };
+            let errors = worker.errors();
             if worker.pass(now, facts.lease, service) {
+                self.failed += worker.errors().saturating_sub(errors);
                 worker.next_report = worker.next_report.min(now + Duration::from_millis(500));
             }
             if let Some((_, sent, _)) = worker.waiting
