--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -35,8 +35,9 @@
 const PROBES: u32 = 2;
 /// A machine whose report is overdue gets this long to answer a direct call.
 const PROBE: Duration = Duration::from_millis(1200);
-/// Workers of a lead that fell find the next one within this time.
-const SETTLING: Duration = Duration::from_secs(8);
+/// A worker that reports to a node out of reach tries the next one after this time; a new
+/// lead that only its own calls reach waits until all could have found it.
+const SETTLING: Duration = Duration::from_secs(5);
 /// Names of returned machines that are remembered, against late reports.
 const GONE_KEPT: usize = 1000;
 
@@ -735,7 +736,7 @@
         // A lead that the workers cannot reach keeps them from one that they could, until
         // their leases end. After a takeover they take a while to find it.
         let most = |count: usize| up >= 3 && count * 5 >= up * 4;
-        let settled = now.duration_since(self.since) > SETTLING;
+        let settled = now.duration_since(self.since) > SETTLING * env.facts.others.len() as u32 + late;
         self.cut_off = most(unreached) || most(unreported) && (most(unheard) || settled);
         // Many silent at once: more likely the network, or this node, than the machines.
         // Returning them would kill what still runs.
