One shared log of task states instead of a page per job: starts no longer queue for writes

Change: what changed goes for all jobs into one value, the last segment of a log, rewritten until full; old segments are gathered into pages later.

The testkit gains deployments of any size, and an example that prints what the core's inputs cost.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -50,14 +50,6 @@
     starts: Vec<Attempt>,
 }
 
-/// An exited task that the worker still lists.
-#[derive(Clone, Debug)]
-struct Residue {
-    job: Name,
-    page: u32,
-    change: u64,
-}
-
 /// Room on a machine that is kept for a job.
 #[derive(Clone, Debug)]
 pub(crate) struct Claim {
@@ -96,7 +88,8 @@
     direct: Option<Direct>,
     direct_from: Option<Instant>,
     unresolved: BTreeSet<Attempt>,
-    residue: BTreeMap<Attempt, Residue>,
+    /// Exited tasks that the worker still lists.
+    residue: BTreeMap<Attempt, TaskKey>,
     strangers: Vec<(Attempt, bool)>,
     /// Images believed to be cached, the most recently used last.
     images: VecDeque<(String, f64)>,
@@ -483,11 +476,8 @@
         }
         tracing::debug!(job = &*key.0, task = key.1, machine = &*place.machine, ?why, "exited");
         self.place_empty(env, key, again);
-        let page = key.1 / PAGE;
-        let change = self.jobs[&key.0].pages[&page].change;
         let machine = self.machines.get_mut(&place.machine).expect("placed");
-        let residue = Residue { job: key.0.clone(), page, change };
-        machine.residue.insert((format!("{}/{}", key.0, key.1), place.attempt), residue);
+        machine.residue.insert((format!("{}/{}", key.0, key.1), place.attempt), key.clone());
         self.after_change(&key.0);
     }
 
@@ -552,15 +542,12 @@
         if place.running.is_some() {
             job.running -= 1;
         }
-        let page = job.touch_page(key.1);
         job.put_back(key.1, again);
         self.quotas.sub(&job.spec);
         if let Some(machine) = self.machines.get_mut(&place.machine) {
             machine.release(key, &job.spec, now);
         }
-        // A done task is urgent to keep; a place that is empty may stand a little longer.
-        let done = job.is_done(key.1);
-        self.records.page_changed(&key.0, page, done);
+        self.records.changed(key.clone(), false);
         self.place_due = true;
         self.note_progress(&key.0);
         self.after_change(&key.0);
@@ -645,13 +632,11 @@
             }
         }
         if via == Via::Report {
-            for (entry, residue) in &machine.residue {
+            for (entry, key) in &machine.residue {
                 if orders.len() >= MAX_ORDERS {
                     break;
                 }
-                if !machine.unresolved(entry)
-                    && Reign::page_durable(&self.jobs, &residue.job, residue.page, residue.change)
-                {
+                if !machine.unresolved(entry) && self.records.durable(key) {
                     orders.push(Order::Forget { task: entry.0.clone(), attempt: entry.1 });
                 }
             }
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -1,7 +1,7 @@
 //! The lead's table of unfinished jobs: which tasks are done, where the others may be,
 //! and which wait. Also the form in which this stands in the state service.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -42,6 +42,32 @@
     pub cancelled: bool,
 }
 
+/// What stands under `log/<number>`: a segment of the log, with the state of the tasks that
+/// changed while it was the last one.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct SegmentRecord {
+    /// Machines named by `places`, with their addresses.
+    pub machines: Vec<(String, String)>,
+    pub jobs: Vec<ChangedTasks>,
+}
+
+/// Tasks of one job in a segment; each stands in one of the first three lists.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ChangedTasks {
+    pub job: String,
+    /// Task, index of its machine, attempt.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub places: Vec<(u32, usize, u64)>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub done: Vec<u32>,
+    /// Tasks that have neither a place nor an end.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub open: Vec<u32>,
+    /// Those among them that were restarted once by the eSplash step.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub again: Vec<u32>,
+}
+
 /// What stands under `task/<id>/<page>`.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct PageRecord {
@@ -68,6 +94,15 @@
     format!("task/{id}/{page}")
 }
 
+pub fn segment_key(number: u64) -> String {
+    format!("log/{number:012}")
+}
+
+/// Splits `log/<number>`.
+pub fn parse_segment_key(key: &str) -> Option<u64> {
+    key.strip_prefix("log/")?.parse().ok()
+}
+
 /// Splits `task/<id>/<page>`.
 pub fn parse_page_key(key: &str) -> Option<(&str, u32)> {
     let (id, page) = key.strip_prefix("task/")?.rsplit_once('/')?;
@@ -108,18 +143,6 @@
     pub stop_sent: Option<Instant>,
     /// Whether any start was ever sent by this lead.
     pub sent: bool,
-    /// The page's change that carries this place.
-    pub planned_change: u64,
-}
-
-#[derive(Clone, Debug, Default)]
-pub struct PageState {
-    /// Version in the store; `None` while it must be read back.
-    pub version: Option<u64>,
-    /// Counts changes in memory.
-    pub change: u64,
-    /// The last change known to be durable.
-    pub durable: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -140,7 +163,8 @@
     /// Tasks that wait for another attempt, and from when on.
     returned: BTreeMap<u32, Instant>,
     pub restarted: BTreeSet<u32>,
-    pub pages: HashMap<u32, PageState>,
+    /// Pages that stand in the store, with their versions.
+    pub pages: BTreeMap<u32, u64>,
     /// Machines on which a task of this job failed.
     pub failed_on: BTreeSet<Name>,
     /// Tasks that failed since one last completed or ran for long.
@@ -166,7 +190,7 @@
             next: 0,
             returned: BTreeMap::new(),
             restarted: BTreeSet::new(),
-            pages: HashMap::new(),
+            pages: BTreeMap::new(),
             failed_on: BTreeSet::new(),
             failures: 0,
             running: 0,
@@ -227,12 +251,6 @@
         }
     }
 
-    pub fn touch_page(&mut self, task: u32) -> u32 {
-        let page = task / PAGE;
-        self.pages.entry(page).or_insert_with(|| PageState { version: Some(0), ..PageState::default() }).change += 1;
-        page
-    }
-
     /// The record of one page as memory has it.
     pub fn page_record(&self, page: u32, addr_of: impl Fn(&Name) -> String) -> PageRecord {
         let first = page * PAGE;
@@ -257,10 +275,10 @@
         record
     }
 
-    /// Takes over what an earlier lead wrote.
+    /// Takes over a page that an earlier lead wrote.
     pub fn adopt_page(&mut self, page: u32, version: u64, record: &PageRecord, now: Instant) {
         let first = page * PAGE;
-        self.pages.insert(page, PageState { version: Some(version), change: 0, durable: 0 });
+        self.pages.insert(page, version);
         for (i, pair) in record.done.as_bytes().chunks(2).enumerate() {
             let byte = std::str::from_utf8(pair).ok().and_then(|t| u8::from_str_radix(t, 16).ok()).unwrap_or(0);
             for bit in (0..8).filter(|bit| byte & (1 << bit) != 0) {
@@ -272,28 +290,51 @@
         }
         self.restarted.extend(record.again.iter().map(|t| first + t));
         for (task, index, attempt) in &record.places {
-            let Some((machine, _)) = record.machines.get(*index) else {
-                continue;
-            };
-            if first + task >= self.spec.tasks || self.is_done(first + task) {
-                continue;
+            if let Some((machine, _)) = record.machines.get(*index) {
+                self.adopt_place(first + task, machine, *attempt, now);
+            }
+        }
+    }
+
+    /// Takes over tasks of a segment that was written later than what is known. A page
+    /// written since has newer states of its tasks.
+    pub fn adopt_changes(&mut self, version: u64, changed: &ChangedTasks, machines: &[(String, String)], now: Instant) {
+        let pages = self.pages.clone();
+        let tasks = self.spec.tasks;
+        let newer = |task: u32| task < tasks && pages.get(&(task / PAGE)).is_none_or(|page| *page < version);
+        for task in changed.done.iter().copied().filter(|t| newer(*t)) {
+            self.places.remove(&task);
+            self.set_done(task);
+        }
+        for task in changed.open.iter().filter(|t| newer(**t)) {
+            self.places.remove(task);
+        }
+        for (task, index, attempt) in changed.places.iter().filter(|(t, ..)| newer(*t)) {
+            if let Some((machine, _)) = machines.get(*index) {
+                self.adopt_place(*task, machine, *attempt, now);
             }
-            let place = Place {
-                machine: Name::from(machine.as_str()),
-                attempt: *attempt,
-                stage: Stage::Inherited,
-                placed: now,
-                running: None,
-                stop: None,
-                stop_sent: None,
-                sent: true,
-                planned_change: 0,
-            };
-            self.places.insert(first + task, place);
         }
+        self.restarted.extend(changed.again.iter().copied().filter(|t| newer(*t)));
+    }
+
+    fn adopt_place(&mut self, task: u32, machine: &str, attempt: u64, now: Instant) {
+        if task >= self.spec.tasks || self.is_done(task) {
+            return;
+        }
+        let place = Place {
+            machine: Name::from(machine),
+            attempt,
+            stage: Stage::Inherited,
+            placed: now,
+            running: None,
+            stop: None,
+            stop_sent: None,
+            sent: true,
+        };
+        self.places.insert(task, place);
     }
 
-    /// Works out which tasks wait once all pages have been adopted.
+    /// Works out which tasks wait once all records have been adopted.
     pub fn settle(&mut self, now: Instant) {
         let last_placed = self.places.keys().next_back().map_or(0, |t| t + 1);
         let last_done = (0..self.spec.tasks).rev().find(|t| self.is_done(*t)).map_or(0, |t| t + 1);
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -201,8 +201,6 @@
         let attempt = self.attempt();
         let job = self.jobs.get_mut(name).expect("chosen");
         job.take(task);
-        let page = job.touch_page(task);
-        let planned_change = job.pages[&page].change;
         let place = Place {
             machine: machine.clone(),
             attempt,
@@ -212,7 +210,6 @@
             stop: None,
             stop_sent: None,
             sent: false,
-            planned_change,
         };
         job.places.insert(task, place);
         self.quotas.add(&job.spec);
@@ -227,7 +224,7 @@
             }
         }
         tracing::debug!(job = &**name, task, machine = &**machine, attempt, "placed");
-        self.records.page_changed(name, page, true);
+        self.records.changed((name.clone(), task), true);
     }
 
     /// Zones where one more task of the job may go; `None` for all.
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -1,16 +1,25 @@
-//! What the lead keeps in the state service: pages of places and done tasks, and the
-//! end of jobs. One transaction is under way at a time.
+//! What the lead keeps in the state service: a log of the tasks' states, pages into which
+//! the log's older part is gathered, and the end of jobs. One transaction is under way at
+//! a time.
+//!
+//! The store counts changes, not bytes, and many jobs change a little all the time. So
+//! what changed goes, for all jobs together, into one value: the last segment of the log,
+//! written anew with more tasks in it until it is full. A task's state is what the record
+//! says that was written last; every record is rendered from memory as it is then. A
+//! segment is deleted once all that it names is over or stands in a later page.
 //!
 //! Guards: every transaction names the lead key's version (an old lead writes nothing),
-//! the job's (nothing starts after a cancellation) and the page's own (a transaction
-//! that is applied late cannot bring back an older page). After an unanswered one, what
-//! it touched is read back before it is written again.
+//! and the job's where it places a task (nothing starts after a cancellation). One that
+//! was not answered may be applied late and bring back an old state: it names the last
+//! segment's version, so the next one writes that same segment, whatever else it does,
+//! and only then a new segment is begun.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use rushyoke_wire::store::Txn;
 
+use crate::fleet::TaskKey;
 use crate::io::*;
 use crate::jobs::*;
 use crate::lead::LEAD_KEY;
@@ -18,11 +27,23 @@
 use crate::recover::Reign;
 
 const RETRY: Duration = Duration::from_millis(200);
+/// Least time from one transaction to the next: what gathers meanwhile shares a change.
+const GAP: Duration = Duration::from_millis(60);
+/// The same where nobody waits for it: places that came free, tasks that are done.
+const LAZY_GAP: Duration = Duration::from_millis(500);
+/// Segments kept before the oldest is gathered into pages.
+const SEGMENTS: usize = 12;
+/// Bytes of a value and of a transaction that stay unused.
+const SPARE: usize = 256;
+const TXN_BYTES: usize = 40 * 1024;
 
 #[derive(Clone, Debug)]
 pub(crate) struct Batch {
-    /// Page, and its change that the transaction carries.
-    pages: Vec<(Name, u32, u64)>,
+    /// Tasks, and the attempt of those that have a place.
+    tasks: Vec<(TaskKey, Option<u64>)>,
+    /// Whether the last segment is written.
+    segment: bool,
+    pages: Vec<(Name, u32)>,
     closed: Vec<Name>,
     drops: Vec<String>,
 }
@@ -30,27 +51,58 @@
 #[derive(Clone, Debug)]
 pub(crate) enum RecordCall {
     Write(Batch),
-    ReadPage(Name, u32),
+    ReadSegment,
     ReadJob(Name),
 }
 
+/// The segment that is being written.
+#[derive(Default)]
+struct Segment {
+    number: u64,
+    version: u64,
+    tasks: BTreeSet<TaskKey>,
+}
+
+/// A segment that is full, or was left by an earlier lead.
+struct Sealed {
+    number: u64,
+    version: u64,
+    pages: BTreeSet<(Name, u32)>,
+}
+
 #[derive(Default)]
 pub(crate) struct Records {
-    /// Pages with changes; the urgent ones carry places that wait to be durable.
-    urgent: BTreeSet<(Name, u32)>,
-    dirty: BTreeSet<(Name, u32)>,
+    /// Tasks whose new place waits to be durable, and tasks with other changes.
+    placed: BTreeSet<TaskKey>,
+    changed: BTreeSet<TaskKey>,
+    flying: BTreeSet<TaskKey>,
+    last: Segment,
+    sealed: VecDeque<Sealed>,
     closing: VecDeque<Name>,
     drops: VecDeque<String>,
     in_flight: bool,
+    sent: Option<Instant>,
     retry: Option<Instant>,
-    reads: BTreeSet<(Name, Option<u32>)>,
+    /// A transaction may still be applied: the last segment is read, then written.
+    doubt: bool,
+    read_segment: bool,
+    read_jobs: BTreeSet<Name>,
     reading: usize,
 }
 
 impl Records {
-    pub fn page_changed(&mut self, job: &Name, page: u32, urgent: bool) {
-        let set = if urgent { &mut self.urgent } else { &mut self.dirty };
-        set.insert((job.clone(), page));
+    pub fn changed(&mut self, key: TaskKey, placed: bool) {
+        if placed {
+            self.changed.remove(&key);
+            self.placed.insert(key);
+        } else if !self.placed.contains(&key) {
+            self.changed.insert(key);
+        }
+    }
+
+    /// Whether a task's state is durable as it is.
+    pub fn durable(&self, key: &TaskKey) -> bool {
+        !self.changed.contains(key) && !self.placed.contains(key) && !self.flying.contains(key)
     }
 
     pub fn close(&mut self, job: &Name) {
@@ -62,6 +114,36 @@
     pub fn drop_key(&mut self, key: String) {
         self.drops.push_back(key);
     }
+
+    /// Takes over a segment that an earlier lead left; they come in the order of writing.
+    pub fn inherit(&mut self, number: u64, version: u64, pages: BTreeSet<(Name, u32)>) {
+        self.last.number = self.last.number.max(number + 1);
+        self.sealed.push_back(Sealed { number, version, pages });
+    }
+}
+
+/// Counts what a segment's value may take at the most.
+#[derive(Default)]
+struct Size<'a> {
+    bytes: usize,
+    jobs: BTreeSet<&'a Name>,
+    machines: BTreeSet<&'a Name>,
+}
+
+impl<'a> Size<'a> {
+    fn add(&mut self, key: &'a TaskKey, place: Option<&'a Place>, addr_len: impl Fn(&Name) -> usize) {
+        if self.jobs.insert(&key.0) {
+            self.bytes += 64 + key.0.len();
+        }
+        // A task's number twice, an attempt and the index of a machine.
+        self.bytes += 16;
+        if let Some(place) = place {
+            self.bytes += 28;
+            if self.machines.insert(&place.machine) {
+                self.bytes += 8 + place.machine.len() + addr_len(&place.machine);
+            }
+        }
+    }
 }
 
 impl Reign {
@@ -72,43 +154,17 @@
             return;
         }
         self.read_back(env);
-        if self.records.in_flight || self.records.reading > 0 {
+        if self.records.in_flight || self.records.reading > 0 || !self.write_due(now) {
             return;
         }
         let ops = env.facts.txn_ops;
-        let size_limit = 40 * 1024;
         let mut txn = Txn::default().when(LEAD_KEY, self.baton);
-        let mut batch = Batch { pages: Vec::new(), closed: Vec::new(), drops: Vec::new() };
+        let mut batch =
+            Batch { tasks: Vec::new(), segment: false, pages: Vec::new(), closed: Vec::new(), drops: Vec::new() };
         let mut conditioned: BTreeSet<Name> = BTreeSet::new();
-        let mut size = 0;
-        self.close_jobs(&mut txn, &mut batch, &mut conditioned, ops);
-        let order: Vec<(Name, u32)> = self.records.urgent.iter().chain(self.records.dirty.iter()).cloned().collect();
-        for (name, page) in order {
-            if txn.writes.len() >= ops || size > size_limit {
-                break;
-            }
-            let Some(job) = self.jobs.get(&name).filter(|job| !job.closing) else {
-                self.records.urgent.remove(&(name.clone(), page));
-                self.records.dirty.remove(&(name, page));
-                continue;
-            };
-            if batch.pages.iter().any(|(n, p, _)| *n == name && *p == page) {
-                continue;
-            }
-            let state = &job.pages[&page];
-            let Some(version) = state.version else {
-                continue;
-            };
-            let record = job.page_record(page, |m| self.machines.get(m).map(|m| m.addr.clone()).unwrap_or_default());
-            size += 200 + record.places.len() * 30 + record.machines.len() * 40;
-            if conditioned.insert(name.clone()) {
-                txn = txn.when(job_key(&name), job.version);
-            }
-            let key = page_key(&name, page);
-            txn = txn.when(key.clone(), version);
-            txn = txn.put(key, serde_json::to_value(record).expect("records always encode"));
-            batch.pages.push((name, page, state.change));
-        }
+        self.close_jobs(&mut txn, &mut batch, &mut conditioned, ops.saturating_sub(2).max(2));
+        self.write_segment(env, &mut txn, &mut batch, &mut conditioned);
+        self.gather(env, &mut txn, &mut batch);
         while txn.writes.len() < ops {
             let Some(key) = self.records.drops.pop_front() else {
                 break;
@@ -119,15 +175,21 @@
         if txn.writes.is_empty() {
             return;
         }
-        for (name, page, _) in &batch.pages {
-            self.records.urgent.remove(&(name.clone(), *page));
-            self.records.dirty.remove(&(name.clone(), *page));
-        }
         self.records.in_flight = true;
-        let urgency = if batch.pages.is_empty() && batch.closed.is_empty() { Urgency::Low } else { Urgency::High };
+        self.records.sent = Some(now);
+        let awaited = !batch.tasks.is_empty() || !batch.closed.is_empty();
+        let urgency = if awaited { Urgency::High } else { Urgency::Low };
         env.store(Purpose::Record(RecordCall::Write(batch)), urgency, StoreOp::Txn(txn));
     }
 
+    fn write_due(&self, now: Instant) -> bool {
+        let records = &self.records;
+        let since = |gap: Duration| records.sent.is_none_or(|t| now.duration_since(t) >= gap);
+        let awaited = !records.placed.is_empty() || !records.closing.is_empty();
+        let any = awaited || records.doubt || !records.changed.is_empty() || !records.drops.is_empty();
+        any && since(if awaited { GAP } else { LAZY_GAP })
+    }
+
     fn close_jobs(&mut self, txn: &mut Txn, batch: &mut Batch, conditioned: &mut BTreeSet<Name>, ops: usize) {
         for _ in 0..self.records.closing.len() {
             if txn.writes.len() + 2 > ops {
@@ -153,14 +215,130 @@
         }
     }
 
-    fn read_back(&mut self, env: &mut Env) {
-        for (name, page) in std::mem::take(&mut self.records.reads) {
-            let (key, call) = match page {
-                Some(page) => (page_key(&name, page), RecordCall::ReadPage(name, page)),
-                None => (job_key(&name), RecordCall::ReadJob(name)),
+    /// Puts what changed into the last segment, or a new one where it does not fit.
+    fn write_segment(&mut self, env: &Env, txn: &mut Txn, batch: &mut Batch, conditioned: &mut BTreeSet<Name>) {
+        let room = env.facts.value_bytes.saturating_sub(SPARE);
+        let most_conditions = env.facts.txn_ops * 4 - 1;
+        let open = |name: &Name| self.jobs.get(name).filter(|job| !job.closing);
+        let mut due: Vec<TaskKey> = Vec::new();
+        for key in self.records.placed.iter().chain(&self.records.changed) {
+            if open(&key.0).is_some() {
+                due.push(key.clone());
+            }
+        }
+        let records = &mut self.records;
+        // What is over needs no record.
+        records.placed.retain(|key| open(&key.0).is_some());
+        records.changed.retain(|key| open(&key.0).is_some());
+        if due.is_empty() && !records.doubt {
+            return;
+        }
+        let jobs = &self.jobs;
+        let machines = &self.machines;
+        let addr_len = |name: &Name| machines.get(name).map_or(0, |m| m.addr.len());
+        let place_of = |key: &TaskKey| jobs.get(&key.0).and_then(|job| job.places.get(&key.1));
+        records.last.tasks.retain(|key| jobs.get(&key.0).is_some_and(|job| !job.closing));
+        let mut size = Size::default();
+        let kept: Vec<&TaskKey> = records.last.tasks.iter().filter(|key| records.durable(key)).collect();
+        kept.iter().for_each(|key| size.add(key, place_of(key), addr_len));
+        let mut whole = Size { bytes: size.bytes, jobs: size.jobs.clone(), machines: size.machines.clone() };
+        due.iter().for_each(|key| whole.add(key, place_of(key), addr_len));
+        let mut tasks: BTreeSet<TaskKey>;
+        if whole.bytes > room && !records.doubt && records.last.version > 0 {
+            let pages = records.last.tasks.iter().map(|(job, task)| (job.clone(), task / PAGE)).collect();
+            let (number, version) = (records.last.number, records.last.version);
+            tasks = BTreeSet::new();
+            size = Size::default();
+            records.sealed.push_back(Sealed { number, version, pages });
+            records.last = Segment { number: number + 1, ..Segment::default() };
+        } else {
+            tasks = kept.into_iter().cloned().collect();
+        }
+        for key in &due {
+            let place = place_of(key);
+            let planned = place.is_some_and(|place| place.stage == Stage::Planned);
+            let full = txn.conditions.len() >= most_conditions;
+            if size.bytes + 200 + key.0.len() > room || (planned && full && !conditioned.contains(&key.0)) {
+                continue;
+            }
+            size.add(key, place, addr_len);
+            if planned && conditioned.insert(key.0.clone()) {
+                *txn = std::mem::take(txn).when(job_key(&key.0), jobs[&key.0].version);
+            }
+            batch.tasks.push((key.clone(), place.map(|place| place.attempt)));
+            tasks.insert(key.clone());
+        }
+        let value = serde_json::to_value(render(jobs, &tasks, |m| {
+            machines.get(m).map(|machine| machine.addr.clone()).unwrap_or_default()
+        }));
+        let key = segment_key(records.last.number);
+        let next = std::mem::take(txn).when(key.clone(), records.last.version);
+        *txn = next.put(key, value.expect("records always encode"));
+        records.last.tasks = tasks;
+        batch.segment = true;
+        for (key, _) in &batch.tasks {
+            records.placed.remove(key);
+            records.changed.remove(key);
+            records.flying.insert(key.clone());
+        }
+    }
+
+    /// Whether a page of a sealed segment must be written before the segment can go.
+    fn ungathered(&self, version: u64, name: &Name, page: u32) -> bool {
+        let job = self.jobs.get(name);
+        job.is_some_and(|job| job.pages.get(&page).is_none_or(|written| *written < version))
+    }
+
+    /// Writes pages of the oldest segment while there are many, and deletes it once all
+    /// that it names stands elsewhere. Only beside a write of the last segment, which
+    /// keeps a late copy of this transaction from being applied.
+    fn gather(&mut self, env: &Env, txn: &mut Txn, batch: &mut Batch) {
+        while let Some(oldest) = self.records.sealed.front() {
+            let version = oldest.version;
+            let mut pages = oldest.pages.iter().filter(|(name, page)| self.ungathered(version, name, *page));
+            if pages.next().is_some() {
+                break;
+            }
+            let number = oldest.number;
+            self.records.sealed.pop_front();
+            self.records.drop_key(segment_key(number));
+        }
+        if !batch.segment || self.records.sealed.len() <= SEGMENTS {
+            return;
+        }
+        let Some(oldest) = self.records.sealed.front() else { return };
+        // The further behind, the more in one transaction.
+        let behind = self.records.sealed.len() - SEGMENTS;
+        let most = (txn.writes.len() + 1 + behind).min(env.facts.txn_ops);
+        let mut bytes = env.facts.value_bytes;
+        for (name, page) in &oldest.pages {
+            if txn.writes.len() >= most || bytes + env.facts.value_bytes > TXN_BYTES {
+                break;
+            }
+            let Some(job) = self.jobs.get(name).filter(|job| !job.closing) else {
+                continue;
             };
+            if !self.ungathered(oldest.version, name, *page) {
+                continue;
+            }
+            let record = job.page_record(*page, |m| self.machines.get(m).map(|m| m.addr.clone()).unwrap_or_default());
+            bytes += 200 + record.places.len() * 30 + record.machines.len() * 40;
+            let value = serde_json::to_value(record).expect("records always encode");
+            *txn = std::mem::take(txn).put(page_key(name, *page), value);
+            batch.pages.push((name.clone(), *page));
+        }
+    }
+
+    fn read_back(&mut self, env: &mut Env) {
+        if std::mem::take(&mut self.records.read_segment) {
             self.records.reading += 1;
-            env.store(Purpose::Record(call), Urgency::High, StoreOp::Get(key));
+            let key = segment_key(self.records.last.number);
+            env.store(Purpose::Record(RecordCall::ReadSegment), Urgency::High, StoreOp::Get(key));
+        }
+        for name in std::mem::take(&mut self.records.read_jobs) {
+            self.records.reading += 1;
+            let key = job_key(&name);
+            env.store(Purpose::Record(RecordCall::ReadJob(name)), Urgency::High, StoreOp::Get(key));
         }
     }
 
@@ -169,6 +347,7 @@
         match call {
             RecordCall::Write(batch) => {
                 self.records.in_flight = false;
+                self.records.flying.clear();
                 match outcome {
                     Outcome::Answered(StoreAnswer::Committed(version)) => self.committed(batch, version),
                     Outcome::Answered(StoreAnswer::Refused(failed)) => {
@@ -182,27 +361,22 @@
                         self.requeue(batch);
                     }
                     Outcome::Unknown => {
-                        for (name, page, _) in &batch.pages {
-                            self.doubt_page(name, *page);
-                        }
-                        for name in &batch.closed {
-                            self.records.reads.insert((name.clone(), None));
-                        }
+                        self.records.doubt = true;
+                        self.records.read_segment = true;
+                        self.records.read_jobs.extend(batch.closed.iter().cloned());
                         self.requeue(batch);
                     }
                 }
             }
-            RecordCall::ReadPage(name, page) => {
+            RecordCall::ReadSegment => {
                 self.records.reading -= 1;
                 match outcome {
+                    // Memory holds what is true; only the version was in doubt.
                     Outcome::Answered(StoreAnswer::Item(item)) => {
-                        // Memory holds what is true; only the version was in doubt.
-                        if let Some(state) = self.jobs.get_mut(&name).and_then(|job| job.pages.get_mut(&page)) {
-                            state.version = Some(item.map_or(0, |item| item.version));
-                        }
+                        self.records.last.version = item.map_or(0, |item| item.version);
                     }
                     _ => {
-                        self.records.reads.insert((name, Some(page)));
+                        self.records.read_segment = true;
                         self.records.retry = Some(env.steady() + RETRY);
                     }
                 }
@@ -219,7 +393,7 @@
                         tracing::error!(job = &*name, "the record of an accepted job is missing");
                     }
                     _ => {
-                        self.records.reads.insert((name, None));
+                        self.records.read_jobs.insert(name);
                         self.records.retry = Some(env.steady() + RETRY);
                     }
                 }
@@ -228,16 +402,11 @@
         false
     }
 
-    fn doubt_page(&mut self, name: &Name, page: u32) {
-        if let Some(state) = self.jobs.get_mut(name).and_then(|job| job.pages.get_mut(&page)) {
-            state.version = None;
-            self.records.reads.insert((name.clone(), Some(page)));
-        }
-    }
-
     fn requeue(&mut self, batch: Batch) {
-        for (name, page, _) in batch.pages {
-            self.records.urgent.insert((name, page));
+        for ((name, task), _) in batch.tasks {
+            let place = self.jobs.get(&name).and_then(|job| job.places.get(&task));
+            let planned = place.is_some_and(|place| place.stage == Stage::Planned);
+            self.records.changed((name, task), planned);
         }
         for name in batch.closed {
             if let Some(job) = self.jobs.get_mut(&name) {
@@ -250,28 +419,32 @@
 
     fn refused(&mut self, batch: Batch, failed: &[String]) {
         for key in failed {
-            if let Some((id, page)) = parse_page_key(key) {
-                self.doubt_page(&Name::from(id), page);
+            if parse_segment_key(key).is_some() {
+                self.records.read_segment = true;
             } else if let Some(id) = key.strip_prefix("job/") {
-                self.records.reads.insert((Name::from(id), None));
+                self.records.read_jobs.insert(Name::from(id));
             }
         }
         self.requeue(batch);
     }
 
     fn committed(&mut self, batch: Batch, version: u64) {
-        for (name, page, change) in batch.pages {
-            let Some(job) = self.jobs.get_mut(&name) else {
-                continue;
-            };
-            let state = job.pages.get_mut(&page).expect("written pages are known");
-            state.version = Some(version);
-            state.durable = change;
-            for (_, place) in job.places.range_mut(page * PAGE..(page + 1) * PAGE) {
-                if place.stage == Stage::Planned && place.planned_change <= change {
-                    place.stage = Stage::Ordered;
-                    self.urgent.insert(place.machine.clone());
-                }
+        if batch.segment {
+            self.records.last.version = version;
+            self.records.doubt = false;
+        }
+        for ((name, task), attempt) in batch.tasks {
+            let place = self.jobs.get_mut(&name).and_then(|job| job.places.get_mut(&task));
+            if let Some(place) = place.filter(|p| p.stage == Stage::Planned && Some(p.attempt) == attempt) {
+                place.stage = Stage::Ordered;
+                self.urgent.insert(place.machine.clone());
+            }
+        }
+        for (name, page) in batch.pages {
+            if let Some(job) = self.jobs.get_mut(&name) {
+                job.pages.insert(page, version);
+            } else {
+                self.records.drop_key(page_key(&name, page));
             }
         }
         for name in batch.closed {
@@ -300,12 +473,32 @@
             RecordState::Open => self.after_change(name),
         }
     }
+}
 
-    /// Whether a page's change is durable, or its job over for good.
-    pub fn page_durable(jobs: &BTreeMap<Name, Job>, name: &Name, page: u32, change: u64) -> bool {
-        match jobs.get(name) {
-            None => true,
-            Some(job) => job.pages.get(&page).is_none_or(|state| state.durable >= change),
+/// The states of some tasks, as memory has them now.
+fn render(jobs: &BTreeMap<Name, Job>, tasks: &BTreeSet<TaskKey>, addr_of: impl Fn(&Name) -> String) -> SegmentRecord {
+    let mut record = SegmentRecord::default();
+    let mut indices: BTreeMap<Name, usize> = BTreeMap::new();
+    for (name, task) in tasks {
+        let Some(job) = jobs.get(name) else { continue };
+        if record.jobs.last().is_none_or(|changed| *changed.job != **name) {
+            record.jobs.push(ChangedTasks { job: name.to_string(), ..ChangedTasks::default() });
+        }
+        let changed = record.jobs.last_mut().expect("pushed");
+        if let Some(place) = job.places.get(task) {
+            let index = *indices.entry(place.machine.clone()).or_insert_with(|| {
+                record.machines.push((place.machine.to_string(), addr_of(&place.machine)));
+                record.machines.len() - 1
+            });
+            changed.places.push((*task, index, place.attempt));
+        } else if job.is_done(*task) {
+            changed.done.push(*task);
+        } else {
+            changed.open.push(*task);
+        }
+        if job.restarted.contains(task) {
+            changed.again.push(*task);
         }
     }
+    record
 }
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -23,11 +23,13 @@
 const PASS_GAP: Duration = Duration::from_millis(20);
 const PASS_GAP_PER_JOB: Duration = Duration::from_micros(30);
 const LIVE: &str = "live/";
+const LOG: &str = "log/";
 const TASK: &str = "task/";
 
 #[derive(Clone, Debug)]
 pub(crate) enum LoadCall {
     Jobs,
+    Segments,
     Pages,
     Watch,
 }
@@ -35,6 +37,7 @@
 #[derive(Debug)]
 enum Load {
     Jobs { after: String },
+    Segments { after: String },
     Pages { after: String },
     Ready,
 }
@@ -49,8 +52,10 @@
     retry: Option<Instant>,
     watch_from: u64,
     watching: bool,
-    /// Pages of jobs not (yet) known, kept until the load is complete.
+    /// What was read so far, kept until the load is complete.
     loaded_pages: Vec<(Name, u32, u64, PageRecord)>,
+    loaded_segments: Vec<(u64, u64, SegmentRecord)>,
+    loaded: bool,
     pub jobs: BTreeMap<Name, Job>,
     pub machines: BTreeMap<Name, Machine>,
     pub quotas: Quotas,
@@ -82,6 +87,8 @@
             watch_from: 0,
             watching: false,
             loaded_pages: Vec::new(),
+            loaded_segments: Vec::new(),
+            loaded: false,
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             quotas: Quotas::new(teams),
@@ -141,6 +148,9 @@
         self.waiting = true;
         let (call, op) = match &self.load {
             Load::Jobs { after } => (LoadCall::Jobs, StoreOp::List { prefix: LIVE.into(), after: after.clone() }),
+            Load::Segments { after } => {
+                (LoadCall::Segments, StoreOp::List { prefix: LOG.into(), after: after.clone() })
+            }
             Load::Pages { after } => (LoadCall::Pages, StoreOp::List { prefix: TASK.into(), after: after.clone() }),
             Load::Ready => {
                 self.waiting = false;
@@ -173,6 +183,25 @@
                 }
                 self.load = match last {
                     Some(after) if page.more => Load::Jobs { after },
+                    // Only the jobs were read again; all else is ours alone to write.
+                    _ if self.loaded => Load::Ready,
+                    _ => Load::Segments { after: String::new() },
+                };
+                if self.ready() {
+                    self.place_due = true;
+                    self.watch(env);
+                } else {
+                    self.read_on(env);
+                }
+            }
+            (LoadCall::Segments, Outcome::Answered(StoreAnswer::Page(page))) => {
+                self.waiting = false;
+                let last = page.rows.last().map(|row| row.key.clone());
+                for item in page.rows {
+                    self.segment_read(item);
+                }
+                self.load = match last {
+                    Some(after) if page.more => Load::Segments { after },
                     _ => Load::Pages { after: String::new() },
                 };
                 self.read_on(env);
@@ -229,31 +258,52 @@
         }
     }
 
+    fn segment_read(&mut self, item: Item) {
+        let Some(number) = parse_segment_key(&item.key) else {
+            return;
+        };
+        match serde_json::from_value::<SegmentRecord>(item.value) {
+            Ok(record) => self.loaded_segments.push((number, item.version, record)),
+            Err(error) => tracing::error!(key = item.key, %error, "a record cannot be read"),
+        }
+    }
+
     fn complete_load(&mut self, env: &mut Env) {
         self.load = Load::Ready;
+        self.loaded = true;
         let now = env.steady();
-        let mut fresh: BTreeSet<Name> = BTreeSet::new();
+        let mut addrs: BTreeMap<String, String> = BTreeMap::new();
         for (id, page, version, record) in std::mem::take(&mut self.loaded_pages) {
-            let Some(job) = self.jobs.get_mut(&id) else {
+            match self.jobs.get_mut(&id) {
+                Some(job) => job.adopt_page(page, version, &record, now),
                 // Its job is over; the page was left when the lead changed.
-                self.records.drop_key(page_key(&id, page));
-                continue;
-            };
-            if job.pages.contains_key(&page) {
-                continue;
+                None => self.records.drop_key(page_key(&id, page)),
             }
-            for (machine, addr) in &record.machines {
-                let name = Name::from(machine.as_str());
-                self.machines.entry(name.clone()).or_insert_with(|| Machine::inherited(name, addr.clone(), now));
+            addrs.extend(record.machines);
+        }
+        let mut segments = std::mem::take(&mut self.loaded_segments);
+        // In the order in which they were last written, so that the newest state stays.
+        segments.sort_by_key(|(_, version, _)| *version);
+        for (number, version, record) in segments {
+            let mut pages: BTreeSet<(Name, u32)> = BTreeSet::new();
+            for changed in &record.jobs {
+                if let Some(job) = self.jobs.get_mut(changed.job.as_str()) {
+                    job.adopt_changes(version, changed, &record.machines, now);
+                    let tasks = changed.places.iter().map(|(t, ..)| t).chain(&changed.done).chain(&changed.open);
+                    pages.extend(tasks.map(|task| (job.id.clone(), task / PAGE)));
+                }
             }
-            job.adopt_page(page, version, &record, now);
-            fresh.insert(id);
+            self.records.inherit(number, version, pages);
+            addrs.extend(record.machines);
         }
-        for id in &fresh {
-            let job = self.jobs.get_mut(id).expect("a job whose page was read");
+        for (id, job) in &mut self.jobs {
             job.settle(now);
             for (task, place) in &job.places {
-                let machine = self.machines.get_mut(&place.machine).expect("machines of records are known");
+                let name = &place.machine;
+                let machine = self.machines.entry(name.clone()).or_insert_with(|| {
+                    let addr = addrs.get(&**name).cloned().unwrap_or_default();
+                    Machine::inherited(name.clone(), addr, now)
+                });
                 machine.hold((id.clone(), *task), &job.spec);
                 self.quotas.add(&job.spec);
             }
--- /dev/null
+++ b/crates/testkit/examples/profile.rs
@@ -0,0 +1,92 @@
+//! Plays a large fleet on the stand-ins and prints what the core's inputs cost, by node
+//! and kind: a place to start before profiling by function.
+//!
+//!     cargo run --release -p rushyoke-testkit --example profile -- [SECONDS] [LOAD]
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rushyoke_core::{Facts, Objective, Policy, Team};
+use rushyoke_testkit::{World, facts, job, service};
+use rushyoke_wire::job::{JobSpec, Priority};
+
+/// A small generator of its own, so that every run is the same.
+struct Draw(u64);
+
+impl Draw {
+    fn below(&mut self, n: u64) -> u64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % n
+    }
+}
+
+fn deployment() -> Facts {
+    let team = Team { cpus: 350.0, cpus_max: 800.0, gpus: 0.0, gpus_max: 0.0 };
+    Facts {
+        teams: (0..10).map(|n| (format!("team-{n}"), team.clone())).collect::<BTreeMap<_, _>>(),
+        objectives: vec![Objective { kind: "guarantee".into(), class: None, within: Some(Duration::from_secs(10)) }],
+        report: Duration::from_millis(1500),
+        lease: Duration::from_secs(10),
+        cancel: Duration::from_secs(40),
+        list_lag: Duration::from_secs(5),
+        ..facts(0, 3)
+    }
+}
+
+fn drawn(draw: &mut Draw, id: u32) -> JobSpec {
+    let team = format!("team-{}", draw.below(10));
+    let image = format!("img-{}", draw.below(12));
+    match draw.below(34) {
+        0..5 => {
+            let tasks = [2, 5, 6, 16][draw.below(4) as usize];
+            JobSpec { team, image, cpus: 2.0, memory_gb: 4.3, spread: true, ..service(id, tasks) }
+        }
+        5..22 => {
+            let tasks = 20 + draw.below(100) as u32;
+            JobSpec { team, image, memory_gb: 2.8, estimate_s: 40.0, deadline_s: Some(90.0), ..job(id, tasks) }
+        }
+        _ => JobSpec {
+            team,
+            image,
+            cpus: 2.0,
+            memory_gb: 6.7,
+            estimate_s: 60.0,
+            checkpoint_s: 30.0,
+            save_s: 5.0,
+            priority: Priority::BestEffort,
+            ..job(id, 20 + draw.below(80) as u32)
+        },
+    }
+}
+
+fn main() {
+    let mut args = std::env::args().skip(1).filter_map(|arg| arg.parse::<f64>().ok());
+    let (seconds, load) = (args.next().unwrap_or(120.0) as u64, args.next().unwrap_or(1.0));
+    let mut world = World::deployed(deployment(), 0, Policy::default(), &["a", "b", "c"]);
+    world.cloud.capacity = 337;
+    world.task_s = 45.0;
+    world.run(Duration::from_secs(5));
+    let mut draw = Draw(7);
+    let (mut id, mut due) = (0, 60.0);
+    for _ in 0..seconds {
+        due += load * 34.0 / 60.0;
+        while due >= 1.0 {
+            due -= 1.0;
+            id += 1;
+            let spec = drawn(&mut draw, id);
+            world.submit(id as usize % 3, spec);
+        }
+        for _ in 0..8 {
+            let asked = format!("wk-{:06}", draw.below(u64::from(id.max(1))) + 1);
+            world.status(draw.below(3) as usize, &asked);
+        }
+        world.run(Duration::from_secs(1));
+    }
+    let time = world.now.as_secs_f64();
+    println!("{} jobs, {} machines, {} tasks started", id, world.workers.len(), world.started);
+    println!("{:.1} writes a second", world.store.writes as f64 / time);
+    for ((node, kind), (count, spent)) in &world.spent {
+        let share = spent.as_secs_f64() / time * 1000.0;
+        println!("node {node} {kind:>10}: {:8.1} a second, {share:7.3} ms a second", *count as f64 / time);
+    }
+}
--- a/crates/testkit/src/store.rs
+++ b/crates/testkit/src/store.rs
@@ -24,6 +24,8 @@
     pub largest_value: usize,
     /// Rows per page of a list.
     pub page: usize,
+    /// Puts and deletes carried out.
+    pub writes: u64,
 }
 
 impl Store {
@@ -155,6 +157,7 @@
         if !txn.writes.is_empty() {
             self.revision += 1;
         }
+        self.writes += txn.writes.len() as u64;
         for write in &txn.writes {
             match write {
                 Write::Put { key, value, lease } => {
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -106,6 +106,10 @@
 pub struct World {
     start: Instant,
     pub now: Duration,
+    /// The deployment's facts, as the first node sees them.
+    facts: Facts,
+    /// Time spent in the core, by node and kind of input.
+    pub spent: BTreeMap<(usize, &'static str), (u64, Duration)>,
     slots: Vec<Slot>,
     policy: Policy,
     pub store: Store,
@@ -139,6 +143,8 @@
     pub hold_txns: BTreeMap<usize, Duration>,
     /// Rentals are carried out, but their answers are lost.
     pub lose_rental_answers: bool,
+    /// How long a task runs on a machine that comes up.
+    pub task_s: f64,
     /// Tasks that failed on machines that fail all.
     pub failed: u64,
     /// Tasks that ever began to run.
@@ -153,9 +159,16 @@
     }
 
     pub fn with(machines: usize, policy: Policy, zones: &[&str]) -> World {
+        World::deployed(facts(0, 3), machines, policy, zones)
+    }
+
+    /// A deployment of three nodes with the given facts.
+    pub fn deployed(facts: Facts, machines: usize, policy: Policy, zones: &[&str]) -> World {
         let mut world = World {
             start: Instant::now(),
             now: Duration::from_secs(1),
+            facts,
+            spent: BTreeMap::new(),
             slots: Vec::new(),
             policy,
             store: Store::new(),
@@ -178,6 +191,7 @@
             slow_txns: BTreeMap::new(),
             hold_txns: BTreeMap::new(),
             lose_rental_answers: false,
+            task_s: 10.0,
             failed: 0,
             started: 0,
             running: BTreeMap::new(),
@@ -197,14 +211,18 @@
     fn boot(&mut self, name: &str) {
         let rented = self.cloud.machines.get_mut(name).expect("rented");
         rented.up = true;
-        let worker = Worker::new(name.into(), rented.zone.clone(), rented.spot, rented.kind.clone(), self.now);
+        let mut worker = Worker::new(name.into(), rented.zone.clone(), rented.spot, rented.kind.clone(), self.now);
+        worker.run_s = self.task_s;
         self.workers.insert(name.into(), worker);
     }
 
     pub fn start_node(&mut self, n: usize) {
         self.serial += 1;
         let incarnation = self.serial;
-        let node = Node::new(facts(n, 3), self.policy.clone(), incarnation, self.clocks());
+        let label = |n: usize| format!("node-{n}");
+        let others = (0..3).filter(|other| *other != n).map(label).collect();
+        let facts = Facts { label: label(n), others, ..self.facts.clone() };
+        let node = Node::new(facts, self.policy.clone(), incarnation, self.clocks());
         self.slots[n] = Slot { node: Some(node), incarnation, next_tick: self.now };
     }
 
@@ -238,7 +256,12 @@
         let Some(node) = &mut self.slots[n].node else {
             return;
         };
-        for output in node.handle(now, input) {
+        let kind = kind_of(&input);
+        let began = Instant::now();
+        let outputs = node.handle(now, input);
+        let spent = self.spent.entry((n, kind)).or_default();
+        *spent = (spent.0 + 1, spent.1 + began.elapsed());
+        for output in outputs {
             self.output(n, output);
         }
     }
@@ -484,7 +507,7 @@
 
     fn workers_pass(&mut self) {
         let (now, nodes) = (self.now, self.slots.len());
-        let facts = facts(0, nodes);
+        let (lease, period) = (self.facts.lease, self.facts.report);
         let mut reports = Vec::new();
         for worker in self.workers.values_mut() {
             let service = |task: &str| {
@@ -492,7 +515,7 @@
                 self.specs.get(id).is_some_and(|s| s.kind == Kind::Service)
             };
             let errors = worker.errors();
-            if worker.pass(now, facts.lease, service) {
+            if worker.pass(now, lease, service) {
                 self.failed += worker.errors().saturating_sub(errors);
                 worker.next_report = worker.next_report.min(now + Duration::from_millis(500));
             }
@@ -505,7 +528,7 @@
             if worker.waiting.is_none() && worker.next_report <= now {
                 self.serial += 1;
                 worker.waiting = Some((self.serial, now, worker.session));
-                worker.next_report = now + facts.report;
+                worker.next_report = now + period;
                 let report = Box::new(worker.report());
                 reports.push(Event::Report {
                     node: worker.node,
@@ -539,13 +562,12 @@
                 *zones.entry(id).or_default().entry(&worker.zone).or_default() += 1;
                 assert!(spec.spot || !worker.spot, "{} runs on a spot machine", task.name);
                 if let Some(since) = self.cancelled.get(id) {
-                    assert!(self.now <= *since + facts(0, 3).cancel, "{} runs although it is cancelled", task.name);
+                    assert!(self.now <= *since + self.facts.cancel, "{} runs although it is cancelled", task.name);
                 }
             }
         }
-        let facts = facts(0, 3);
         for (team, cpus) in used {
-            assert!(cpus <= facts.teams[team].cpus_max + 1e-6, "team {team} uses {cpus} CPUs");
+            assert!(cpus <= self.facts.teams[team].cpus_max + 1e-6, "team {team} uses {cpus} CPUs");
         }
         for (id, zones) in zones {
             let spec = &self.specs[id];
@@ -620,3 +642,19 @@
         Some(self.wait(id)?.status)
     }
 }
+
+fn kind_of(input: &Input) -> &'static str {
+    match input {
+        Input::Submit { .. } => "submit",
+        Input::Status { .. } => "status",
+        Input::Cancel { .. } => "cancel",
+        Input::Ready { .. } => "ready",
+        Input::Report { .. } => "report",
+        Input::Peer { .. } => "peer",
+        Input::Store { .. } => "store",
+        Input::Cloud { .. } => "cloud",
+        Input::Ordered { .. } => "ordered",
+        Input::PeerTold { .. } => "peer told",
+        Input::Tick => "tick",
+    }
+}
