Read only task lists that changed; rarer placement passes, samples instead of full searches

Profiled by function (instructions, model fleet on the stand-ins): 54% of the core in placement passes, which ran after nearly every input (each message of 16 tasks x 337 machines weighed up to 4 times for each waiting job), 26% in reports, mostly reading and copying task lists that had not changed.

Change: a report's tasks are read only if their bytes differ from the last report's; orders are looked for only where some may be due; services on a machine are counted, zones remembered; passes come every 50 ms and 0.5 ms a job, skip jobs that no machine has room for, stop others for at most 4 jobs, from a sample.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -8,11 +8,13 @@
 //! would stop it is kept until the order is resolved.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
 use rushyoke_wire::cloud::{Listed, MachineType, Phase as CloudPhase};
 use rushyoke_wire::job::{JobSpec, Kind};
 use rushyoke_wire::worker::{Cause, Order, Orders, Report, TaskReport, TaskState};
+use serde_json::value::RawValue;
 
 use crate::io::*;
 use crate::jobs::*;
@@ -76,6 +78,12 @@
     pub places: BTreeSet<TaskKey>,
     session: u64,
     seq: u64,
+    /// Digest of the tasks in the last report, if they are all that is known of it since.
+    digest: Option<u64>,
+    /// There may be orders to give; else its places are as they should be.
+    orders_due: bool,
+    /// Places that belong to services.
+    services: u32,
     /// Session that surely ended with its lease.
     lapsed: Option<u64>,
     /// When it first showed that it has seen our token.
@@ -129,6 +137,9 @@
             places: BTreeSet::new(),
             session: 0,
             seq: 0,
+            digest: None,
+            orders_due: true,
+            services: 0,
             lapsed: None,
             fenced: None,
             heard: now,
@@ -179,6 +190,8 @@
 
     pub fn hold(&mut self, key: TaskKey, spec: &JobSpec) {
         if self.places.insert(key) {
+            self.orders_due = true;
+            self.services += u32::from(spec.kind == Kind::Service);
             self.used.add(Room::of(spec));
             self.idle_since = None;
         }
@@ -186,6 +199,7 @@
 
     fn release(&mut self, key: &TaskKey, spec: &JobSpec, now: Instant) {
         if self.places.remove(key) {
+            self.services -= u32::from(spec.kind == Kind::Service);
             self.used.sub(Room::of(spec));
             if self.places.is_empty() {
                 self.used = Room::default();
@@ -210,6 +224,10 @@
         !self.leaving && !self.suspect && !self.quarantined && self.taken_at.is_none()
     }
 
+    pub fn hosts_service(&self) -> bool {
+        self.services > 0
+    }
+
     pub fn has_image(&self, image: &str) -> bool {
         self.images.iter().any(|(name, _)| name == image)
     }
@@ -222,6 +240,14 @@
         }
     }
 
+    /// A sign of life.
+    fn alive(&mut self, now: Instant) {
+        self.heard = now;
+        self.suspect = false;
+        self.probes_failed = 0;
+        self.leaving &= self.release_sent.is_some();
+    }
+
     /// Whether a start is on its way in a direct order just now.
     fn on_its_way(&self, attempt: &Attempt) -> bool {
         self.direct.as_ref().is_some_and(|d| d.starts.contains(attempt))
@@ -259,7 +285,7 @@
     }
 
     /// A worker's report that this lead answers.
-    pub fn report(&mut self, env: &mut Env, req: Req, report: &Report) {
+    pub fn report(&mut self, env: &mut Env, req: Req, report: Report, unread: Option<&RawValue>) {
         let now = env.steady();
         let name = Name::from(report.machine.as_str());
         let lapsed = self.machines.get(&name).is_some_and(|m| m.lapsed.is_some_and(|s| report.session <= s));
@@ -269,7 +295,18 @@
             return;
         }
         let orders = if self.ready() {
-            self.take_report(env, &name, report);
+            let taken = match unread {
+                Some(tasks) => self.take_unread(env, &name, report, tasks),
+                None => {
+                    self.take_report(env, &name, &report);
+                    Ok(())
+                }
+            };
+            if let Err(error) = taken {
+                tracing::error!(machine = &*name, %error, "malformed report");
+                env.answer(req, Answer::error(400, "loads: malformed"));
+                return;
+            }
             let orders = self.orders_for(now, &name, Via::Report);
             if let Some(machine) = self.machines.get_mut(&name) {
                 machine.answered = Some(now);
@@ -327,7 +364,42 @@
         }
     }
 
-    fn take_report(&mut self, env: &mut Env, name: &Name, report: &Report) {
+    /// Reads a report's tasks only if they are not those of the report before: in a large
+    /// fleet most are, and there is nothing to learn from them but that the machine lives.
+    fn take_unread(
+        &mut self,
+        env: &mut Env,
+        name: &Name,
+        mut report: Report,
+        tasks: &RawValue,
+    ) -> Result<(), serde_json::Error> {
+        let mut hasher = DefaultHasher::new();
+        tasks.get().hash(&mut hasher);
+        let digest = hasher.finish();
+        if let Some(machine) = self.machines.get_mut(name)
+            && machine.digest == Some(digest)
+            && machine.session == report.session
+            && machine.seq < report.seq
+            && machine.fenced.is_some()
+            && report.token >= self.baton
+            && report.notice_s.is_none()
+            && machine.addr == report.addr
+        {
+            machine.seq = report.seq;
+            machine.alive(env.steady());
+            return Ok(());
+        }
+        report.tasks = serde_json::from_str(tasks.get())?;
+        if self.take_report(env, name, &report)
+            && let Some(machine) = self.machines.get_mut(name)
+        {
+            machine.digest = Some(digest);
+        }
+        Ok(())
+    }
+
+    /// Learns from a report; false if it says nothing of the tasks.
+    fn take_report(&mut self, env: &mut Env, name: &Name, report: &Report) -> bool {
         let now = env.steady();
         if !self.machines.contains_key(name) {
             tracing::info!(machine = &**name, spot = report.spot, zone = report.zone, "an unexpected machine reports");
@@ -336,30 +408,29 @@
         let baton = self.baton;
         let machine = self.machines.get_mut(name).expect("just inserted");
         if (report.session, report.seq) <= (machine.session, machine.seq) {
-            return;
+            return false;
         }
+        machine.digest = None;
         if !machine.up || machine.kind != report.kind {
             tracing::debug!(machine = &**name, after_s = now.duration_since(machine.known).as_secs(), "up");
             machine.up = true;
             machine.idle_since.get_or_insert(now);
             machine.kind = report.kind.clone();
             machine.zone = report.zone.clone();
+            self.zones.insert(report.zone.clone());
             machine.spot = report.spot;
             machine.set_type(env.type_named(&report.kind));
             self.place_due = true;
         }
         machine.addr = report.addr.clone();
-        machine.heard = now;
-        machine.suspect = false;
-        machine.probes_failed = 0;
-        machine.leaving &= machine.release_sent.is_some();
+        machine.alive(now);
         let new_session = report.session > machine.session && machine.session > 0;
         machine.session = report.session;
         machine.seq = report.seq;
         if report.token < baton {
             // An earlier lead may still command it: show it the token first.
             self.urgent.insert(name.clone());
-            return;
+            return false;
         }
         let was_fenced = machine.fenced.is_some();
         machine.fenced.get_or_insert(now);
@@ -389,6 +460,7 @@
             self.urgent.insert(name.clone());
         }
         machine.strangers = strangers;
+        machine.orders_due = true;
         machine.residue.retain(|attempt, _| listed.contains(attempt));
         let missing: Vec<TaskKey> = machine.places.difference(&seen).cloned().collect();
         for key in missing {
@@ -401,6 +473,7 @@
             }
         }
         self.notice(env, name, report.notice_s);
+        true
     }
 
     /// A new session: the worker has dropped everything, and no order of the old
@@ -566,30 +639,40 @@
         if place.stop.is_none_or(|earlier| grace < earlier) {
             place.stop = Some(grace);
             place.stop_sent = None;
-            self.urgent.insert(place.machine.clone());
+            let name = place.machine.clone();
+            if let Some(machine) = self.machines.get_mut(&name) {
+                machine.orders_due = true;
+            }
+            self.urgent.insert(name);
         }
     }
 
     /// What the machine should be told now.
     fn orders_for(&mut self, now: Instant, name: &Name, via: Via) -> Vec<Order> {
         let mut orders = Vec::new();
-        let Some(machine) = self.machines.get(name) else {
+        let Some(machine) = self.machines.get_mut(name) else {
             return orders;
         };
-        if machine.fenced.is_none() {
+        if machine.fenced.is_none() || !machine.orders_due {
             return orders;
         }
+        let mut due_again = !machine.strangers.is_empty() || !machine.residue.is_empty();
         for key in &machine.places {
             if orders.len() >= MAX_ORDERS {
+                due_again = true;
                 break;
             }
             let place = self.jobs.get_mut(&key.0).and_then(|job| job.places.get_mut(&key.1)).expect("placed");
+            let settled = matches!(place.stage, Stage::Fetching | Stage::Running | Stage::Saving);
+            due_again |= !settled || place.stop.is_some();
+            if (settled && place.stop.is_none()) || matches!(place.stage, Stage::Planned | Stage::Inherited) {
+                continue;
+            }
             let task = format!("{}/{}", key.0, key.1);
             let attempt = (task.clone(), place.attempt);
             let stop = |grace_s| Order::Stop { task: task.clone(), attempt: place.attempt, grace_s };
-            match (place.stage, place.stop) {
-                (Stage::Planned | Stage::Inherited, _) => {}
-                (Stage::Ordered, None) => {
+            match place.stop {
+                None => {
                     let first = !place.sent;
                     if first || (via == Via::Report && !machine.on_its_way(&attempt)) {
                         place.sent = true;
@@ -598,14 +681,14 @@
                 }
                 // The start may have been lost or be late: started and stopped at once,
                 // the entry that remains keeps a late copy from running.
-                (Stage::Ordered, Some(_)) => {
+                Some(_) if !settled => {
                     if via == Via::Report {
                         orders.push(Order::Start { task: task.clone(), attempt: place.attempt });
                         orders.push(stop(0.0));
                         place.stop_sent = Some(now);
                     }
                 }
-                (Stage::Fetching | Stage::Running | Stage::Saving, Some(grace)) => {
+                Some(grace) => {
                     let due = match place.stop_sent {
                         None => true,
                         Some(sent) => {
@@ -617,9 +700,9 @@
                         place.stop_sent = Some(now);
                     }
                 }
-                (Stage::Fetching | Stage::Running | Stage::Saving, None) => {}
             }
         }
+        machine.orders_due = due_again;
         for ((task, attempt), exited) in &machine.strangers {
             if orders.len() >= MAX_ORDERS {
                 break;
@@ -792,6 +875,7 @@
         if machine.kind.is_empty() {
             machine.kind = listed.kind.clone();
             machine.zone = listed.zone.clone();
+            self.zones.insert(listed.zone.clone());
             machine.spot = listed.spot;
             machine.set_type(env.type_named(&listed.kind));
         }
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -5,6 +5,7 @@
 use rushyoke_wire::peer::{PeerAsk, PeerTell};
 use rushyoke_wire::store::{Changes, Item, Page, Txn};
 use rushyoke_wire::worker::{Orders, Report};
+use serde_json::value::RawValue;
 
 /// Names a request that waits for an answer of ours.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -100,6 +101,8 @@
     Report {
         req: Req,
         report: Box<Report>,
+        /// The report's tasks if they were not read yet.
+        unread: Option<Box<RawValue>>,
     },
     Peer {
         req: Req,
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -9,6 +9,7 @@
 use rushyoke_wire::cloud::MachineType;
 use rushyoke_wire::peer::{PeerAsk, PeerTell};
 use rushyoke_wire::worker::{Elsewhere, Report};
+use serde_json::value::RawValue;
 
 use crate::facts::{Facts, Policy};
 use crate::io::*;
@@ -185,7 +186,7 @@
             Input::Status { req, id } => self.status(req, id),
             Input::Cancel { req, id } => self.cancel(req, id),
             Input::Ready { req } => self.ready(req),
-            Input::Report { req, report } => self.report(req, &report),
+            Input::Report { req, report, unread } => self.report(req, *report, unread.as_deref()),
             Input::Peer { req, ask } => self.peer_asked(req, ask),
             Input::Store { call, outcome } => self.store_outcome(call, outcome),
             Input::Cloud { call, outcome } => self.cloud_outcome(call, outcome),
@@ -399,13 +400,13 @@
 
     // Workers.
 
-    fn report(&mut self, req: Req, report: &Report) {
+    fn report(&mut self, req: Req, report: Report, unread: Option<&RawValue>) {
         let now = self.env.steady();
         if let Some(reign) = &mut self.reign {
             if report.token > reign.baton {
                 self.step_down("a worker has seen a higher token");
             } else if self.election.entitled(now, &self.env.facts) {
-                reign.report(&mut self.env, req, report);
+                reign.report(&mut self.env, req, report, unread);
                 return;
             } else {
                 // Silent for too long: a new lead counts on our saying nothing more.
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -17,6 +17,8 @@
 const PASS_TASKS: u32 = 256;
 /// Jobs looked at in one pass that find no machine.
 const PASS_MISSES: u32 = 64;
+/// Jobs in one pass for which others are stopped: that weighs many machines' tasks.
+const PASS_STOPS: u32 = 4;
 
 /// What a job within its guarantee may wait if the users do not say.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(5);
@@ -100,6 +102,15 @@
         turns.sort_by(Turn::order);
         let mut left = PASS_TASKS;
         let mut misses = 0;
+        let mut stops = PASS_STOPS;
+        // The most room on any machine, for work that may use spot machines and for all:
+        // it only shrinks within a pass, and most jobs that wait in a full fleet need more.
+        let mut most = [Room::default(); 2];
+        for machine in self.machines.values().filter(|m| m.usable(now)) {
+            let free = machine.total.minus(machine.used);
+            let kinds = if machine.spot { &mut most[..1] } else { &mut most[..] };
+            kinds.iter_mut().for_each(|room| room.widen(free));
+        }
         // Teams at their limit, and the priority of the job that waits for it: what comes
         // free goes to that job and not to a lesser one of the same pass.
         let mut held: BTreeMap<String, Priority> = BTreeMap::new();
@@ -112,17 +123,26 @@
                 self.place_due = true;
                 break;
             }
-            let placed = self.place_job(env, &turn.job, left);
-            left -= placed;
+            let spec = &self.jobs[&turn.job].spec;
+            let need = Room::of(spec);
+            let limited = self.quotas.usage(&spec.team).is_none_or(|usage| usage.headroom(need) == 0);
+            if !limited && most[usize::from(!spec.spot)].holds(need) {
+                left -= self.place_job(env, &turn.job, left);
+            }
             let job = &self.jobs[&turn.job];
             if job.peek(now).is_some() {
                 misses += 1;
                 let usage = self.quotas.usage(&job.spec.team);
-                if usage.is_some_and(|usage| usage.headroom(Room::of(&job.spec)) == 0) {
-                    held.entry(job.spec.team.clone()).or_insert(turn.priority);
-                    self.make_quota(env, &turn.job, &within);
+                if usage.is_some_and(|usage| usage.headroom(need) == 0) {
+                    if !held.contains_key(&job.spec.team) {
+                        held.insert(job.spec.team.clone(), turn.priority);
+                        self.make_quota(env, &turn.job, &within);
+                    }
                 } else if turn.class == 0 || (turn.class == 1 && self.patience_over(env, job)) {
-                    self.make_room(env, &turn.job, &within);
+                    if stops > 0 {
+                        stops -= 1;
+                        self.make_room(env, &turn.job, &within);
+                    }
                 } else if turn.class == 1 {
                     self.hold_room(env, &turn.job);
                 }
@@ -232,15 +252,11 @@
         if !job.spec.one_zone && !job.spec.spread {
             return None;
         }
-        let zone_of = |place: &Place| self.machines.get(&place.machine).map(|m| m.zone.clone());
-        let mut counts: BTreeMap<String, u32> = BTreeMap::new();
-        for machine in self.machines.values() {
-            counts.entry(machine.zone.clone()).or_default();
-        }
+        let mut counts: BTreeMap<String, u32> = self.zones.iter().map(|zone| (zone.clone(), 0)).collect();
         let mut unknown = 0;
         for place in job.places.values() {
-            match zone_of(place) {
-                Some(zone) if !zone.is_empty() => *counts.entry(zone).or_default() += 1,
+            match self.machines.get(&place.machine).and_then(|m| counts.get_mut(&m.zone)) {
+                Some(count) => *count += 1,
                 // A machine known from a record only may be in any zone.
                 _ => unknown += 1,
             }
@@ -296,7 +312,7 @@
         let (hosting, mates) = if job.spec.kind == Kind::Service {
             let key = |task| (job.id.clone(), task);
             let mates = machine.places.range(key(0)..=key(u32::MAX)).count();
-            (if self.hosts_service(machine) { 0.0 } else { 4.0 }, mates as f64 * 2.5)
+            (if machine.hosts_service() { 0.0 } else { 4.0 }, mates as f64 * 2.5)
         } else {
             (0.0, 0.0)
         };
@@ -326,11 +342,6 @@
         if fetched.contains(job.spec.image.as_str()) { alone * 0.6 } else { alone * (1.0 + fetched.len() as f64) }
     }
 
-    pub fn hosts_service(&self, machine: &Machine) -> bool {
-        let is_service = |name: &Name| self.jobs.get(name).is_some_and(|j| j.spec.kind == Kind::Service);
-        machine.places.iter().any(|(job, _)| is_service(job))
-    }
-
     /// Free room on a machine for this job: room made for another is left alone.
     pub fn room_for(&self, machine: &Machine, job: &Name) -> Room {
         let mut room = machine.total.minus(machine.used);
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
+use rand::seq::IteratorRandom;
 use rushyoke_wire::job::{Kind, Priority};
 
 use crate::fleet::{Claim, Machine, TaskKey};
@@ -17,6 +18,8 @@
 const HOLD_FOR: Duration = Duration::from_secs(3);
 /// Machines on which one pass makes room for a job.
 const PER_PASS: usize = 4;
+/// Machines weighed for that when there are more, in samples of a placement.
+const SAMPLES: usize = 2;
 
 struct Plan {
     machine: Name,
@@ -159,20 +162,26 @@
     }
 
     /// The machine where the least work is lost for the room gained.
-    fn best_plan(&self, env: &Env, name: &Name, within: &BTreeSet<Name>, wanted: u32) -> Option<Plan> {
+    fn best_plan(&self, env: &mut Env, name: &Name, within: &BTreeSet<Name>, wanted: u32) -> Option<Plan> {
         let now = env.steady();
         let job = &self.jobs[name];
         let need = Room::of(&job.spec);
         let zones = self.zones_for(job);
-        let mut best: Option<Plan> = None;
-        for machine in self.machines.values() {
+        let fits = |machine: &&Machine| {
             let taken = machine.claim.as_ref().is_some_and(|claim| claim.job != *name || claim.made);
-            if !machine.usable(now) || taken || !allowed(&job.spec, machine) {
-                continue;
-            }
-            if zones.as_ref().is_some_and(|zones| !zones.contains(&machine.zone)) || !machine.total.holds(need) {
-                continue;
-            }
+            machine.usable(now)
+                && !taken
+                && allowed(&job.spec, machine)
+                && zones.as_ref().is_none_or(|zones| zones.contains(&machine.zone))
+                && machine.total.holds(need)
+        };
+        let mut fitting: Vec<&Machine> = self.machines.values().filter(fits).collect();
+        let most = env.policy.sample * SAMPLES;
+        if fitting.len() > most {
+            fitting = fitting.into_iter().sample(&mut env.rng, most);
+        }
+        let mut best: Option<Plan> = None;
+        for machine in fitting {
             let mut victims: Vec<(f64, TaskKey, Room)> = Vec::new();
             let mut freed = machine.total.minus(machine.used);
             for key in &machine.places {
--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -44,6 +44,13 @@
         self.cpus <= SLACK && self.gpus <= SLACK && self.memory_gb <= SLACK
     }
 
+    /// Grows to hold as much of each as `other` does.
+    pub fn widen(&mut self, other: Room) {
+        self.cpus = self.cpus.max(other.cpus);
+        self.gpus = self.gpus.max(other.gpus);
+        self.memory_gb = self.memory_gb.max(other.memory_gb);
+    }
+
     pub fn minus(mut self, other: Room) -> Room {
         self.sub(other);
         self
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -20,8 +20,8 @@
 
 const WATCH_MS: u64 = 20_000;
 const RETRY: Duration = Duration::from_millis(250);
-const PASS_GAP: Duration = Duration::from_millis(20);
-const PASS_GAP_PER_JOB: Duration = Duration::from_micros(30);
+const PASS_GAP: Duration = Duration::from_millis(50);
+const PASS_GAP_PER_JOB: Duration = Duration::from_micros(500);
 const LIVE: &str = "live/";
 const LOG: &str = "log/";
 const TASK: &str = "task/";
@@ -58,6 +58,8 @@
     loaded: bool,
     pub jobs: BTreeMap<Name, Job>,
     pub machines: BTreeMap<Name, Machine>,
+    /// All zones that machines were ever in.
+    pub zones: BTreeSet<String>,
     pub quotas: Quotas,
     pub records: Records,
     pub renting: Renting,
@@ -91,6 +93,7 @@
             loaded: false,
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
+            zones: BTreeSet::new(),
             quotas: Quotas::new(teams),
             records: Records::default(),
             renting: Renting::default(),
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -238,7 +238,7 @@
         let mut candidates: Vec<(bool, f64, Name)> = self
             .machines
             .values()
-            .filter(|m| m.up && m.counts() && !self.hosts_service(m))
+            .filter(|m| m.up && m.counts() && !m.hosts_service())
             .map(|m| (m.spot, self.empty_in(now, m), m.name.clone()))
             .collect();
         // The dearest first, and of those the ones that are empty the soonest.
@@ -411,6 +411,7 @@
                     self.renting.refused.insert(market, now + REFUSED_FOR);
                 }
                 tracing::info!(request = rental.request, machines = names.len(), "rented");
+                self.zones.insert(rental.zone.clone());
                 if let Some(kind) = env.type_named(&rental.kind).cloned() {
                     for name in names {
                         let name = Name::from(name.as_str());
--- a/crates/rushyoke/src/serve.rs
+++ b/crates/rushyoke/src/serve.rs
@@ -17,7 +17,7 @@
 use rushyoke_core::{Answer, Input, Req};
 use rushyoke_wire::job::{JobSpec, is_job_id};
 use rushyoke_wire::peer;
-use rushyoke_wire::worker::Report;
+use rushyoke_wire::worker::UnreadReport;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 
@@ -127,8 +127,11 @@
             Route::Status(id) => Box::new(move |req| Input::Status { req, id }),
             Route::Cancel(id) => Box::new(move |req| Input::Cancel { req, id }),
             Route::Ready => Box::new(|req| Input::Ready { req }),
-            Route::Report => match serde_json::from_slice::<Report>(body) {
-                Ok(report) => Box::new(move |req| Input::Report { req, report: Box::new(report) }),
+            Route::Report => match serde_json::from_slice::<UnreadReport>(body) {
+                Ok(report) => Box::new(move |req| {
+                    let (report, unread) = report.split();
+                    Input::Report { req, report: Box::new(report), unread }
+                }),
                 Err(error) => {
                     tracing::error!(%error, "malformed report");
                     return Answer::error(400, &error.to_string());
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -401,7 +401,9 @@
                 self.serial += 1;
                 let req = Req(self.serial);
                 self.askers.insert((node, req), Asker::Worker { machine, id });
-                self.give(node, Input::Report { req, report });
+                let tasks = serde_json::value::to_raw_value(&report.tasks).expect("tasks encode");
+                let report = Box::new(Report { tasks: Vec::new(), ..*report });
+                self.give(node, Input::Report { req, report, unread: Some(tasks) });
             }
             Event::ReportAnswer { machine, id, answer } => self.report_answered(&machine, id, &answer),
         }
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -1,6 +1,7 @@
 //! Workers' messages: reports, their answers and direct orders.
 
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -62,6 +63,40 @@
     pub tasks: Vec<TaskReport>,
 }
 
+/// A report whose list of tasks is checked to be JSON but not read: most reports of a
+/// large fleet list what the one before did.
+#[derive(Debug, Deserialize)]
+pub struct UnreadReport {
+    #[serde(rename = "tanker")]
+    pub machine: String,
+    pub addr: String,
+    #[serde(rename = "rig")]
+    pub kind: String,
+    #[serde(rename = "yard")]
+    pub zone: String,
+    #[serde(rename = "borrowed")]
+    pub spot: bool,
+    #[serde(rename = "shift")]
+    pub session: u64,
+    #[serde(rename = "tick")]
+    pub seq: u64,
+    #[serde(rename = "baton")]
+    pub token: u64,
+    #[serde(rename = "recall_s", default)]
+    pub notice_s: Option<f64>,
+    #[serde(rename = "loads", default)]
+    pub tasks: Option<Box<RawValue>>,
+}
+
+impl UnreadReport {
+    /// The report without its tasks, and these as they came.
+    pub fn split(self) -> (Report, Option<Box<RawValue>>) {
+        let UnreadReport { machine, addr, kind, zone, spot, session, seq, token, notice_s, tasks } = self;
+        let head = Report { machine, addr, kind, zone, spot, session, seq, token, notice_s, tasks: Vec::new() };
+        (head, tasks)
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "verb", rename_all = "snake_case")]
 pub enum Order {
