--- a/crates/core/src/facts.rs
+++ b/crates/core/src/facts.rs
@@ -57,6 +57,8 @@
     /// Share of the users' time for work within a guarantee that passes before other
     /// work is stopped for it.
     pub patience_share: f64,
+    /// How long a job may wait with none of its tasks placed before it is served out of turn.
+    pub starved: Duration,
     /// How long a machine stays idle before it is returned.
     pub idle: Duration,
     /// Report intervals without a sign of life after which a machine is given up.
@@ -80,6 +82,7 @@
             headroom_machines: 1.0,
             service_reserve: 1.0,
             patience_share: 0.4,
+            starved: Duration::from_secs(90),
             idle: Duration::from_secs(12),
             silent_reports: 2.5,
             max_jobs: 5000,
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -33,6 +33,8 @@
 const LAPSE_MARGIN: Duration = Duration::from_millis(250);
 /// Reports come at their interval, give or take a quarter.
 const LATEST_REPORT: f64 = 1.25;
+/// A report that was answered is followed by the next within its interval and this.
+const PROMPT: Duration = Duration::from_secs(1);
 /// Direct calls that an overdue machine may miss before it is given up.
 const PROBES: u32 = 2;
 /// A machine whose report is overdue gets this long to answer a direct call.
@@ -40,6 +42,10 @@
 /// A worker that reports to a node out of reach tries the next one after this time; a new
 /// lead that only its own calls reach waits until all could have found it.
 const SETTLING: Duration = Duration::from_secs(5);
+/// Least time between direct calls that ask whether a copy or a worker came.
+const COPY_PROBE: Duration = Duration::from_secs(2);
+/// Share of a lease within which an answered report surely renewed it.
+const RENEWED: f64 = 0.7;
 /// Names of returned machines that are remembered, against late reports.
 const GONE_KEPT: usize = 1000;
 
@@ -49,6 +55,8 @@
 #[derive(Clone, Debug)]
 struct Direct {
     session: u64,
+    /// Session and number of the newest message when it was sent.
+    seen: (u64, u64),
     starts: Vec<Attempt>,
 }
 
@@ -78,6 +86,12 @@
     pub places: BTreeSet<TaskKey>,
     session: u64,
     seq: u64,
+    /// Session and number of the newest report; an older one is a late copy.
+    report_seen: (u64, u64),
+    /// It reports, but what it is answered does not reach it.
+    deaf: bool,
+    /// It reported without being expected, and has not shown that it knows our token.
+    unproven: bool,
     /// Digest of the tasks in the last report, if they are all that is known of it since.
     digest: Option<u64>,
     /// There may be orders to give; else its places are as they should be.
@@ -137,6 +151,9 @@
             places: BTreeSet::new(),
             session: 0,
             seq: 0,
+            report_seen: (0, 0),
+            deaf: false,
+            unproven: false,
             digest: None,
             orders_due: true,
             services: 0,
@@ -221,7 +238,7 @@
 
     /// Whether the machine is expected to take tasks, now or once it is up.
     pub fn counts(&self) -> bool {
-        !self.leaving && !self.suspect && !self.quarantined && self.taken_at.is_none()
+        !self.leaving && !self.suspect && !self.quarantined && self.taken_at.is_none() && !self.unproven
     }
 
     pub fn hosts_service(&self) -> bool {
@@ -240,12 +257,17 @@
         }
     }
 
-    /// A sign of life.
-    fn alive(&mut self, now: Instant) {
+    /// A sign of life. A report alone is none for a machine whose reports were overdue: its
+    /// answers may not reach it. The next one, in time, shows that the first was answered; so
+    /// does the answer to a direct call.
+    fn alive(&mut self, now: Instant, via: Via, report: Duration) {
+        let prompt = now.duration_since(self.reported) <= report.mul_f64(LATEST_REPORT) + PROMPT;
         self.heard = now;
-        self.suspect = false;
-        self.probes_failed = 0;
-        self.leaving &= self.release_sent.is_some();
+        if via == Via::Direct || prompt {
+            self.suspect = false;
+            self.probes_failed = 0;
+            self.leaving &= self.release_sent.is_some() || self.deaf;
+        }
     }
 
     /// Whether a start is on its way in a direct order just now.
@@ -294,11 +316,25 @@
             env.answer(req, Answer::later(503, "the lease of this session has ended"));
             return;
         }
+        if let Some(machine) = self.machines.get_mut(&name) {
+            if (report.session, report.seq) <= machine.report_seen {
+                // A copy that comes late proves nothing and renews nothing: its worker may be
+                // long dead. Or the worker began anew: its answer to a direct call tells.
+                if machine.direct.is_none() && machine.direct_from.is_none_or(|t| t <= now) {
+                    machine.direct_from = Some(now + COPY_PROBE);
+                    self.direct(env, &name, Vec::new());
+                }
+                env.answer(req, Answer::later(503, "an older report"));
+                return;
+            }
+            machine.report_seen = (report.session, report.seq);
+        }
+        let seen = (report.session, report.seq);
         let orders = if self.ready() {
             let taken = match unread {
                 Some(tasks) => self.take_unread(env, &name, report, tasks),
                 None => {
-                    self.take_report(env, &name, &report);
+                    self.take_report(env, &name, &report, Via::Report);
                     Ok(())
                 }
             };
@@ -309,6 +345,7 @@
             }
             let orders = self.orders_for(now, &name, Via::Report);
             if let Some(machine) = self.machines.get_mut(&name) {
+                machine.report_seen = machine.report_seen.max(seen);
                 machine.answered = Some(now);
                 machine.reported = now;
             }
@@ -335,7 +372,13 @@
                     let session = report.session;
                     tracing::debug!(machine = &**name, session, token = report.token, "direct orders refused");
                 }
-                self.take_report(env, name, &report);
+                if (report.session, report.seq) < direct.seen {
+                    // The answer is fresh and yet older than what was known before the call:
+                    // the worker began anew, and what it lists is all that is there.
+                    tracing::info!(machine = &**name, "its worker began anew");
+                    (machine.session, machine.seq, machine.report_seen) = (0, 0, (0, 0));
+                }
+                self.take_report(env, name, &report, Via::Direct);
                 let Some(machine) = self.machines.get_mut(name) else {
                     return;
                 };
@@ -386,11 +429,11 @@
             && machine.addr == report.addr
         {
             machine.seq = report.seq;
-            machine.alive(env.steady());
+            machine.alive(env.steady(), Via::Report, env.facts.report);
             return Ok(());
         }
         report.tasks = serde_json::from_str(tasks.get())?;
-        if self.take_report(env, name, &report)
+        if self.take_report(env, name, &report, Via::Report)
             && let Some(machine) = self.machines.get_mut(name)
         {
             machine.digest = Some(digest);
@@ -399,11 +442,11 @@
     }
 
     /// Learns from a report; false if it says nothing of the tasks.
-    fn take_report(&mut self, env: &mut Env, name: &Name, report: &Report) -> bool {
+    fn take_report(&mut self, env: &mut Env, name: &Name, report: &Report, via: Via) -> bool {
         let now = env.steady();
         if !self.machines.contains_key(name) {
             tracing::info!(machine = &**name, spot = report.spot, zone = report.zone, "an unexpected machine reports");
-            self.machines.insert(name.clone(), Machine::blank(name.clone(), now));
+            self.machines.insert(name.clone(), Machine { unproven: true, ..Machine::blank(name.clone(), now) });
         }
         let baton = self.baton;
         let machine = self.machines.get_mut(name).expect("just inserted");
@@ -423,8 +466,16 @@
             self.place_due = true;
         }
         machine.addr = report.addr.clone();
-        machine.alive(now);
+        machine.alive(now, via, env.facts.report);
         let new_session = report.session > machine.session && machine.session > 0;
+        let renewed = machine.answered.is_some_and(|t| now.duration_since(t) < env.facts.lease.mul_f64(RENEWED));
+        if new_session && renewed && via == Via::Report && machine.fenced.is_some() && !machine.deaf {
+            // Its lease ended although it was answered: the answers do not reach it. It gets
+            // no work and is returned; its tasks move once that is confirmed, or by its session.
+            tracing::info!(machine = &**name, "answers do not reach it; given up");
+            machine.deaf = true;
+            machine.leaving = true;
+        }
         machine.session = report.session;
         machine.seq = report.seq;
         if report.token < baton {
@@ -434,6 +485,7 @@
         }
         let was_fenced = machine.fenced.is_some();
         machine.fenced.get_or_insert(now);
+        machine.unproven = false;
         if new_session && was_fenced {
             self.session_ended(env, name);
         }
@@ -757,7 +809,7 @@
             _ => None,
         });
         let session = machine.session;
-        machine.direct = Some(Direct { session, starts: starts.collect() });
+        machine.direct = Some(Direct { session, seen: (session, machine.seq), starts: starts.collect() });
         let body = Orders { token: self.baton, session: Some(session), orders };
         env.order(name.clone(), machine.addr.clone(), body);
     }
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -170,6 +170,12 @@
     /// Tasks that failed since one last completed or ran for long.
     pub failures: u32,
     pub running: u32,
+    /// When a task of it was last placed, or this lead came to know it.
+    pub served: Option<Instant>,
+    /// Tasks that may still be placed out of turn, since the job starved.
+    pub slice: u32,
+    /// It starved: only services may stop its tasks, or it would starve again.
+    pub rescued: bool,
     /// Expected run time of a task: the owner's estimate, then what was seen.
     pub mean_run_s: f64,
 }
@@ -194,6 +200,9 @@
             failed_on: BTreeSet::new(),
             failures: 0,
             running: 0,
+            served: None,
+            slice: 0,
+            rescued: false,
         }
     }
 
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -40,6 +40,7 @@
     Types,
     ReadTypes,
     KeepTypes,
+    Probe,
 }
 
 impl Purpose {
@@ -117,6 +118,7 @@
     types_asked: Option<Instant>,
     types_wait: bool,
     progress_sent: Option<Instant>,
+    probed: Option<Instant>,
 }
 
 /// How the state service has answered lately.
@@ -143,6 +145,7 @@
 }
 
 const PEER_PERIOD: Duration = Duration::from_millis(2000);
+const PROBE_PERIOD: Duration = Duration::from_millis(300);
 const TYPES_PERIOD: Duration = Duration::from_secs(30);
 const TYPES_RETRY: Duration = Duration::from_secs(2);
 const TYPES_KEY: &str = "types";
@@ -170,6 +173,7 @@
             types_asked: None,
             types_wait: false,
             progress_sent: None,
+            probed: None,
         }
     }
 
@@ -202,6 +206,7 @@
 
     fn tick(&mut self) {
         self.election_tick();
+        self.probe_store();
         self.users_tick();
         self.types_tick();
         self.peers_tick();
@@ -247,7 +252,17 @@
                     self.env.types = Arc::new(types);
                 }
             }
-            Purpose::KeepTypes | Purpose::Types | Purpose::Rent(_) | Purpose::Order { .. } => {}
+            Purpose::Probe | Purpose::KeepTypes | Purpose::Types | Purpose::Rent(_) | Purpose::Order { .. } => {}
+        }
+    }
+
+    /// While the store is silent users are turned away at once, and a node that follows
+    /// makes no other calls: it would not notice that the store is back.
+    fn probe_store(&mut self) {
+        let now = self.env.steady();
+        if self.store.down(now) && self.probed.is_none_or(|t| now.duration_since(t) >= PROBE_PERIOD) {
+            self.probed = Some(now);
+            self.env.store(Purpose::Probe, Urgency::Lead, StoreOp::Get(crate::lead::LEAD_KEY.into()));
         }
     }
 
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -20,14 +20,21 @@
 /// Jobs in one pass for which others are stopped: that weighs many machines' tasks.
 const PASS_STOPS: u32 = 4;
 
+/// A job that starves gets its tasks in so many slices.
+const SLICES: u32 = 4;
+/// Machines on which room that comes free is kept for it at a time.
+const STARVED_MACHINES: usize = 16;
+
 /// What a job within its guarantee may wait if the users do not say.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(5);
 
 /// A job's place in the queue; the smaller goes first.
 struct Turn {
     job: Name,
-    /// Services of the highest priority never wait behind others.
+    /// Services of the highest priority never wait behind others; then come jobs that
+    /// starve, the longest first.
     class: u8,
+    starved: bool,
     priority: Priority,
     /// Whether no aim of its class can be met any more.
     hopeless: bool,
@@ -39,6 +46,7 @@
     fn order(&self, other: &Turn) -> Ordering {
         self.class
             .cmp(&other.class)
+            .then(other.starved.cmp(&self.starved))
             .then(other.priority.cmp(&self.priority))
             .then(self.hopeless.cmp(&other.hopeless))
             .then(self.work.total_cmp(&other.work))
@@ -68,7 +76,30 @@
     last.is_some_and(|last| end > last)
 }
 
+/// Whether a job starves: none of its tasks was placed for so long, while others are. With
+/// more work than room the order of the queue alone would leave large jobs, and those too
+/// late for every aim, waiting for ever. `age` is the time since its submission.
+fn starves(env: &Env, job: &Job, age: Duration) -> bool {
+    let waited = match job.served {
+        Some(at) => env.steady().duration_since(at),
+        None => age,
+    };
+    waited >= env.policy.starved
+}
+
 impl Reign {
+    /// Gives each job that starves a slice of its tasks, to be placed before all but services.
+    fn mark_starving(&mut self, env: &Env) {
+        for job in self.jobs.values_mut().filter(|job| job.slice == 0 && job.waiting() > 0) {
+            let age = Duration::from_millis(env.now.wall_ms.saturating_sub(job.at_ms));
+            if starves(env, job, age) {
+                tracing::debug!(job = &*job.id, waiting = job.waiting(), "starves; served out of turn");
+                job.slice = job.spec.tasks.div_ceil(SLICES).min(job.waiting());
+                job.rescued = true;
+            }
+        }
+    }
+
     /// The jobs within their team's guarantee.
     pub fn within_guarantee(&self) -> BTreeSet<Name> {
         let mut jobs: Vec<&Job> = self.jobs.values().filter(|job| !job.cancelled).collect();
@@ -82,6 +113,7 @@
         if self.jobs.values().all(|job| job.peek(now).is_none()) {
             return;
         }
+        self.mark_starving(env);
         let within = self.within_guarantee();
         let mut turns: Vec<Turn> = Vec::new();
         for job in self.jobs.values().filter(|job| job.peek(now).is_some()) {
@@ -93,7 +125,8 @@
             };
             turns.push(Turn {
                 job: job.id.clone(),
-                class,
+                class: if job.slice > 0 { class.min(1) } else { class },
+                starved: job.slice > 0,
                 priority: job.spec.priority,
                 hopeless: hopeless(env, job),
                 work: f64::from(job.open()) * job.spec.cpus * job.mean_run_s,
@@ -127,9 +160,21 @@
             let need = Room::of(spec);
             let limited = self.quotas.usage(&spec.team).is_none_or(|usage| usage.headroom(need) == 0);
             if !limited && most[usize::from(!spec.spot)].holds(need) {
-                left -= self.place_job(env, &turn.job, left);
+                let share = if turn.starved { left.min(self.jobs[&turn.job].slice) } else { left };
+                left -= self.place_job(env, &turn.job, share);
             }
             let job = &self.jobs[&turn.job];
+            if turn.starved {
+                if job.slice > 0 {
+                    // What comes free is kept for it, or smaller tasks would take it all.
+                    if limited {
+                        held.insert(job.spec.team.clone(), Priority::Production);
+                    } else {
+                        self.hold_room(env, &turn.job, (job.slice as usize).min(STARVED_MACHINES));
+                    }
+                }
+                continue;
+            }
             if job.peek(now).is_some() {
                 misses += 1;
                 let usage = self.quotas.usage(&job.spec.team);
@@ -144,7 +189,7 @@
                         self.make_room(env, &turn.job, &within);
                     }
                 } else if turn.class == 1 {
-                    self.hold_room(env, &turn.job);
+                    self.hold_room(env, &turn.job, usize::MAX);
                 }
             }
         }
@@ -221,6 +266,8 @@
         let attempt = self.attempt();
         let job = self.jobs.get_mut(name).expect("chosen");
         job.take(task);
+        job.served = Some(now);
+        job.slice = job.slice.saturating_sub(1);
         let place = Place {
             machine: machine.clone(),
             attempt,
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -20,6 +20,9 @@
 const PER_PASS: usize = 4;
 /// Machines weighed for that when there are more, in samples of a placement.
 const SAMPLES: usize = 2;
+/// What stopping a task of a job that starved counts for, in CPU seconds: such tasks are
+/// stopped last, and by services only.
+const RESCUED: f64 = 1e6;
 
 struct Plan {
     machine: Name,
@@ -33,14 +36,19 @@
 fn lost_s(now: Instant, job: &Job, place: &Place) -> f64 {
     let ran = place.running.map_or(0.0, |t| now.duration_since(t).as_secs_f64());
     let lost = if job.spec.checkpoint_s > 0.0 { ran % job.spec.checkpoint_s } else { ran };
-    (lost + 1.0) * job.spec.cpus
+    (lost + 1.0) * job.spec.cpus + if job.rescued { RESCUED } else { 0.0 }
 }
 
 /// Whether a job may stop another for its higher priority. One beyond its guarantee
 /// leaves those within theirs alone: they would only come back and go first.
 fn outranks(job: &Job, victim: &Job, within: &BTreeSet<Name>) -> bool {
     let entitled = job.spec.priority == Priority::Production || within.contains(&job.id);
-    victim.spec.priority < job.spec.priority && (entitled || !within.contains(&victim.id))
+    victim.spec.priority < job.spec.priority && (entitled || !within.contains(&victim.id)) && !spared(job, victim)
+}
+
+/// Whether a job's tasks were placed since it starved: what stops them again would undo it.
+fn spared(job: &Job, victim: &Job) -> bool {
+    victim.rescued && job.spec.priority != Priority::Production
 }
 
 impl Reign {
@@ -85,7 +93,7 @@
     /// Keeps what comes free for a job within its guarantee while its patience lasts, one
     /// task's room a machine: smaller tasks would take every CPU as it comes free, and
     /// more of them would have to be stopped in the end.
-    pub fn hold_room(&mut self, env: &Env, name: &Name) {
+    pub fn hold_room(&mut self, env: &Env, name: &Name, most: usize) {
         let now = env.steady();
         let job = &self.jobs[name];
         let need = Room::of(&job.spec);
@@ -101,7 +109,7 @@
         let mut free: Vec<(f64, Name)> =
             self.machines.values().filter(fits).map(|m| (m.total.cpus - m.used.cpus, m.name.clone())).collect();
         free.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let wanted = (job.waiting() as usize).saturating_sub(held);
+        let wanted = (job.waiting() as usize).min(most).saturating_sub(held);
         for (_, machine) in free.into_iter().take(wanted) {
             let machine = self.machines.get_mut(&machine).expect("listed");
             machine.claim = Some(Claim { job: name.clone(), room: need, until: now + HOLD_FOR, made: false });
@@ -156,6 +164,7 @@
         let lower = outranks(job, victim, within);
         let borrowed = inside
             && !victim_inside
+            && !spared(job, victim)
             && victim.spec.team != job.spec.team
             && self.quotas.usage(&victim.spec.team).is_some_and(|u| u.borrows());
         lower || borrowed
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -301,6 +301,8 @@
         }
         for (id, job) in &mut self.jobs {
             job.settle(now);
+            // What a job has had is not recorded; one with nothing counts from its submission.
+            job.served = (!job.places.is_empty() || job.done_count > 0).then_some(now);
             for (task, place) in &job.places {
                 let name = &place.machine;
                 let machine = self.machines.entry(name.clone()).or_insert_with(|| {
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -528,3 +528,182 @@
     world.run(secs(60));
     assert_eq!(world.state(0, "wk-000001"), Some(JobStatus::Done));
 }
+
+#[test]
+fn a_machine_that_hears_nothing_is_returned_and_its_work_moves() {
+    let mut world = settled(3);
+    world.cloud.capacity = 3;
+    world.submit(0, service(1, 3));
+    world.run(secs(4));
+    let (_, deaf) = world.where_runs("wk-000001")[0].clone();
+    // Its reports still come now and then; while the cloud is down it cannot be returned.
+    world.deaf.insert(deaf.clone());
+    world.cloud.outage = true;
+    world.run(secs(13));
+    // More than the others have room for at once: none of it waits on the deaf machine.
+    world.submit(1, job(2, 40));
+    world.run(secs(32));
+    assert_eq!(world.where_runs("wk-000001").len(), 3);
+    assert_eq!(world.state(2, "wk-000002"), Some(JobStatus::Done), "it was given work");
+    world.cloud.outage = false;
+    world.run(secs(20));
+    assert!(!world.workers.contains_key(&deaf), "it was not returned");
+}
+
+#[test]
+fn late_copies_of_reports_keep_no_dead_machine_alive() {
+    for by in [3, 15] {
+        let mut world = settled(3);
+        world.submit(0, service(1, 3));
+        world.run(secs(4));
+        let (_, dead) = world.where_runs("wk-000001")[0].clone();
+        world.copy_reports.insert(dead.clone(), secs(by));
+        world.run(secs(by + 2));
+        // It dies, and the cloud cannot confirm its end; copies go on coming.
+        world.cloud.outage = true;
+        world.workers.remove(&dead);
+        world.run(secs(19));
+        let places = world.where_runs("wk-000001");
+        assert!(places.len() == 3 && places.iter().all(|(_, m)| *m != dead), "copies {by} s late: {places:?}");
+    }
+}
+
+#[test]
+fn copies_from_before_a_takeover_are_no_capacity() {
+    let mut world = settled(4);
+    world.copy_reports.extend((0..4).map(|n| (format!("n-{n:06}"), secs(16))));
+    world.run(secs(10));
+    // Three machines are gone when the lead falls; their copies come to one that never knew them.
+    let lead = world.lead().expect("a lead");
+    world.crash(lead);
+    for gone in ["n-000001", "n-000002", "n-000003"] {
+        world.workers.remove(gone);
+        world.cloud.machines.remove(gone);
+    }
+    world.run(secs(6));
+    world.submit(other_than(lead), job(1, 40));
+    world.run(secs(3));
+    assert!(world.cloud.machines.len() >= 3, "it counts on machines that are gone");
+    world.run(secs(35));
+    assert_eq!(world.state(other_than(lead), "wk-000001"), Some(JobStatus::Done));
+    assert_eq!(world.started, 40);
+}
+
+#[test]
+fn a_worker_that_began_anew_at_once_gets_its_work_again() {
+    let mut world = settled(1);
+    world.cloud.capacity = 1;
+    world.submit(0, service(1, 4));
+    world.run(secs(100));
+    // Its sessions and numbers start again, so that its reports look like late copies.
+    world.restart_worker("n-000000");
+    world.run(secs(8));
+    assert_eq!(world.where_runs("wk-000001").len(), 4);
+    assert_eq!(world.started, 8);
+}
+
+#[test]
+fn a_lead_without_store_and_peers_but_with_its_workers_leaves_them_in_time() {
+    let mut world = settled(3);
+    world.cloud.capacity = 3;
+    world.submit(0, service(1, 6));
+    world.run(secs(4));
+    let old = world.lead().expect("a lead");
+    world.no_store.insert(old);
+    world.no_peers.insert(old);
+    // The new lead cannot call the machines: they come to it once the old one is silent.
+    for machine in world.workers.keys().cloned().collect::<Vec<_>>() {
+        world.cut_links.extend([(other_than(old), machine.clone()), ((old + 2) % 3, machine)]);
+    }
+    world.run(secs(5));
+    let new = world.lead().expect("a new lead");
+    assert_ne!(new, old);
+    assert_eq!(world.submit(new, job(2, 30)), Some(201));
+    assert_eq!(world.where_runs("wk-000001").len(), 6, "the old lead answers within its allowance");
+    world.run(secs(2));
+    assert!(world.where_runs("wk-000002").is_empty(), "nothing is proven yet");
+    world.cut_links.clear();
+    world.run(secs(45));
+    assert_eq!(world.token_of(old), None);
+    assert_eq!(world.where_runs("wk-000001").len(), 6);
+    assert_eq!(world.state(new, "wk-000002"), Some(JobStatus::Done));
+}
+
+#[test]
+fn processes_back_in_a_moment_amid_an_election_do_no_harm() {
+    for delay in [50, 700, 1900] {
+        let mut world = settled(2);
+        world.submit(0, service(1, 4));
+        world.submit(1, job(2, 12));
+        world.run(secs(2));
+        let lead = world.lead().expect("a lead");
+        // What the lead had sent is applied late; all machines' reports come again.
+        world.hold_txns.insert(lead, world.now + secs(6));
+        world.copy_reports.extend(["n-000000", "n-000001"].map(|m| (m.to_owned(), secs(5))));
+        world.run(Duration::from_millis(300));
+        world.crash(lead);
+        world.run(Duration::from_millis(delay));
+        let next = other_than(lead);
+        world.crash(next);
+        world.start_node(lead);
+        world.run(Duration::from_millis(200));
+        world.start_node(next);
+        world.hold_txns.clear();
+        world.run(secs(30));
+        assert_eq!(world.where_runs("wk-000001").len(), 4);
+        assert_eq!(world.started, 16, "{delay} ms");
+        for node in 0..3 {
+            assert_eq!(world.state(node, "wk-000002"), Some(JobStatus::Done));
+        }
+    }
+}
+
+#[test]
+fn a_node_serves_its_users_as_soon_as_the_store_is_back() {
+    // A node that follows makes no calls while it turns users away, and did not notice.
+    let mut world = settled(1);
+    world.submit(0, job(1, 2));
+    let follower = other_than(world.lead().expect("a lead"));
+    world.no_store.insert(follower);
+    world.status(follower, "wk-000001");
+    world.run(secs(3));
+    assert_eq!(world.status(follower, "wk-000001").map(|s| s.0), Some(503));
+    world.no_store.clear();
+    world.run(secs(1));
+    assert_eq!(world.status(follower, "wk-000001").map(|s| s.0), Some(200));
+}
+
+#[test]
+fn under_lasting_overload_the_largest_job_begins_and_ends() {
+    let mut world = settled(2);
+    world.cloud.capacity = 2;
+    // Wide tasks that no small one makes room for, already too late for their aim.
+    let mut large = job(1, 12);
+    large.cpus = 4.0;
+    large.priority = Priority::BestEffort;
+    large.deadline_s = Some(5.0);
+    // Small, more urgent jobs of another team fill all machines all the time.
+    let mut id = 100;
+    let mut begun = None;
+    let mut submit_small = |world: &mut World| {
+        for _ in 0..2 {
+            let mut small = job(id, 16);
+            small.team = "blue".into();
+            world.submit(id as usize % 3, small);
+            id += 1;
+        }
+    };
+    (0..4).for_each(|_| submit_small(&mut world));
+    world.submit(0, large);
+    let from = world.now;
+    for _ in 0..60 {
+        submit_small(&mut world);
+        world.run(secs(7));
+        if begun.is_none() && !world.where_runs("wk-000001").is_empty() {
+            begun = Some(world.now - from);
+        }
+    }
+    assert!(begun.is_some_and(|after| after <= secs(240)), "begun after {begun:?}");
+    let done = world.status(0, "wk-000001").and_then(|s| s.1?.done).expect("an answer");
+    assert!(done >= 6, "{done} of 12 tasks done");
+}
--- a/crates/rushyoke/src/budget.rs
+++ b/crates/rushyoke/src/budget.rs
@@ -84,15 +84,17 @@
         self.requests.fill(now);
         self.writes.fill(now);
         for queue in &mut self.queues {
+            // Leadership never waits; what it uses is paid back by the others. What reads only
+            // does not wait behind changes.
+            let passes = |q: &Queued<T>| {
+                q.urgency == Urgency::Lead || (self.requests.has(1.0) && (q.writes == 0.0 || self.writes.has(q.writes)))
+            };
             let Some(first) = queue.front() else { continue };
-            // Leadership never waits; what it uses is paid back by the others.
-            if first.urgency != Urgency::Lead && !(self.requests.has(1.0) && self.writes.has(first.writes)) {
-                return None;
-            }
-            let first = queue.pop_front().expect("a first one");
+            let at = if passes(first) { Some(0) } else { queue.iter().position(|q| q.writes == 0.0 && passes(q)) };
+            let next = queue.remove(at?).expect("just found");
             self.requests.level -= 1.0;
-            self.writes.level -= first.writes;
-            return Some(first.item);
+            self.writes.level -= next.writes;
+            return Some(next.item);
         }
         None
     }
@@ -128,6 +130,20 @@
         assert_eq!(budget.expired(start + Duration::from_secs(2)), vec![3]);
     }
 
+    #[test]
+    fn a_read_does_not_wait_behind_a_change() {
+        let start = Instant::now();
+        let mut budget = Budget::new(100.0, 2.0, 1.0, start);
+        budget.push("first change", Urgency::High, 2, start);
+        budget.push("second change", Urgency::High, 2, start);
+        budget.push("read", Urgency::High, 0, start);
+        assert_eq!(
+            (budget.next(start), budget.next(start), budget.next(start)),
+            (Some("first change"), Some("read"), None)
+        );
+        assert_eq!(budget.next(start + Duration::from_millis(1100)), Some("second change"));
+    }
+
     #[test]
     fn a_full_queue_gives_the_call_back() {
         let start = Instant::now();
--- a/crates/rushyoke/src/settings.rs
+++ b/crates/rushyoke/src/settings.rs
@@ -120,6 +120,7 @@
     service_reserve: Option<f64>,
     patience_share: Option<f64>,
     idle_s: Option<f64>,
+    starved_s: Option<f64>,
     silent_reports: Option<f64>,
     max_jobs: Option<usize>,
     sample: Option<usize>,
@@ -257,6 +258,7 @@
     number("service_reserve", file.service_reserve, 0.0, 100.0, &mut policy.service_reserve)?;
     number("patience_share", file.patience_share, 0.0, 1.0, &mut policy.patience_share)?;
     seconds("idle_s", file.idle_s, 0.0, 86_400.0, &mut policy.idle)?;
+    seconds("starved_s", file.starved_s, 1.0, 86_400.0, &mut policy.starved)?;
     number("silent_reports", file.silent_reports, 1.5, 100.0, &mut policy.silent_reports)?;
     whole("max_jobs", file.max_jobs, 1, 1_000_000, &mut policy.max_jobs)?;
     whole("sample", file.sample, 1, 100_000, &mut policy.sample)?;
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -126,12 +126,18 @@
     /// Nodes cut off from the state service, or from all workers.
     pub no_store: BTreeSet<usize>,
     pub no_workers: BTreeSet<usize>,
+    /// Nodes that the other nodes do not reach, nor they them.
+    pub no_peers: BTreeSet<usize>,
     /// Machines that no packet reaches or leaves.
     pub cut: BTreeSet<String>,
     /// Machines to which direct orders are held back until this time.
     pub hold_orders: BTreeMap<String, Duration>,
     /// Machines whose reports are held back until this time, unanswered.
     pub hold_reports: BTreeMap<String, Duration>,
+    /// Machines that nothing reaches, while their own messages arrive.
+    pub deaf: BTreeSet<String>,
+    /// Copies of these machines' reports come again this much later.
+    pub copy_reports: BTreeMap<String, Duration>,
     /// Links between a node and a machine that carry nothing.
     pub cut_links: BTreeSet<(usize, String)>,
     /// Nodes that hear of no change: their renewals are lost, their watches silent and
@@ -183,9 +189,12 @@
             cancelled: BTreeMap::new(),
             no_store: BTreeSet::new(),
             no_workers: BTreeSet::new(),
+            no_peers: BTreeSet::new(),
             cut: BTreeSet::new(),
             hold_orders: BTreeMap::new(),
             hold_reports: BTreeMap::new(),
+            deaf: BTreeSet::new(),
+            copy_reports: BTreeMap::new(),
             cut_links: BTreeSet::new(),
             adrift: BTreeSet::new(),
             slow_txns: BTreeMap::new(),
@@ -226,6 +235,11 @@
         self.slots[n] = Slot { node: Some(node), incarnation, next_tick: self.now };
     }
 
+    /// A machine stops with all that is on it and is back at once, its worker begun anew.
+    pub fn restart_worker(&mut self, name: &str) {
+        self.boot(name);
+    }
+
     /// The process ends; what it had sent is still under way.
     pub fn crash(&mut self, n: usize) {
         self.slots[n].node = None;
@@ -325,6 +339,7 @@
             Output::Order { call, addr: machine, orders } => {
                 let unreachable = self.cut_links.contains(&(node, machine.clone()))
                     || self.cut.contains(&machine)
+                    || self.deaf.contains(&machine)
                     || !self.workers.contains_key(&machine)
                     || self.no_workers.contains(&node);
                 if unreachable {
@@ -339,7 +354,8 @@
             }
             Output::Peer { label, ask } => {
                 let other: usize = label.trim_start_matches("node-").parse().expect("labels end in a number");
-                let apart = self.adrift.contains(&node) || self.adrift.contains(&other);
+                let lost = |n: &usize| self.adrift.contains(n) || self.no_peers.contains(n);
+                let apart = lost(&node) || lost(&other);
                 if self.slots[other].node.is_none() || apart {
                     self.push(self.now + HOP, late(Input::PeerTold { label, outcome: Outcome::Unknown }));
                     return;
@@ -411,7 +427,7 @@
 
     fn report_answered(&mut self, machine: &str, id: u64, answer: &Answer) {
         let now = self.now;
-        if self.cut.contains(machine) {
+        if self.cut.contains(machine) || self.deaf.contains(machine) {
             return;
         }
         let nodes = self.slots.len();
@@ -545,6 +561,14 @@
                 && !self.cut.contains(machine)
             {
                 let late = self.hold_reports.get(machine).copied();
+                let by = self.copy_reports.get(machine).copied();
+                if let (Some(by), Event::Report { machine, report, .. }) = (by, &event) {
+                    // A copy has no asker: its answer goes nowhere. It may come to any node.
+                    let copies: Vec<Event> = (0..nodes)
+                        .map(|node| Event::Report { node, machine: machine.clone(), id: 0, report: report.clone() })
+                        .collect();
+                    copies.into_iter().for_each(|copy| self.push(now + by, copy));
+                }
                 self.push(late.unwrap_or(now + HOP), event);
             }
         }
