--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -309,6 +309,30 @@
     assert_eq!(world.started, 6);
 }
 
+#[test]
+fn an_unanswered_transaction_is_dead_before_the_log_moves_on() {
+    // A late copy that is applied after a newer segment was begun would be the last word on
+    // its tasks, and say where they were before.
+    let mut world = settled(4);
+    let small = |id, tasks| {
+        let mut spec = job(id, tasks);
+        (spec.cpus, spec.memory_gb) = (0.25, 0.1);
+        spec
+    };
+    world.submit(0, small(1, 150));
+    world.run(secs(2));
+    let lead = world.lead().expect("a lead");
+    world.hold_txns.insert(lead, world.now + secs(8));
+    world.submit(other_than(lead), small(2, 10));
+    world.run(secs(1));
+    world.hold_txns.clear();
+    // With these the segment is more than full.
+    world.submit(other_than(lead), small(3, 60));
+    world.run(secs(20));
+    assert_eq!(world.late_commits, 0, "a late transaction was applied");
+    assert_eq!(world.started, 220);
+}
+
 #[test]
 fn done_never_goes_back_across_nodes_and_crashes() {
     let mut world = settled(1);
@@ -542,7 +566,10 @@
     world.run(secs(13));
     // More than the others have room for at once: none of it waits on the deaf machine.
     world.submit(1, job(2, 40));
-    world.run(secs(32));
+    for _ in 0..32 {
+        world.run(secs(1));
+        assert_eq!(world.placed_on("wk-000002", &deaf), 0, "a report alone is no sign that it hears");
+    }
     assert_eq!(world.where_runs("wk-000001").len(), 3);
     assert_eq!(world.state(2, "wk-000002"), Some(JobStatus::Done), "it was given work");
     world.cloud.outage = false;
@@ -571,8 +598,8 @@
 #[test]
 fn copies_from_before_a_takeover_are_no_capacity() {
     let mut world = settled(4);
-    world.copy_reports.extend((0..4).map(|n| (format!("n-{n:06}"), secs(16))));
-    world.run(secs(10));
+    world.copy_reports.extend((0..4).map(|n| (format!("n-{n:06}"), secs(10))));
+    world.run(secs(12));
     // Three machines are gone when the lead falls; their copies come to one that never knew them.
     let lead = world.lead().expect("a lead");
     world.crash(lead);
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -147,6 +147,8 @@
     pub slow_txns: BTreeMap<usize, Duration>,
     /// Transactions of these nodes are held back until a time, unanswered.
     pub hold_txns: BTreeMap<usize, Duration>,
+    /// Transactions that were applied after their caller had given them up.
+    pub late_commits: u32,
     /// Rentals are carried out, but their answers are lost.
     pub lose_rental_answers: bool,
     /// How long a task runs on a machine that comes up.
@@ -199,6 +201,7 @@
             adrift: BTreeSet::new(),
             slow_txns: BTreeMap::new(),
             hold_txns: BTreeMap::new(),
+            late_commits: 0,
             lose_rental_answers: false,
             task_s: 10.0,
             failed: 0,
@@ -380,6 +383,7 @@
             Event::Store { node, incarnation, call, op, reply } => {
                 let answer =
                     if self.store.outage { StoreAnswer::Unavailable } else { self.store.execute(self.now, &op) };
+                self.late_commits += u32::from(!reply && matches!(answer, StoreAnswer::Committed(_)));
                 if reply {
                     let input = Box::new(Input::Store { call, outcome: Outcome::Answered(answer) });
                     self.push(self.now + HOP, Event::ToNode { node, incarnation, input });
@@ -616,6 +620,18 @@
         of_job.flat_map(|(task, on)| on.iter().map(|m| (task.clone(), m.clone()))).collect()
     }
 
+    /// Tasks of a job that the newest records place on a machine.
+    pub fn placed_on(&self, job: &str, machine: &str) -> usize {
+        let segments = self.store.rows.iter().filter(|(key, _)| key.starts_with("log/"));
+        let newest = segments.max_by_key(|(_, row)| row.1);
+        let value = newest.map(|(_, row)| &row.0);
+        let Some(value) = value else { return 0 };
+        let named = |index: &serde_json::Value| value["machines"][index.as_u64().unwrap_or(0) as usize][0] == machine;
+        let jobs = value["jobs"].as_array().into_iter().flatten().filter(|changed| changed["job"] == job);
+        let places = jobs.flat_map(|changed| changed["places"].as_array().into_iter().flatten());
+        places.filter(|place| named(&place[1])).count()
+    }
+
     fn ask(&mut self, node: usize, input: impl FnOnce(Req) -> Input) -> u64 {
         self.serial += 1;
         let id = self.serial;
