--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -38,7 +38,8 @@
     priority: Priority,
     /// Whether no aim of its class can be met any more.
     hopeless: bool,
-    /// CPU seconds that it still needs.
+    /// CPU seconds that have no place yet. What runs ends without more room, so a job that
+    /// lacks a task or two goes before one that has just come.
     work: f64,
 }
 
@@ -129,7 +130,7 @@
                 starved: job.slice > 0,
                 priority: job.spec.priority,
                 hopeless: hopeless(env, job),
-                work: f64::from(job.open()) * job.spec.cpus * job.mean_run_s,
+                work: f64::from(job.waiting()) * job.spec.cpus * job.mean_run_s,
             });
         }
         turns.sort_by(Turn::order);
