Stop tasks of jobs that wait for others anyway, so that stops delay few jobs

Cause: victims were chosen by lost work alone, which is near nothing just after a checkpoint, so that stops fell on one or two tasks each of many backfills that would have ended soon. Now a job that lacks no task counts for 30 s more.

--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -20,6 +20,8 @@
 const PER_PASS: usize = 4;
 /// Machines weighed for that when there are more, in samples of a placement.
 const SAMPLES: usize = 2;
+/// What the delay of a job counts for beside the lost work of a task, in seconds.
+const DELAY: f64 = 30.0;
 /// What stopping a task of a job that starved counts for, in CPU seconds: such tasks are
 /// stopped last, and by services only.
 const RESCUED: f64 = 1e6;
@@ -32,11 +34,14 @@
     lost_s: f64,
 }
 
-/// CPU seconds of work lost if the task were stopped now, and a little for the restart.
+/// CPU seconds of work lost if the task were stopped now, a little for the restart, and more
+/// if its job lacks no task so far: stopping one delays the job as a whole, while one that
+/// waits for others anyway loses little. So the stops fall on few jobs.
 fn lost_s(now: Instant, job: &Job, place: &Place) -> f64 {
     let ran = place.running.map_or(0.0, |t| now.duration_since(t).as_secs_f64());
     let lost = if job.spec.checkpoint_s > 0.0 { ran % job.spec.checkpoint_s } else { ran };
-    (lost + 1.0) * job.spec.cpus + if job.rescued { RESCUED } else { 0.0 }
+    let whole = if job.waiting() == 0 { DELAY } else { 0.0 };
+    (lost + whole + 1.0) * job.spec.cpus + if job.rescued { RESCUED } else { 0.0 }
 }
 
 /// Whether a job may stop another for its higher priority. One beyond its guarantee
