--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -549,9 +549,13 @@
         spec
     };
     // Large services, one on each machine, leave room for a small one beside each.
-    (1..4).for_each(|id| drop(world.submit(0, sized(id, 14.0))));
+    for id in 1..4 {
+        world.submit(0, sized(id, 14.0));
+    }
     world.run(secs(3));
-    (4..7).for_each(|id| drop(world.submit(0, sized(id, 2.0))));
+    for id in 4..7 {
+        world.submit(0, sized(id, 2.0));
+    }
     world.run(secs(3));
     let hosts = |world: &World| {
         let places = (4..7).flat_map(|id| world.where_runs(&format!("wk-{id:06}")));
@@ -559,7 +563,9 @@
     };
     let apart: std::collections::BTreeSet<_> = hosts(&world).into_iter().collect();
     assert_eq!(apart.len(), 3);
-    (1..4).for_each(|id| drop(world.cancel(0, &format!("wk-{id:06}"))));
+    for id in 1..4 {
+        world.cancel(0, &format!("wk-{id:06}"));
+    }
     // Few replicas are moved seldom, for the sake of their time.
     world.run(secs(200));
     let after: std::collections::BTreeSet<_> = hosts(&world).into_iter().collect();
