--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -378,9 +378,13 @@
                 }
                 if (report.session, report.seq) < direct.seen {
                     // The answer is fresh and yet older than what was known before the call:
-                    // the worker began anew, and what it lists is all that is there.
-                    tracing::info!(machine = &**name, "its worker began anew");
+                    // the worker began anew, and what it lists is all that is there. But a
+                    // start that was not answered may still run there: it goes with the machine.
+                    let unresolved = machine.unresolved.len();
+                    tracing::info!(machine = &**name, unresolved, "its worker began anew");
                     (machine.session, machine.seq, machine.report_seen) = (0, 0, (0, 0));
+                    machine.deaf |= unresolved > 0;
+                    machine.leaving |= machine.deaf;
                 }
                 self.take_report(env, name, &report, Via::Direct);
                 let Some(machine) = self.machines.get_mut(name) else {
@@ -523,7 +527,8 @@
             let place = &self.jobs[&key.0].places[&key.1];
             // A start that was only ordered is repeated; what was there before, or came
             // from a record, is proven gone.
-            if !matches!(place.stage, Stage::Planned | Stage::Ordered) {
+            let late = self.machines[name].unresolved.contains(&(format!("{}/{}", key.0, key.1), place.attempt));
+            if !matches!(place.stage, Stage::Planned | Stage::Ordered) && !late {
                 tracing::debug!(job = &*key.0, task = key.1, machine = &**name, "not there");
                 self.place_empty(env, &key, now);
             }
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -665,6 +665,33 @@
     assert_eq!(world.started, 8);
 }
 
+#[test]
+fn a_late_start_does_not_run_on_a_worker_that_began_anew() {
+    let mut world = settled(3);
+    world.cloud.capacity = 3;
+    let mut wide = service(9, 3);
+    wide.cpus = 9.0;
+    world.submit(0, wide);
+    world.run(secs(100));
+    for name in ["n-000000", "n-000001", "n-000002"] {
+        world.hold_orders.insert(name.into(), world.now + secs(22));
+    }
+    world.submit(0, service(1, 8));
+    // The direct starts hang; the same starts go with the answers to reports.
+    world.run(secs(8));
+    assert_eq!(world.where_runs("wk-000001").len(), 8);
+    world.hold_orders.clear();
+    let (_, restarted) = world.where_runs("wk-000001")[0].clone();
+    // The starts that hang fit its first session again, and its tasks would go elsewhere.
+    world.restart_worker(&restarted);
+    world.workers.get_mut(&restarted).expect("up").notice_s = Some(60.0);
+    world.cloud.outage = true;
+    world.run(secs(20));
+    world.cloud.outage = false;
+    world.run(secs(20));
+    assert_eq!(world.where_runs("wk-000001").len(), 8);
+}
+
 #[test]
 fn a_lead_without_store_and_peers_but_with_its_workers_leaves_them_in_time() {
     let mut world = settled(3);
@@ -770,3 +797,103 @@
     let done = world.status(0, "wk-000001").and_then(|s| s.1?.done).expect("an answer");
     assert!(done >= 6, "{done} of 12 tasks done");
 }
+
+const SEEDS: u64 = 6;
+
+/// A small generator of its own, so that every run is the same.
+struct Draw(u64);
+
+impl Draw {
+    fn below(&mut self, n: u64) -> u64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % n
+    }
+}
+
+#[test]
+fn drawn_mixes_of_troubles_break_no_rule_and_forget_no_job() {
+    for seed in 1..=SEEDS {
+        let mut draw = Draw(seed);
+        let mut world = World::with(5, Policy::default(), &["a", "b"]);
+        world.cloud.capacity = 8;
+        world.run(secs(6));
+        let mut submitted: Vec<(u32, u32)> = Vec::new();
+        let mut id = 0;
+        let mut cancelled: Vec<u32> = Vec::new();
+        for round in 0..9 {
+            for _ in 0..2 {
+                id += 1;
+                let tasks = 1 + draw.below(12) as u32;
+                let mut spec = if draw.below(3) == 0 { service(id, tasks.min(4)) } else { job(id, tasks) };
+                spec.team = ["red", "blue"][draw.below(2) as usize].into();
+                spec.spread = draw.below(3) == 0;
+                if matches!(world.submit(draw.below(3) as usize, spec), Some(200 | 201)) {
+                    submitted.push((id, tasks));
+                }
+            }
+            let machines: Vec<String> = world.workers.keys().cloned().collect();
+            let machine = machines[draw.below(machines.len() as u64) as usize].clone();
+            let node = draw.below(3) as usize;
+            let until = world.now + secs(2 + draw.below(20));
+            let moment = Duration::from_millis(50 + draw.below(2500));
+            match draw.below(12) {
+                0 => drop(world.workers.remove(&machine)),
+                1 => drop(world.cut.insert(machine)),
+                2 => drop(world.deaf.insert(machine)),
+                3 => drop(world.copy_reports.insert(machine, secs(1 + draw.below(25)))),
+                4 => drop(world.hold_orders.insert(machine, until)),
+                5 => drop(world.hold_txns.insert(node, until)),
+                6 => world.restart_worker(&machine),
+                7 => drop(world.no_workers.insert(node)),
+                8 => {
+                    world.no_store.insert(node);
+                    world.no_peers.insert(node);
+                }
+                9 => world.cloud.outage = true,
+                10 => world.store.outage = true,
+                _ => {}
+            }
+            // A process falls, and is back in a moment, often amid an election.
+            let falls = if draw.below(2) == 0 { world.lead().unwrap_or(node) } else { node };
+            if draw.below(3) > 0 {
+                world.crash(falls);
+                world.run(moment);
+                world.start_node(falls);
+            }
+            world.run(secs(2 + draw.below(12)));
+            if round % 3 == 2 {
+                let (id, _) = submitted[draw.below(submitted.len() as u64) as usize];
+                // Without an answer it may have been carried out all the same.
+                world.cancel(node, &format!("wk-{id:06}"));
+                cancelled.push(id);
+                world.cut.clear();
+                world.deaf.clear();
+                world.copy_reports.clear();
+                world.hold_orders.clear();
+                world.hold_txns.clear();
+                world.no_workers.clear();
+                world.no_store.clear();
+                world.no_peers.clear();
+                world.cloud.outage = false;
+                let now = world.now;
+                world.store.end_outage(now);
+            }
+        }
+        world.run(secs(100));
+        for (id, tasks) in submitted {
+            let id_name = format!("wk-{id:06}");
+            for node in 0..3 {
+                let (status, view) = world.status(node, &id_name).expect("an answer");
+                assert_eq!(status, 200, "seed {seed}: {id_name} at node {node}");
+                let state = view.map(|v| v.state).expect("a state");
+                let running = world.where_runs(&id_name).len() as u32;
+                let fine = match state {
+                    JobStatus::Done => running == 0,
+                    JobStatus::Cancelled => running == 0 && cancelled.contains(&id),
+                    _ => running == tasks.min(4),
+                };
+                assert!(fine, "seed {seed}: {id_name} is {state:?} with {running} of {tasks} running");
+            }
+        }
+    }
+}
