--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -85,7 +85,8 @@
         Some(at) => env.steady().duration_since(at),
         None => age,
     };
-    waited >= env.policy.starved
+    // The later slices come sooner, so that the last of its tasks starts in time too.
+    waited >= if job.rescued { env.policy.starved / 2 } else { env.policy.starved }
 }
 
 impl Reign {
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -317,7 +317,8 @@
                 let job = &self.jobs[&key.0];
                 let need = Room::of(&job.spec);
                 let target = room.iter_mut().find(|(m, r)| {
-                    r.holds(need) && (job.spec.kind == Kind::Array || takes_replica(m, machine, job, &targets))
+                    let apart = job.spec.kind == Kind::Array || takes_replica(m, machine, job, &targets);
+                    r.holds(need) && apart && m.has_image(&job.spec.image)
                 });
                 let Some((target, room)) = target else { break };
                 room.sub(need);
@@ -357,7 +358,9 @@
             if place.stop.is_some() {
                 continue;
             }
-            let moves = job.spec.kind == Kind::Service || job.spec.checkpoint_s > 0.0;
+            // One that saves but ends soon is quicker left alone.
+            let saves = job.spec.checkpoint_s > 0.0 && left > MOVE_AFTER_S;
+            let moves = job.spec.kind == Kind::Service || saves;
             if moves && ran > MOVE_AFTER_S {
                 moved.push((name.clone(), *task));
             } else if job.spec.kind == Kind::Service || left > MOVE_AFTER_S / 2.0 {
@@ -589,12 +592,10 @@
     }
 }
 
-/// Whether a machine can take a replica that is moved: without a fetch, in the same zone, and
-/// apart from the service's others.
+/// Whether a machine can take a replica that is moved: in the same zone, and apart from the service's others.
 fn takes_replica(target: &Machine, from: &Machine, job: &Job, taken: &BTreeSet<&Name>) -> bool {
     let key = |task| (job.id.clone(), task);
     target.zone == from.zone
-        && target.has_image(&job.spec.image)
         && allowed(&job.spec, target)
         && !taken.contains(&target.name)
         && target.places.range(key(0)..=key(u32::MAX)).next().is_none()
