Weigh more machines for a replica, so that more stand where their image is cached

Cause: services are placed at once, what they miss is the fetch; a sample of 32 of over 200 machines holds few with room and the image, and mates counted for more than a third of a fetch. Now 256 are weighed for a replica, and a mate counts 1.5 s instead of 2.5.

--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -25,6 +25,8 @@
 /// Machines on which room that comes free is kept for it at a time.
 const STARVED_MACHINES: usize = 16;
 
+/// Machines weighed for a service's replica, in samples of a placement.
+const SERVICE_SAMPLES: usize = 8;
 /// What a job within its guarantee may wait if the users do not say.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(5);
 
@@ -341,8 +343,9 @@
             .filter(|m| self.room_for(m, &job.id).holds(need))
             .filter(|m| !job.shuns(&m.name))
             .collect();
-        // With more machines than can be weighed for every task, a sample does.
-        let sample = env.policy.sample;
+        // With more machines than can be weighed for every task, a sample does; a larger one
+        // for services, which are few and wait for nothing but their image.
+        let sample = env.policy.sample * if job.spec.kind == Kind::Service { SERVICE_SAMPLES } else { 1 };
         if fitting.len() > sample {
             fitting = fitting.into_iter().sample(&mut env.rng, sample);
         }
@@ -361,7 +364,7 @@
         let (hosting, mates) = if job.spec.kind == Kind::Service {
             let key = |task| (job.id.clone(), task);
             let mates = machine.places.range(key(0)..=key(u32::MAX)).count();
-            (if machine.hosts_service() { 0.0 } else { 4.0 }, mates as f64 * 2.5)
+            (if machine.hosts_service() { 0.0 } else { 4.0 }, mates as f64 * 1.5)
         } else {
             (0.0, 0.0)
         };
