--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -359,7 +359,7 @@
                     due_s = record.spec.deadline_s,
                     "new job"
                 );
-                self.renting.saw_job(&record.spec, env.steady());
+                self.renting.saw_job(&record.spec);
                 let job = Job::new(record.spec, record.at_ms, version, record.cancelled);
                 self.jobs.insert(name.clone(), job);
             }
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -88,7 +88,7 @@
         }
     }
 
-    pub fn saw_job(&mut self, spec: &JobSpec, _now: Instant) {
+    pub fn saw_job(&mut self, spec: &JobSpec) {
         if spec.kind == Kind::Service && spec.priority == Priority::Production {
             let cpus = f64::from(spec.tasks) * spec.cpus;
             let weight = if self.service_cpus == 0.0 { 1.0 } else { LEARN };
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -41,7 +41,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Report {
+pub struct Report<T = Vec<TaskReport>> {
     #[serde(rename = "tanker")]
     pub machine: String,
     pub addr: String,
@@ -60,33 +60,12 @@
     #[serde(rename = "recall_s", default)]
     pub notice_s: Option<f64>,
     #[serde(rename = "loads", default)]
-    pub tasks: Vec<TaskReport>,
+    pub tasks: T,
 }
 
 /// A report whose list of tasks is checked to be JSON but not read: most reports of a
 /// large fleet list what the one before did.
-#[derive(Debug, Deserialize)]
-pub struct UnreadReport {
-    #[serde(rename = "tanker")]
-    pub machine: String,
-    pub addr: String,
-    #[serde(rename = "rig")]
-    pub kind: String,
-    #[serde(rename = "yard")]
-    pub zone: String,
-    #[serde(rename = "borrowed")]
-    pub spot: bool,
-    #[serde(rename = "shift")]
-    pub session: u64,
-    #[serde(rename = "tick")]
-    pub seq: u64,
-    #[serde(rename = "baton")]
-    pub token: u64,
-    #[serde(rename = "recall_s", default)]
-    pub notice_s: Option<f64>,
-    #[serde(rename = "loads", default)]
-    pub tasks: Option<Box<RawValue>>,
-}
+pub type UnreadReport = Report<Option<Box<RawValue>>>;
 
 impl UnreadReport {
     /// The report without its tasks, and these as they came.
