--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -29,7 +29,9 @@
 pub enum Urgency {
     /// Leadership.
     Lead,
-    /// What a user or a start waits for.
+    /// What a start or a job's end waits for.
+    Record,
+    /// What a user waits for.
     High,
     /// All else.
     Low,
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -178,7 +178,8 @@
         self.records.in_flight = true;
         self.records.sent = Some(now);
         let awaited = !batch.tasks.is_empty() || !batch.closed.is_empty();
-        let urgency = if awaited { Urgency::High } else { Urgency::Low };
+        // Before the users' changes: a flood of submissions must not keep jobs from starting.
+        let urgency = if awaited { Urgency::Record } else { Urgency::Low };
         env.store(Purpose::Record(RecordCall::Write(batch)), urgency, StoreOp::Txn(txn));
     }
 
@@ -333,12 +334,12 @@
         if std::mem::take(&mut self.records.read_segment) {
             self.records.reading += 1;
             let key = segment_key(self.records.last.number);
-            env.store(Purpose::Record(RecordCall::ReadSegment), Urgency::High, StoreOp::Get(key));
+            env.store(Purpose::Record(RecordCall::ReadSegment), Urgency::Record, StoreOp::Get(key));
         }
         for name in std::mem::take(&mut self.records.read_jobs) {
             self.records.reading += 1;
             let key = job_key(&name);
-            env.store(Purpose::Record(RecordCall::ReadJob(name)), Urgency::High, StoreOp::Get(key));
+            env.store(Purpose::Record(RecordCall::ReadJob(name)), Urgency::Record, StoreOp::Get(key));
         }
     }
 
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -154,12 +154,8 @@
         if waiting.len() > 1 {
             return;
         }
-        if self.users.known.contains_key(&id) {
-            self.users.queue.push_back(id);
-            self.check();
-        } else {
-            self.read(id);
-        }
+        self.users.queue.push_back(id);
+        self.check();
     }
 
     fn read(&mut self, job: String) {
@@ -167,7 +163,9 @@
         self.env.store(Purpose::User(UserCall::Read { job }), Urgency::High, op);
     }
 
-    /// Compares cached versions in the store: one transaction for all that wait.
+    /// Compares cached versions in the store: one transaction for all that wait. Ids that
+    /// are not known are taken for absent, and read only if they are not: a flood of
+    /// questions for jobs that nobody submitted must not use up the calls that others need.
     fn check(&mut self) {
         if self.users.checking || self.users.queue.is_empty() {
             return;
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -768,6 +768,41 @@
     assert_eq!(world.status(follower, "wk-000001").map(|s| s.0), Some(200));
 }
 
+#[test]
+fn jobs_that_a_watch_missed_are_read_again() {
+    let mut world = settled(2);
+    // The store forgets changes so soon that nearly every watch comes too late (410).
+    world.store.kept = 2;
+    for id in 1..9 {
+        assert_eq!(world.submit(id as usize % 3, job(id, 3)), Some(201));
+    }
+    world.submit(0, service(20, 2));
+    world.run(secs(40));
+    world.cancel(1, "wk-000020");
+    world.run(secs(10));
+    for id in 1..9 {
+        assert_eq!(world.state(id as usize % 3, &format!("wk-{id:06}")), Some(JobStatus::Done));
+        assert_eq!(world.submit(id as usize % 3, job(id, 3)), Some(200), "a repeat");
+    }
+    assert!(world.where_runs("wk-000020").is_empty());
+    assert_eq!(world.started, 26);
+}
+
+#[test]
+fn a_flood_of_questions_for_unknown_jobs_leaves_calls_for_others() {
+    let mut world = settled(1);
+    world.submit(0, service(1, 2));
+    let node = other_than(world.lead().expect("a lead"));
+    let mut asked: Vec<String> = (1000..1400).map(|id| format!("wk-{id:06}")).collect();
+    asked.push("wk-000001".into());
+    let before = world.store.requests;
+    let answers = world.ask_all(node, &asked);
+    assert_eq!(answers.iter().filter(|status| **status == 404).count(), 400);
+    assert_eq!(answers.iter().filter(|status| **status == 200).count(), 1);
+    let calls = world.store.requests - before;
+    assert!(calls <= 40, "{calls} calls to the store");
+}
+
 #[test]
 fn under_lasting_overload_the_largest_job_begins_and_ends() {
     let mut world = settled(2);
--- a/crates/rushyoke/src/budget.rs
+++ b/crates/rushyoke/src/budget.rs
@@ -46,7 +46,7 @@
 pub struct Budget<T> {
     requests: Bucket,
     writes: Bucket,
-    queues: [VecDeque<Queued<T>>; 3],
+    queues: [VecDeque<Queued<T>>; 4],
     rps: f64,
     write_rps: f64,
 }
@@ -57,7 +57,7 @@
         Budget {
             requests: Bucket::new(rps, (rps * seconds).max(1.0), now),
             writes: Bucket::new(write_rps, (write_rps * seconds).max(1.0), now),
-            queues: [VecDeque::new(), VecDeque::new(), VecDeque::new()],
+            queues: std::array::from_fn(|_| VecDeque::new()),
             rps,
             write_rps,
         }
@@ -83,15 +83,21 @@
     pub fn next(&mut self, now: Instant) -> Option<T> {
         self.requests.fill(now);
         self.writes.fill(now);
+        // Leadership never waits; what it uses is paid back by the others. What reads only does
+        // not wait behind changes, be they more urgent.
+        let mut blocked = false;
         for queue in &mut self.queues {
-            // Leadership never waits; what it uses is paid back by the others. What reads only
-            // does not wait behind changes.
             let passes = |q: &Queued<T>| {
-                q.urgency == Urgency::Lead || (self.requests.has(1.0) && (q.writes == 0.0 || self.writes.has(q.writes)))
+                let may_write = q.writes == 0.0 || (!blocked && self.writes.has(q.writes));
+                q.urgency == Urgency::Lead || (self.requests.has(1.0) && may_write)
             };
             let Some(first) = queue.front() else { continue };
             let at = if passes(first) { Some(0) } else { queue.iter().position(|q| q.writes == 0.0 && passes(q)) };
-            let next = queue.remove(at?).expect("just found");
+            let Some(at) = at else {
+                blocked = true;
+                continue;
+            };
+            let next = queue.remove(at).expect("just found");
             self.requests.level -= 1.0;
             self.writes.level -= next.writes;
             return Some(next.item);
@@ -144,6 +150,20 @@
         assert_eq!(budget.next(start + Duration::from_millis(1100)), Some("second change"));
     }
 
+    #[test]
+    fn what_jobs_wait_for_passes_a_flood_of_submissions() {
+        let start = Instant::now();
+        let mut budget = Budget::new(100.0, 2.0, 1.0, start);
+        for n in 0..50 {
+            budget.push(n, Urgency::High, 2, start);
+        }
+        budget.push(99, Urgency::Record, 1, start);
+        budget.push(100, Urgency::Record, 2, start);
+        budget.push(101, Urgency::Low, 0, start);
+        // The second record waits for its turn; no submission passes it, but what reads does.
+        assert_eq!((budget.next(start), budget.next(start), budget.next(start)), (Some(99), Some(101), None));
+    }
+
     #[test]
     fn a_full_queue_gives_the_call_back() {
         let start = Instant::now();
--- a/crates/testkit/src/store.rs
+++ b/crates/testkit/src/store.rs
@@ -7,7 +7,7 @@
 use rushyoke_wire::store::{Changes, Event, Item, Page, Txn, Write};
 use serde_json::Value;
 
-/// Changes that are kept for watches.
+/// Changes that are kept for watches, unless a test wants fewer.
 const KEPT: usize = 10_000;
 const MAX_OPS: usize = 16;
 
@@ -24,13 +24,17 @@
     pub largest_value: usize,
     /// Rows per page of a list.
     pub page: usize,
+    /// Changes that are kept for watches.
+    pub kept: usize,
     /// Puts and deletes carried out.
     pub writes: u64,
+    /// Requests answered, watches apart.
+    pub requests: u64,
 }
 
 impl Store {
     pub fn new() -> Store {
-        Store { page: 1000, ..Store::default() }
+        Store { page: 1000, kept: KEPT, ..Store::default() }
     }
 
     /// Ends leases that were not renewed; returns whether keys changed.
@@ -74,7 +78,7 @@
 
     /// The answer to a watch if there is something to tell.
     pub fn watch(&self, prefix: &str, after: u64) -> Option<StoreAnswer> {
-        if self.log.len() >= KEPT && self.log.first().is_some_and(|(r, _)| *r > after + 1) {
+        if self.log.len() >= self.kept && self.log.first().is_some_and(|(r, _)| *r > after + 1) {
             return Some(StoreAnswer::TooOld);
         }
         let events: Vec<Event> = self
@@ -92,6 +96,7 @@
 
     pub fn execute(&mut self, now: Duration, op: &StoreOp) -> StoreAnswer {
         self.expire(now);
+        self.requests += 1;
         match op {
             StoreOp::Get(key) => StoreAnswer::Item(self.rows.get(key).map(|(value, version, _)| Item {
                 key: key.clone(),
@@ -171,8 +176,8 @@
                 Write::Delete { key } => self.delete(key),
             }
         }
-        if self.log.len() > KEPT {
-            let excess = self.log.len() - KEPT;
+        if self.log.len() > self.kept {
+            let excess = self.log.len() - self.kept;
             self.log.drain(..excess);
         }
         StoreAnswer::Committed(self.revision)
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -665,6 +665,14 @@
         Some((answer.status, serde_json::from_slice(&answer.body).ok()))
     }
 
+    /// Asks a node for many jobs at once; the statuses of the answers within a second.
+    pub fn ask_all(&mut self, node: usize, jobs: &[String]) -> Vec<u16> {
+        let asked = jobs.iter().map(|job| self.ask(node, |req| Input::Status { req, id: job.clone() }));
+        let asked: Vec<u64> = asked.collect();
+        self.run(Duration::from_secs(1));
+        asked.iter().filter_map(|id| Some(self.answers.remove(id)?.status)).collect()
+    }
+
     pub fn state(&mut self, node: usize, job: &str) -> Option<JobStatus> {
         self.status(node, job)?.1.map(|view| view.state)
     }
