--- a/crates/core/src/facts.rs
+++ b/crates/core/src/facts.rs
@@ -65,6 +65,8 @@
     pub silent_reports: f64,
     /// Unfinished jobs that are held at the most; more are turned away.
     pub max_jobs: usize,
+    /// Jobs whose state a node remembers for quick answers.
+    pub known_jobs: usize,
     /// Machines looked at for one placement when many are known.
     pub sample: usize,
 }
@@ -86,6 +88,7 @@
             idle: Duration::from_secs(12),
             silent_reports: 2.5,
             max_jobs: 5000,
+            known_jobs: 20_000,
             sample: 32,
         }
     }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -345,7 +345,7 @@
 
     fn peer_asked(&mut self, req: Req, ask: PeerAsk) {
         if ask.token.is_some() {
-            self.users.take_progress(ask.progress);
+            self.users.take_progress(ask.progress, self.env.policy.known_jobs);
             self.users.full = ask.full;
         }
         let tell = PeerTell {
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -17,8 +17,6 @@
 use crate::node::{Env, Node, Purpose};
 use crate::quota::{Room, SLACK};
 
-/// Jobs remembered for quick answers.
-const KNOWN: usize = 20_000;
 /// Requests that wait for the store; more are turned away.
 const WAITING: usize = 512;
 /// Keys compared by one transaction.
@@ -82,7 +80,7 @@
 }
 
 impl Users {
-    fn learn(&mut self, job: &str, known: Known) {
+    fn learn(&mut self, job: &str, known: Known, most: usize) {
         match self.known.get_mut(job) {
             // Final is final, and older answers may arrive late.
             Some(old) if old.version >= known.version => {}
@@ -90,7 +88,7 @@
             None => {
                 self.known.insert(job.to_owned(), known);
                 self.order.push_back(job.to_owned());
-                if self.order.len() > KNOWN
+                if self.order.len() > most
                     && let Some(oldest) = self.order.pop_front()
                 {
                     self.known.remove(&oldest);
@@ -102,8 +100,8 @@
         }
     }
 
-    pub fn take_progress(&mut self, progress: Vec<Progress>) {
-        if self.progress.len() > KNOWN {
+    pub fn take_progress(&mut self, progress: Vec<Progress>, most: usize) {
+        if self.progress.len() > most {
             self.progress.clear();
         }
         for p in progress {
@@ -217,7 +215,7 @@
         match serde_json::from_value::<JobRecord>(item.value) {
             Ok(record) => {
                 let known = Known { state: record.state, tasks: record.tasks, version: item.version };
-                self.users.learn(id, known);
+                self.users.learn(id, known, self.env.policy.known_jobs);
                 true
             }
             Err(error) => {
@@ -326,7 +324,8 @@
             }
             (UserCall::Read { job }, _) => self.fail_lookup(&job),
             (UserCall::Create { req, job, tasks }, Outcome::Answered(StoreAnswer::Committed(version))) => {
-                self.users.learn(&job, Known { state: RecordState::Open, tasks, version });
+                let known = Known { state: RecordState::Open, tasks, version };
+                self.users.learn(&job, known, self.env.policy.known_jobs);
                 let state = JobStatus::Queued;
                 self.close(req, Answer::json(201, &JobView { id: job, state, done: None, running: None }));
             }
@@ -370,7 +369,8 @@
             (UserCall::CancelRead { req, job }, Outcome::Answered(StoreAnswer::Item(None))) => self.look_up(req, job),
             (UserCall::CancelRead { req, .. }, _) => self.close(req, unsure),
             (UserCall::CancelWrite { req, job, tasks }, Outcome::Answered(StoreAnswer::Committed(version))) => {
-                self.users.learn(&job, Known { state: RecordState::Cancelled, tasks, version });
+                let known = Known { state: RecordState::Cancelled, tasks, version };
+                self.users.learn(&job, known, self.env.policy.known_jobs);
                 let answer = self.view(&job, self.users.known[&job]);
                 self.close(req, answer);
             }
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -788,6 +788,25 @@
     assert_eq!(world.started, 26);
 }
 
+#[test]
+fn a_full_cache_of_jobs_forgets_none() {
+    let mut world = World::with(2, Policy { known_jobs: 2, ..Policy::default() }, &["a"]);
+    world.run(secs(6));
+    for id in 1..9 {
+        world.submit(id as usize % 3, job(id, 2));
+    }
+    for wait in [2, 30] {
+        world.run(secs(wait));
+        for node in 0..3 {
+            let asked: Vec<String> = (1..9).map(|id| format!("wk-{id:06}")).collect();
+            assert_eq!(world.ask_all(node, &asked), vec![200; 8]);
+            assert_eq!(world.submit(node, job(1, 2)), Some(200), "a repeat");
+        }
+    }
+    assert_eq!(world.state(0, "wk-000004"), Some(JobStatus::Done));
+    assert_eq!(world.started, 16);
+}
+
 #[test]
 fn a_flood_of_questions_for_unknown_jobs_leaves_calls_for_others() {
     let mut world = settled(1);
--- a/crates/rushyoke/src/settings.rs
+++ b/crates/rushyoke/src/settings.rs
@@ -123,6 +123,7 @@
     starved_s: Option<f64>,
     silent_reports: Option<f64>,
     max_jobs: Option<usize>,
+    known_jobs: Option<usize>,
     sample: Option<usize>,
 }
 
@@ -261,6 +262,7 @@
     seconds("starved_s", file.starved_s, 1.0, 86_400.0, &mut policy.starved)?;
     number("silent_reports", file.silent_reports, 1.5, 100.0, &mut policy.silent_reports)?;
     whole("max_jobs", file.max_jobs, 1, 1_000_000, &mut policy.max_jobs)?;
+    whole("known_jobs", file.known_jobs, 100, 10_000_000, &mut policy.known_jobs)?;
     whole("sample", file.sample, 1, 100_000, &mut policy.sample)?;
     Ok(policy)
 }
