Wait for the leases of many machines that fall silent at once, and rent meanwhile

Until its lease ends a machine that is cut off runs on. A sample of 48 machines now tells the end of a few from a cut; taken for a cut (a sixth of the fleet, ordinary ones included, or most of a zone while others answer), they keep their work until their leases have likely ended, and machines are rented for it meanwhile. An earlier lead that may be cut off with them counts as answering them; a zone out of reach gets no rentals.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -11,6 +11,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
+use rand::seq::IteratorRandom;
 use rushyoke_wire::cloud::{Listed, MachineType, Phase as CloudPhase};
 use rushyoke_wire::job::{JobSpec, Kind};
 use rushyoke_wire::worker::{Cause, Order, Orders, Report, TaskReport, TaskState};
@@ -46,6 +47,15 @@
 const COPY_PROBE: Duration = Duration::from_secs(2);
 /// Share of a lease within which an answered report surely renewed it.
 const RENEWED: f64 = 0.7;
+/// Machines that must fail to answer for a survey, the machines that it asks, how often it
+/// is made, and when its answers are in.
+const SURVEY_FROM: usize = 3;
+const SURVEYED: usize = 48;
+const SURVEY_PERIOD: Duration = Duration::from_secs(5);
+const SURVEY_ANSWERED: Duration = Duration::from_millis(1000);
+/// Silent machines that are taken for cut off, as a number and as one part of so many.
+const PARTED: usize = 12;
+const PARTED_SHARE: usize = 6;
 /// Names of returned machines that are remembered, against late reports.
 const GONE_KEPT: usize = 1000;
 
@@ -295,6 +305,32 @@
     }
 }
 
+/// Machines, and the ordinary ones among them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Silent {
+    all: usize,
+    firm: usize,
+}
+
+impl Silent {
+    fn note(&mut self, machine: &Machine) {
+        self.all += 1;
+        self.firm += usize::from(!machine.spot);
+    }
+}
+
+/// What a sample of the machines told when some fell silent.
+#[derive(Default)]
+pub(crate) struct Survey {
+    asked: Option<Instant>,
+    sample: Vec<Name>,
+    /// Machines that seem to be out of reach, and the ordinary ones among them.
+    silent: Silent,
+    cut_zones: BTreeSet<String>,
+    /// When they were last so many that a cut of the network is more likely than their end.
+    parted_at: Option<Instant>,
+}
+
 /// Tells apart the ways in which a report came.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Via {
@@ -833,14 +869,20 @@
         let mut lapsed = Vec::new();
         let mut silent = Vec::new();
         let (mut up, mut overdue, mut unheard, mut unreported, mut unreached) = (0, 0, 0, 0, 0);
+        let (mut failing, mut all, mut quiet_ones) = (0, Silent::default(), Silent::default());
         for machine in self.machines.values_mut().filter(|m| m.up) {
             up += 1;
+            all.note(machine);
             if machine.claim.as_ref().is_some_and(|claim| claim.until <= now) {
                 machine.claim = None;
             }
             let quiet = now.duration_since(machine.heard);
             overdue += usize::from(quiet > late);
             unreached += usize::from(machine.fenced.is_none() && machine.probes_failed > 0);
+            failing += usize::from(machine.probes_failed > 0 && !machine.leaving);
+            if quiet > late || machine.fenced.is_none() && machine.probes_failed > 0 {
+                quiet_ones.note(machine);
+            }
             unheard += usize::from(quiet > late + PROBE);
             unreported += usize::from(now.duration_since(machine.reported) > late + PROBE);
             if quiet > late && !machine.suspect {
@@ -867,10 +909,17 @@
         let most = |count: usize| up >= 3 && count * 5 >= up * 4;
         let settled = now.duration_since(self.since) > SETTLING * env.facts.others.len() as u32 + late;
         self.cut_off = most(unreached) || most(unreported) && (most(unheard) || settled);
-        // Many silent at once: more likely the network, or this node, than the machines.
+        // Most silent at once: more likely the network, or this node, than the machines.
         // Returning them would kill what still runs.
-        let many = overdue > 2 && overdue * 2 > up;
-        for name in silent.into_iter().filter(|_| !many) {
+        let most = overdue > 2 && overdue * 2 > up;
+        self.survey(env, failing, quiet_ones, all);
+        for name in silent.into_iter().filter(|_| !most) {
+            // So is a good part of a large fleet: its tasks run on until their leases end, and
+            // other machines are made ready for them meanwhile.
+            let machine = &self.machines[&name];
+            if self.parted(machine) && now < self.spared_until(env, machine) {
+                continue;
+            }
             let machine = self.machines.get_mut(&name).expect("listed");
             tracing::info!(machine = &*name, tasks = machine.places.len(), "silent; given up");
             machine.leaving = true;
@@ -887,6 +936,81 @@
         }
     }
 
+    /// Some machines fail to answer: asks a sample of the others, to tell the end of a few
+    /// machines from a cut of the network, long before most of their reports are overdue.
+    fn survey(&mut self, env: &mut Env, failing: usize, silent: Silent, up: Silent) {
+        let now = env.steady();
+        let due = self.survey.asked.is_none_or(|t| now.duration_since(t) >= SURVEY_PERIOD);
+        if failing < SURVEY_FROM {
+            if due {
+                self.survey = Survey::default();
+            }
+            return;
+        }
+        if due {
+            let free = |m: &&Machine| m.up && !m.leaving && !m.unproven && m.direct.is_none() && !m.addr.is_empty();
+            let others: Vec<Name> = self.machines.values().filter(free).map(|m| m.name.clone()).collect();
+            let sample: Vec<Name> = others.into_iter().sample(&mut env.rng, SURVEYED);
+            sample.iter().for_each(|name| self.direct(env, name, Vec::new()));
+            (self.survey.asked, self.survey.sample) = (Some(now), sample);
+        }
+        if self.survey.asked.is_some_and(|t| now.duration_since(t) >= SURVEY_ANSWERED) {
+            let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+            let (mut asked, mut failed) = (Silent::default(), Silent::default());
+            for machine in self.survey.sample.iter().filter_map(|name| self.machines.get(name)) {
+                let zone = zones.entry(&machine.zone).or_default();
+                *zone = (zone.0 + 1, zone.1 + usize::from(machine.probes_failed > 0));
+                asked.note(machine);
+                if machine.probes_failed > 0 {
+                    failed.note(machine);
+                }
+            }
+            let (cut, whole): (Vec<_>, Vec<_>) = zones.iter().partition(|(_, (asked, failed))| failed * 2 > *asked);
+            let cut = cut.into_iter().filter(|(_, (asked, _))| *asked >= PARTED / 2 && !whole.is_empty());
+            self.survey.cut_zones = cut.map(|(zone, _)| (*zone).to_owned()).collect();
+            let part = |failed: usize, asked: usize, up: usize| failed * up / asked.max(1);
+            let firm = part(failed.firm, asked.firm, up.firm);
+            self.survey.silent = Silent { all: part(failed.all, asked.all, up.all), firm };
+        }
+        let known = self.survey.silent;
+        let silent = Silent { all: silent.all.max(known.all), firm: silent.firm.max(known.firm) };
+        // Spot machines alone are more likely taken back.
+        let many = |silent: usize, up: usize| silent * PARTED_SHARE > up;
+        let parted = silent.all >= PARTED && many(silent.all, up.all) && (up.firm == 0 || many(silent.firm, up.firm));
+        if parted {
+            if self.survey.parted_at.is_none() {
+                let (silent, of) = (silent.all, up.all);
+                tracing::info!(silent, of, "many machines are silent at once: waiting for their leases to end");
+            }
+            self.survey.parted_at = Some(now);
+        } else if self.survey.parted_at.is_some_and(|t| now.duration_since(t) >= SURVEY_PERIOD) {
+            // Not before: when a cut ends, the last machines get their time to answer, too.
+            self.survey.parted_at = None;
+        }
+    }
+
+    /// Whether a silent machine is likely cut off, with many others, and not dead.
+    pub fn parted(&self, machine: &Machine) -> bool {
+        machine.probes_failed > 0 && (self.survey.parted_at.is_some() || self.survey.cut_zones.contains(&machine.zone))
+    }
+
+    /// When the lease of a machine that is cut off has likely ended. An earlier lead that is
+    /// cut off with it may go on answering it; one that is known to be silent fell before its
+    /// key did.
+    fn spared_until(&self, env: &Env, machine: &Machine) -> Instant {
+        let lease = env.facts.lease;
+        match machine.fenced {
+            Some(_) => machine.heard + lease,
+            None if self.old_known => self.since + lease.saturating_sub(env.policy.lead_ttl),
+            None => machine.lapse_at(self.old_silent, lease),
+        }
+    }
+
+    /// Whether a zone's machines are out of reach: new ones would be too.
+    pub fn zone_is_cut(&self, zone: &str) -> bool {
+        self.survey.cut_zones.contains(zone)
+    }
+
     fn lease_lapsed(&mut self, env: &mut Env, name: &Name) {
         let now = env.steady();
         let machine = self.machines.get_mut(name).expect("listed");
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -9,7 +9,7 @@
 use rushyoke_wire::store::{Event, Item};
 
 use crate::facts::Team;
-use crate::fleet::Machine;
+use crate::fleet::{Machine, Survey};
 use crate::io::*;
 use crate::jobs::*;
 use crate::node::{Env, Purpose};
@@ -47,6 +47,8 @@
     pub since: Instant,
     /// From then on no earlier lead answers any worker.
     pub old_silent: Instant,
+    /// Every other node has told that it leads no more.
+    pub old_known: bool,
     load: Load,
     waiting: bool,
     retry: Option<Instant>,
@@ -75,6 +77,7 @@
     progress: BTreeSet<Name>,
     /// The workers seem to be out of this node's reach.
     pub cut_off: bool,
+    pub survey: Survey,
 }
 
 impl Reign {
@@ -83,6 +86,7 @@
             baton,
             since: now,
             old_silent,
+            old_known: false,
             load: Load::Jobs { after: String::new() },
             waiting: false,
             retry: None,
@@ -106,6 +110,7 @@
             last_look: None,
             progress: BTreeSet::new(),
             cut_off: false,
+            survey: Survey::default(),
         }
     }
 
@@ -124,6 +129,7 @@
     }
 
     pub fn old_lead_silent(&mut self, from: Instant) {
+        self.old_known = true;
         if from < self.old_silent {
             tracing::debug!("no earlier lead acts any more");
             self.old_silent = from;
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -206,6 +206,13 @@
             in_use += machine.used.cpus;
             add_free(&machine.zone, machine.spot, machine.total.minus(machine.used));
         }
+        // What runs on machines that are cut off will want room elsewhere when their leases end.
+        for machine in self.machines.values().filter(|m| m.suspect && !m.leaving && self.parted(m)) {
+            for (job, _) in &machine.places {
+                let spec = &self.jobs[job].spec;
+                if spec.spot { spot_need.add(Room::of(spec)) } else { firm_need.add(Room::of(spec)) }
+            }
+        }
         for (rental, _) in &self.renting.open {
             if let Some(kind) = env.type_named(&rental.kind) {
                 let room = Room { cpus: kind.cpus, gpus: kind.gpus, memory_gb: kind.memory_gb };
@@ -422,7 +429,7 @@
                 for zone in kind.zones.iter().filter(|z| within.is_none_or(|w| w.contains(z))) {
                     let market = (kind.name.clone(), zone.clone(), spot);
                     let busy = self.renting.refused.contains_key(&market);
-                    if price.is_finite() && !busy {
+                    if price.is_finite() && !busy && !self.zone_is_cut(zone) {
                         options.push((price * count, count, market));
                     }
                 }
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -1,10 +1,10 @@
 //! Stories of a fleet of many hundreds of machines, on the same stand-ins.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rushyoke_core::{Facts, Policy, Team};
-use rushyoke_testkit::{World, facts, job};
+use rushyoke_testkit::{World, facts, job, service};
 
 fn secs(s: u64) -> Duration {
     Duration::from_secs(s)
@@ -35,3 +35,82 @@
         assert!(there * 4 >= world.cloud.machines.len(), "{there} machines in {zone}");
     }
 }
+
+/// A fleet of ordinary machines that are up, each with replicas of many small services.
+fn at_work(machines: usize, services: u32) -> World {
+    let team = Team { cpus: 20_000.0, cpus_max: 40_000.0, gpus: 0.0, gpus_max: 0.0 };
+    let teams = BTreeMap::from([("red".into(), team)]);
+    let facts = Facts { teams, cloud_rps: 10.0, lease: secs(20), cancel: secs(40), ..facts(0, 3) };
+    let mut world = World::deployed(facts, machines, Policy::default(), &ZONES);
+    world.cloud.capacity = machines as u32 * 2;
+    world.run(secs(6));
+    for id in 0..services {
+        assert_eq!(world.submit(id as usize % 3, service(id, 8)), Some(201));
+    }
+    world.run(secs(3));
+    world
+}
+
+/// Machines of the last records that run replicas, and how many replicas run.
+fn at_work_on(world: &World, services: u32) -> (BTreeSet<String>, usize) {
+    let places: Vec<_> = (0..services).flat_map(|id| world.where_runs(&format!("wk-{id:06}"))).collect();
+    (places.iter().map(|(_, machine)| machine.clone()).collect(), places.len())
+}
+
+#[test]
+fn a_third_of_the_fleet_cut_off_for_less_than_its_lease_loses_nothing() {
+    // Found on a day with a third of the machines cut off: they were returned within seconds,
+    // and there was no room for their replicas before others had booted.
+    let mut world = at_work(60, 60);
+    let (hosts, running) = at_work_on(&world, 60);
+    assert_eq!(running, 480);
+    let cut: BTreeSet<String> = hosts.into_iter().step_by(2).collect();
+    world.cut.extend(cut.iter().cloned());
+    world.run(secs(9));
+    assert_eq!(world.started, 480, "replicas that run were given up");
+    world.cut.clear();
+    world.run(secs(12));
+    assert_eq!(at_work_on(&world, 60).1, 480);
+    assert!(cut.iter().all(|name| world.workers[name].session == 1), "a lease ended");
+}
+
+#[test]
+fn what_is_cut_off_for_longer_is_back_soon_after_its_leases() {
+    for crash in [false, true] {
+        let mut world = at_work(60, 60);
+        let (hosts, _) = at_work_on(&world, 60);
+        let cut: Vec<String> = hosts.iter().step_by(2).cloned().collect();
+        world.cut.extend(cut.iter().cloned());
+        if crash {
+            let lead = world.lead().expect("a lead");
+            world.crash(lead);
+            world.run(secs(1));
+            world.start_node(lead);
+        }
+        // All that was lost runs elsewhere, on machines that were made ready meanwhile.
+        world.run(secs(24));
+        assert_eq!(at_work_on(&world, 60).1, 480, "crash: {crash}");
+        assert!(cut.iter().all(|name| !world.workers.contains_key(name)), "crash: {crash}: they were not returned");
+    }
+}
+
+#[test]
+fn few_dead_machines_or_a_wave_of_spot_machines_are_not_taken_for_a_cut() {
+    let mut world = at_work(60, 60);
+    let (hosts, _) = at_work_on(&world, 60);
+    for dead in hosts.iter().take(5) {
+        world.workers.remove(dead);
+    }
+    world.run(secs(8));
+    assert_eq!(at_work_on(&world, 60).1, 480, "their leases were waited for");
+    // Work that may use spot machines, all of which are taken without notice.
+    (100..112).for_each(|id| assert_eq!(world.submit(0, job(id, 60)), Some(201)));
+    world.run(secs(16));
+    let spot: Vec<String> = world.workers.iter().filter(|(_, w)| w.spot).map(|(name, _)| name.clone()).collect();
+    assert!((25..50).contains(&spot.len()), "{} spot machines", spot.len());
+    for name in &spot {
+        world.workers.remove(name);
+    }
+    world.run(secs(8));
+    assert!(spot.iter().all(|name| !world.cloud.machines.contains_key(name)), "their leases were waited for");
+}
