Divide the sockets by need, fence service machines first, forget no urgent order

Fixed counts: 150 sockets kept for own calls whatever the limit, kept connections to 256 addresses, no bound on direct calls or calls to the state service under way; all known machines were fenced by direct calls at once while their reports came too; machines out of reach were looked at on every input. An order that became due while a direct call was under way waited for the next report. Now the limit is divided (three quarters for others, the rest for direct calls, kept ones and the store), services' machines are fenced first and the others by their own second report, or directly after 2.5 s; what cannot be called is looked at a few times a second; a node whose calls hang counts the store as down 1 s sooner.

--- a/crates/core/src/facts.rs
+++ b/crates/core/src/facts.rs
@@ -34,6 +34,8 @@
     pub list_lag: Duration,
     /// Calls that the cloud takes a second.
     pub cloud_rps: f64,
+    /// Direct calls to workers at a time, as far as the sockets go.
+    pub orders_at_once: usize,
 }
 
 /// The operators' own settings, with the defaults of the design.
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -43,6 +43,9 @@
 /// A worker that reports to a node out of reach tries the next one after this time; a new
 /// lead that only its own calls reach waits until all could have found it.
 const SETTLING: Duration = Duration::from_secs(5);
+/// Most workers find a new lead by themselves, and their second report shows its token: only
+/// machines with services are shown it directly before this time.
+const FENCE_BY_REPORT: Duration = Duration::from_millis(2500);
 /// Least time between direct calls that ask whether a copy or a worker came.
 const COPY_PROBE: Duration = Duration::from_secs(2);
 /// Share of a lease within which an answered report surely renewed it.
@@ -106,6 +109,8 @@
     digest: Option<u64>,
     /// There may be orders to give; else its places are as they should be.
     orders_due: bool,
+    /// It was urged while it could not be called.
+    postponed: bool,
     /// Places that belong to services.
     services: u32,
     /// Session that surely ended with its lease.
@@ -166,6 +171,7 @@
             unproven: false,
             digest: None,
             orders_due: true,
+            postponed: false,
             services: 0,
             lapsed: None,
             fenced: None,
@@ -399,6 +405,7 @@
     /// The outcome of direct orders.
     pub fn ordered(&mut self, env: &mut Env, name: &Name, outcome: Outcome<(u16, Report)>) {
         let now = env.steady();
+        self.directs -= 1;
         let Some(machine) = self.machines.get_mut(name) else {
             return;
         };
@@ -426,20 +433,17 @@
                 let Some(machine) = self.machines.get_mut(name) else {
                     return;
                 };
-                if machine.fenced.is_none() {
-                    // It did not know the session; now it is known.
-                    self.urgent.insert(name.clone());
-                } else if status == 409 {
+                if status == 409 && machine.fenced.is_some() {
                     machine.direct_from = Some(now + DIRECT_RETRY / 4);
-                    self.urgent.insert(name.clone());
+                    machine.postponed = true;
+                } else if machine.fenced.is_none() || std::mem::take(&mut machine.postponed) {
+                    // It did not know the session; now it is known. Or it was urged meanwhile.
+                    self.urge(name);
                 }
             }
             Outcome::NotDone => {
                 machine.probes_failed += 1;
                 machine.direct_from = Some(now + DIRECT_RETRY);
-                if machine.fenced.is_none() {
-                    self.urgent.insert(name.clone());
-                }
             }
             _ => {
                 machine.probes_failed += 1;
@@ -523,8 +527,12 @@
         machine.session = report.session;
         machine.seq = report.seq;
         if report.token < baton {
-            // An earlier lead may still command it: show it the token first.
-            self.urgent.insert(name.clone());
+            // An earlier lead may still command it: show it the token first. The answer to a
+            // report does so too, a little later.
+            let later = via == Via::Report && now.duration_since(self.since) < FENCE_BY_REPORT;
+            if !later || machine.hosts_service() {
+                self.urge(name);
+            }
             return false;
         }
         let was_fenced = machine.fenced.is_some();
@@ -552,13 +560,14 @@
             listed.insert(attempt);
         }
         let machine = self.machines.get_mut(name).expect("reported");
-        if strangers.iter().any(|(_, exited)| !exited) {
-            self.urgent.insert(name.clone());
-        }
+        let stop = strangers.iter().any(|(_, exited)| !exited);
         machine.strangers = strangers;
         machine.orders_due = true;
         machine.residue.retain(|attempt, _| listed.contains(attempt));
         let missing: Vec<TaskKey> = machine.places.difference(&seen).cloned().collect();
+        if stop {
+            self.urge(name);
+        }
         for key in missing {
             let place = &self.jobs[&key.0].places[&key.1];
             // A start that was only ordered is repeated; what was there before, or came
@@ -614,7 +623,8 @@
         if before != place.stage {
             let (wanted, unsent) = (place.stop.is_some(), place.stop_sent.is_none());
             if wanted && unsent {
-                self.urgent.insert(place.machine.clone());
+                let machine = place.machine.clone();
+                self.urge(&machine);
             }
             self.note_progress(&key.0);
         }
@@ -740,7 +750,7 @@
             if let Some(machine) = self.machines.get_mut(&name) {
                 machine.orders_due = true;
             }
-            self.urgent.insert(name);
+            self.urge(&name);
         }
     }
 
@@ -824,18 +834,28 @@
         orders
     }
 
-    /// Sends direct orders to the machines that should not wait for their report.
+    /// A machine has orders, or must be shown the token, before its next report.
+    pub fn urge(&mut self, name: &Name) {
+        let hosts = self.machines.get(name).is_some_and(Machine::hosts_service);
+        self.urgent.insert((!hosts, name.clone()));
+    }
+
+    /// Sends direct orders to the machines that should not wait for their report, those with
+    /// services first, as many at a time as there are sockets for.
     pub fn send_urgent(&mut self, env: &mut Env) {
         let now = env.steady();
-        for name in std::mem::take(&mut self.urgent) {
-            let Some(machine) = self.machines.get(&name) else {
+        while self.directs < env.facts.orders_at_once {
+            let Some((_, name)) = self.urgent.pop_first() else {
+                return;
+            };
+            let Some(machine) = self.machines.get_mut(&name) else {
                 continue;
             };
-            if machine.direct.is_some() || machine.addr.is_empty() || !machine.up {
+            if machine.addr.is_empty() || !machine.up {
                 continue;
             }
-            if machine.direct_from.is_some_and(|t| t > now) {
-                self.urgent.insert(name);
+            if machine.direct.is_some() || machine.direct_from.is_some_and(|t| t > now) {
+                machine.postponed = true;
                 continue;
             }
             let probe = machine.fenced.is_none();
@@ -854,6 +874,7 @@
             _ => None,
         });
         let session = machine.session;
+        self.directs += 1;
         machine.direct = Some(Direct { session, seen: (session, machine.seq), starts: starts.collect() });
         let body = Orders { token: self.baton, session: Some(session), orders };
         env.order(name.clone(), machine.addr.clone(), body);
@@ -868,6 +889,8 @@
         let give_up = report.mul_f64(env.policy.silent_reports);
         let mut lapsed = Vec::new();
         let mut silent = Vec::new();
+        let mut due = Vec::new();
+        let fence_all = now.duration_since(self.since) >= FENCE_BY_REPORT;
         let (mut up, mut overdue, mut unheard, mut unreported, mut unreached) = (0, 0, 0, 0, 0);
         let (mut failing, mut all, mut quiet_ones) = (0, Silent::default(), Silent::default());
         for machine in self.machines.values_mut().filter(|m| m.up) {
@@ -885,6 +908,12 @@
             }
             unheard += usize::from(quiet > late + PROBE);
             unreported += usize::from(now.duration_since(machine.reported) > late + PROBE);
+            if machine.direct.is_none() && machine.direct_from.is_none_or(|t| t <= now) {
+                let unfenced = machine.fenced.is_none() && (fence_all || machine.hosts_service());
+                if std::mem::take(&mut machine.postponed) || unfenced {
+                    due.push(machine.name.clone());
+                }
+            }
             if quiet > late && !machine.suspect {
                 machine.suspect = true;
                 machine.probes_failed = 0;
@@ -901,6 +930,7 @@
                 silent.push(machine.name.clone());
             }
         }
+        due.iter().for_each(|name| self.urge(name));
         for name in lapsed {
             self.lease_lapsed(env, &name);
         }
@@ -930,6 +960,7 @@
             .filter(|m| m.suspect && m.direct.is_none() && !m.addr.is_empty())
             .filter(|m| m.direct_from.is_none_or(|t| t <= now))
             .map(|m| m.name.clone())
+            .take(env.facts.orders_at_once.saturating_sub(self.directs))
             .collect();
         for name in probes {
             self.direct(env, &name, Vec::new());
@@ -1072,7 +1103,7 @@
             machine.up = true;
             machine.heard = now;
             machine.reported = now;
-            self.urgent.insert(name);
+            self.urge(&name);
         }
     }
 
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -138,12 +138,16 @@
         }
     }
 
-    /// Whether calls have failed for long enough to turn users away at once.
+    /// Whether calls have failed for long enough to turn users away at once. Calls that hang
+    /// fail late: what counts then is how long ago one was answered.
     pub fn down(&self, now: Instant) -> bool {
-        self.failing_since.is_some_and(|t| now.duration_since(t) > Duration::from_millis(1500))
+        let long = |since: Option<Instant>, limit| since.is_some_and(|t| now.duration_since(t) > limit);
+        self.failing_since.is_some() && (long(self.failing_since, DOWN) || long(self.last_ok, UNANSWERED))
     }
 }
 
+const DOWN: Duration = Duration::from_millis(1500);
+const UNANSWERED: Duration = Duration::from_millis(2000);
 const PEER_PERIOD: Duration = Duration::from_millis(2000);
 const PROBE_PERIOD: Duration = Duration::from_millis(300);
 const TYPES_PERIOD: Duration = Duration::from_secs(30);
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -438,7 +438,8 @@
             let place = self.jobs.get_mut(&name).and_then(|job| job.places.get_mut(&task));
             if let Some(place) = place.filter(|p| p.stage == Stage::Planned && Some(p.attempt) == attempt) {
                 place.stage = Stage::Ordered;
-                self.urgent.insert(place.machine.clone());
+                let machine = place.machine.clone();
+                self.urge(&machine);
             }
         }
         for (name, page) in batch.pages {
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -66,8 +66,11 @@
     pub records: Records,
     pub renting: Renting,
     pub speculation: Speculation,
-    /// Machines that have orders which should not wait for the next report.
-    pub urgent: BTreeSet<Name>,
+    /// Machines that have orders which should not wait for the next report; `false`, and so
+    /// first, for those with services.
+    pub urgent: BTreeSet<(bool, Name)>,
+    /// Direct calls under way.
+    pub directs: usize,
     /// Something changed that may let a task start.
     pub place_due: bool,
     pub placed_at: Option<Instant>,
@@ -103,6 +106,7 @@
             renting: Renting::default(),
             speculation: Speculation::default(),
             urgent: BTreeSet::new(),
+            directs: 0,
             place_due: false,
             placed_at: None,
             next_attempt: 0,
@@ -328,8 +332,9 @@
         }
         let places: usize = self.jobs.values().map(|j| j.places.len()).sum();
         tracing::info!(jobs = self.jobs.len(), places, machines = self.machines.len(), "records read");
-        // Machines that may hold something are shown the token at once.
-        self.urgent.extend(self.machines.keys().cloned());
+        // Machines that hold services are shown the token at once.
+        let hosts: Vec<Name> = self.machines.values().filter(|m| m.hosts_service()).map(|m| m.name.clone()).collect();
+        hosts.iter().for_each(|name| self.urge(name));
         self.place_due = true;
         self.watch(env);
     }
--- a/crates/rushyoke/src/budget.rs
+++ b/crates/rushyoke/src/budget.rs
@@ -79,8 +79,8 @@
         None
     }
 
-    /// The next call that may go out.
-    pub fn next(&mut self, now: Instant) -> Option<T> {
+    /// The next call that may go out; only leadership's if the calls under way are too many.
+    pub fn next(&mut self, now: Instant, full: bool) -> Option<T> {
         self.requests.fill(now);
         self.writes.fill(now);
         // Leadership never waits; what it uses is paid back by the others. What reads only does
@@ -89,7 +89,7 @@
         for queue in &mut self.queues {
             let passes = |q: &Queued<T>| {
                 let may_write = q.writes == 0.0 || (!blocked && self.writes.has(q.writes));
-                q.urgency == Urgency::Lead || (self.requests.has(1.0) && may_write)
+                q.urgency == Urgency::Lead || (!full && self.requests.has(1.0) && may_write)
             };
             let Some(first) = queue.front() else { continue };
             let at = if passes(first) { Some(0) } else { queue.iter().position(|q| q.writes == 0.0 && passes(q)) };
@@ -128,11 +128,14 @@
         for n in 0..4 {
             assert!(budget.push(n, Urgency::High, 1, start).is_none());
         }
-        assert_eq!((budget.next(start), budget.next(start), budget.next(start)), (Some(0), Some(1), None));
+        assert_eq!(
+            (budget.next(start, false), budget.next(start, false), budget.next(start, false)),
+            (Some(0), Some(1), None)
+        );
         assert!(budget.push(9, Urgency::Lead, 0, start).is_none());
-        assert_eq!(budget.next(start), Some(9));
-        assert_eq!(budget.next(start + Duration::from_millis(600)), None);
-        assert_eq!(budget.next(start + Duration::from_millis(1100)), Some(2));
+        assert_eq!(budget.next(start, true), Some(9));
+        assert_eq!(budget.next(start + Duration::from_millis(600), false), None);
+        assert_eq!(budget.next(start + Duration::from_millis(1100), false), Some(2));
         assert_eq!(budget.expired(start + Duration::from_secs(2)), vec![3]);
     }
 
@@ -144,10 +147,10 @@
         budget.push("second change", Urgency::High, 2, start);
         budget.push("read", Urgency::High, 0, start);
         assert_eq!(
-            (budget.next(start), budget.next(start), budget.next(start)),
+            (budget.next(start, false), budget.next(start, false), budget.next(start, false)),
             (Some("first change"), Some("read"), None)
         );
-        assert_eq!(budget.next(start + Duration::from_millis(1100)), Some("second change"));
+        assert_eq!(budget.next(start + Duration::from_millis(1100), false), Some("second change"));
     }
 
     #[test]
@@ -161,7 +164,10 @@
         budget.push(100, Urgency::Record, 2, start);
         budget.push(101, Urgency::Low, 0, start);
         // The second record waits for its turn; no submission passes it, but what reads does.
-        assert_eq!((budget.next(start), budget.next(start), budget.next(start)), (Some(99), Some(101), None));
+        assert_eq!(
+            (budget.next(start, false), budget.next(start, false), budget.next(start, false)),
+            (Some(99), Some(101), None)
+        );
     }
 
     #[test]
--- a/crates/rushyoke/src/command.rs
+++ b/crates/rushyoke/src/command.rs
@@ -44,7 +44,7 @@
     };
     let wait = Duration::from_secs(at.timeout);
     let ask = Ask { addr: at.server, method, path, body: Bytes::from(body), connect: wait, wait, most: 1 << 20 };
-    match LocalSet::new().run_until(Http::new().ask(ask)).await {
+    match LocalSet::new().run_until(Http::new(1).ask(ask)).await {
         Outcome::Answered((200 | 201, body)) => Ok(String::from_utf8_lossy(&body).into_owned()),
         Outcome::Answered((status, body)) => {
             Err(format!("{} answered {status}: {}", at.server, String::from_utf8_lossy(&body)))
--- a/crates/rushyoke/src/drive.rs
+++ b/crates/rushyoke/src/drive.rs
@@ -20,8 +20,6 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Requests that wait for the core; more are turned away.
 const INBOX: usize = 512;
-/// Sockets kept back for our own calls.
-const OWN_SOCKETS: usize = 150;
 /// The lead's share of the state service's budget; the others share the rest.
 const LEAD_SHARE: f64 = 0.55;
 /// The lead alone uses the cloud, apart from the others' first look at the types.
@@ -37,6 +35,10 @@
     node: Node,
     http: Http,
     store: Budget<(Call, StoreOp)>,
+    /// Calls to the state service under way, and the most: while it is slow or silent they
+    /// must not use up the sockets. Leadership passes, and watches do not count.
+    store_calls: Rc<Cell<usize>>,
+    most_store_calls: usize,
     cloud: Budget<(Call, CloudOp)>,
     store_addr: SocketAddr,
     cloud_addr: SocketAddr,
@@ -62,11 +64,11 @@
     let (core, mut inbox) = mpsc::channel::<Asked>(INBOX);
     // Outcomes of our own calls, whose number is bounded by the core and the budgets.
     let (back, mut outcomes) = mpsc::unbounded_channel::<Input>();
-    let most = settings.max_sockets.saturating_sub(OWN_SOCKETS).max(settings.max_sockets / 2).max(8);
+    let sockets = settings.sockets;
     let open = Rc::new(Cell::new(0));
     for (side, addr) in [(Side::Public, settings.public_addr), (Side::Peers, settings.peer_bind)] {
         let listener = Server::bind(addr).await?;
-        let server = Server { side, core: core.clone(), open: open.clone(), most };
+        let server = Server { side, core: core.clone(), open: open.clone(), most: sockets.served };
         tokio::task::spawn_local(server.run(listener));
     }
     drop(core);
@@ -76,7 +78,9 @@
         store: Budget::new(settings.state_rps, settings.state_writes, 0.4, start.steady),
         cloud: Budget::new(settings.cloud_rps, settings.cloud_rps, 1.0, start.steady),
         node: Node::new(settings.facts, settings.policy, rand::random(), start),
-        http: Http::new(),
+        http: Http::new(sockets.kept),
+        store_calls: Rc::new(Cell::new(0)),
+        most_store_calls: sockets.store,
         store_addr: settings.state,
         cloud_addr: settings.cloud,
         peers: settings.peers.into_iter().collect(),
@@ -186,18 +190,21 @@
     /// Sends what the budgets allow.
     fn pump(&mut self) {
         let now = Instant::now();
-        while let Some((call, op)) = self.store.next(now) {
+        while let Some((call, op)) = self.store.next(now, self.store_calls.get() >= self.most_store_calls) {
             let (http, back, stats, addr) = (self.http.clone(), self.back.clone(), self.stats.clone(), self.store_addr);
+            let calls = self.store_calls.clone();
+            let watch = matches!(op, StoreOp::Watch { .. });
+            calls.set(calls.get() + usize::from(!watch));
             tokio::task::spawn_local(async move {
-                let watch = matches!(op, StoreOp::Watch { .. });
                 let outcome = outside::store(&http, addr, op).await;
                 if !watch {
+                    calls.set(calls.get() - 1);
                     stats.borrow_mut().note(Delay::State, now.elapsed());
                 }
                 let _ = back.send(Input::Store { call, outcome });
             });
         }
-        while let Some((call, op)) = self.cloud.next(now) {
+        while let Some((call, op)) = self.cloud.next(now, false) {
             let (http, back, stats, addr) = (self.http.clone(), self.back.clone(), self.stats.clone(), self.cloud_addr);
             tokio::task::spawn_local(async move {
                 let outcome = outside::cloud(&http, addr, op).await;
--- a/crates/rushyoke/src/http.rs
+++ b/crates/rushyoke/src/http.rs
@@ -2,7 +2,7 @@
 //! honest account of whether a request may have been carried out.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,12 +20,13 @@
 
 /// Connections kept per address while idle.
 const KEPT: usize = 4;
-/// Addresses with kept connections.
-const ADDRESSES: usize = 256;
 
 #[derive(Clone)]
 pub struct Http {
-    idle: Rc<RefCell<HashMap<SocketAddr, Vec<Sender>>>>,
+    /// Idle connections, the most recently used last.
+    idle: Rc<RefCell<VecDeque<(SocketAddr, Sender)>>>,
+    /// How many are kept at the most: the one idle for longest gives way.
+    kept: usize,
 }
 
 pub struct Ask {
@@ -40,8 +41,8 @@
 }
 
 impl Http {
-    pub fn new() -> Http {
-        Http { idle: Rc::default() }
+    pub fn new(kept: usize) -> Http {
+        Http { idle: Rc::default(), kept }
     }
 
     pub async fn ask(&self, ask: Ask) -> Outcome<(u16, Bytes)> {
@@ -67,33 +68,29 @@
 
     fn take(&self, addr: SocketAddr) -> Option<Sender> {
         let mut idle = self.idle.borrow_mut();
-        let kept = idle.get_mut(&addr)?;
-        while let Some(sender) = kept.pop() {
+        while let Some(at) = idle.iter().rposition(|(kept, _)| *kept == addr) {
+            let (_, sender) = idle.remove(at)?;
             if sender.is_ready() {
                 return Some(sender);
             }
         }
-        idle.remove(&addr);
         None
     }
 
     fn keep(&self, addr: SocketAddr, sender: Sender) {
         let mut idle = self.idle.borrow_mut();
-        if idle.len() >= ADDRESSES && !idle.contains_key(&addr) {
-            idle.retain(|_, kept| kept.iter().any(|s| !s.is_closed()));
-            if idle.len() >= ADDRESSES {
-                return;
-            }
+        if idle.iter().rev().filter(|(kept, _)| *kept == addr).take(KEPT).count() == KEPT {
+            return;
         }
-        let kept = idle.entry(addr).or_default();
-        if kept.len() < KEPT {
-            kept.push(sender);
+        if idle.len() >= self.kept {
+            idle.pop_front();
         }
+        idle.push_back((addr, sender));
     }
 
     /// Closes what is kept for an address that stopped answering.
     fn close(&self, addr: SocketAddr) {
-        self.idle.borrow_mut().remove(&addr);
+        self.idle.borrow_mut().retain(|(kept, _)| *kept != addr);
     }
 
     async fn send(&self, mut sender: Sender, ask: &Ask) -> Outcome<(u16, Bytes)> {
--- a/crates/rushyoke/src/settings.rs
+++ b/crates/rushyoke/src/settings.rs
@@ -21,7 +21,28 @@
     pub state_writes: f64,
     pub cloud_rps: f64,
     pub nodes: usize,
-    pub max_sockets: usize,
+    pub sockets: Sockets,
+}
+
+/// How the platform's limit on sockets is divided. Reports come over a connection from each
+/// machine, so most are for those that others open; our own calls never use up the rest.
+#[derive(Clone, Copy)]
+pub struct Sockets {
+    /// Open connections from users, workers and controllers.
+    pub served: usize,
+    /// Direct calls to workers at a time.
+    pub orders: usize,
+    /// Idle connections of our own that are kept.
+    pub kept: usize,
+    /// Calls to the state service at a time, leadership apart.
+    pub store: usize,
+}
+
+impl Sockets {
+    fn divide(limit: usize) -> Sockets {
+        let own = (limit / 4).clamp(8, limit.max(16) / 2);
+        Sockets { served: (limit - own).max(8), orders: (own / 3).max(1), kept: own / 3, store: (own / 6).max(2) }
+    }
 }
 
 #[derive(Deserialize)]
@@ -187,6 +208,7 @@
     if peers.contains_key(&file.label) {
         return Err("others: names this node itself".into());
     }
+    let sockets = Sockets::divide(facts.quota.max_sockets);
     let core = Facts {
         label: file.label.clone(),
         others: peers.keys().cloned().collect(),
@@ -199,6 +221,7 @@
         value_bytes: (count("facts.state.value_kb", facts.state.value_kb)? * 1024.0) as usize,
         list_lag: positive("facts.cloud.list_lag_s", facts.cloud.list_lag_s)?,
         cloud_rps: count("facts.cloud.rps", facts.cloud.rps)?,
+        orders_at_once: sockets.orders,
     };
     Ok(Settings {
         nodes: peers.len() + 1,
@@ -212,7 +235,7 @@
         state_rps: count("facts.state.rps", facts.state.rps)?,
         state_writes: count("facts.state.write_rps", facts.state.write_rps)?,
         cloud_rps: facts.cloud.rps,
-        max_sockets: facts.quota.max_sockets,
+        sockets,
     })
 }
 
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -33,6 +33,7 @@
         value_bytes: 8192,
         list_lag: Duration::from_secs(4),
         cloud_rps: 4.0,
+        orders_at_once: 64,
     }
 }
 
