Answers given while jobs are read again count; nothing is turned away for a full inbox

The last such answer now counts for every machine. Also of fixed counts: the inbox of 512 turned reports away when all workers came at once (now one place a connection), health checks and controllers pass the crowd, a pass places as many tasks as there are machines, 4,000 returned machines are remembered by hash and not by a search a report, changes too large to be read are read again in pages.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -60,7 +60,7 @@
 const PARTED: usize = 12;
 const PARTED_SHARE: usize = 6;
 /// Names of returned machines that are remembered, against late reports.
-const GONE_KEPT: usize = 1000;
+const GONE_KEPT: usize = 4000;
 
 pub(crate) type TaskKey = (Name, u32);
 type Attempt = (String, u64);
@@ -300,14 +300,15 @@
         self.unresolved.contains(attempt) || self.on_its_way(attempt)
     }
 
-    /// When the worker's lease has surely ended if nothing more is answered.
-    fn lapse_at(&self, old_silent: Instant, lease: Duration) -> Instant {
+    /// When the worker's lease has surely ended if nothing more is answered. Before the tables
+    /// were filled any worker may have been answered, last at `unnoted`.
+    fn lapse_at(&self, old_silent: Instant, unnoted: Option<Instant>, lease: Duration) -> Instant {
         let base = match (self.fenced, self.answered) {
             // Once it has seen our token no answer of an earlier lead counts.
             (Some(fenced), answered) => answered.map_or(fenced, |a| a.max(fenced)),
             (None, answered) => answered.map_or(old_silent, |a| a.max(old_silent)),
         };
-        base + lease.mul_f64(DRIFT) + LAPSE_MARGIN
+        unnoted.map_or(base, |t| base.max(t)) + lease.mul_f64(DRIFT) + LAPSE_MARGIN
     }
 }
 
@@ -397,6 +398,7 @@
             }
             orders
         } else {
+            self.unnoted = Some(now);
             Vec::new()
         };
         env.answer(req, Answer::json(200, &Orders { token: self.baton, session: None, orders }));
@@ -920,7 +922,10 @@
                 machine.direct_from = None;
                 tracing::debug!(machine = &*machine.name, "its report is overdue");
             }
-            if now > machine.lapse_at(self.old_silent, lease) && quiet > lease && !machine.places.is_empty() {
+            if now > machine.lapse_at(self.old_silent, self.unnoted, lease)
+                && quiet > lease
+                && !machine.places.is_empty()
+            {
                 lapsed.push(machine.name.clone());
             }
             // One that a new lead never reached has no report that could be overdue.
@@ -1033,7 +1038,7 @@
         match machine.fenced {
             Some(_) => machine.heard + lease,
             None if self.old_known => self.since + lease.saturating_sub(env.policy.lead_ttl),
-            None => machine.lapse_at(self.old_silent, lease),
+            None => machine.lapse_at(self.old_silent, self.unnoted, lease),
         }
     }
 
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -13,7 +13,8 @@
 use crate::quota::Room;
 use crate::recover::Reign;
 
-/// Tasks placed in one pass; the rest comes with the next.
+/// Tasks placed in one pass, or one for each machine if these are more; the rest comes with
+/// the next.
 const PASS_TASKS: u32 = 256;
 /// Jobs looked at in one pass that find no machine.
 const PASS_MISSES: u32 = 64;
@@ -137,7 +138,7 @@
             });
         }
         turns.sort_by(Turn::order);
-        let mut left = PASS_TASKS;
+        let mut left = PASS_TASKS.max(self.machines.len() as u32);
         let mut misses = 0;
         let mut stops = PASS_STOPS;
         // The most room on any machine, for work that may use spot machines and for all:
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -49,6 +49,8 @@
     pub old_silent: Instant,
     /// Every other node has told that it leads no more.
     pub old_known: bool,
+    /// When a report was last answered while the tables were not filled, and not noted there.
+    pub unnoted: Option<Instant>,
     load: Load,
     waiting: bool,
     retry: Option<Instant>,
@@ -90,6 +92,7 @@
             since: now,
             old_silent,
             old_known: false,
+            unnoted: None,
             load: Load::Jobs { after: String::new() },
             waiting: false,
             retry: None,
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -1,7 +1,7 @@
 //! Renting and returning machines: capacity for what waits, some ahead of need, and
 //! back when it stands idle. Request names never repeat, since each holds the token.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use rushyoke_wire::cloud::{MachineType, Rental};
@@ -63,6 +63,7 @@
     return_retry: Option<Instant>,
     return_open: bool,
     gone: VecDeque<Name>,
+    gone_names: HashSet<Name>,
     listing: bool,
     listed_at: Option<Instant>,
     list_after: Option<String>,
@@ -78,13 +79,17 @@
 
 impl Renting {
     pub fn is_gone(&self, name: &Name) -> bool {
-        self.gone.contains(name)
+        self.gone_names.contains(name)
     }
 
     pub fn gone(&mut self, name: &Name, keep: usize) {
-        self.gone.push_back(name.clone());
+        if self.gone_names.insert(name.clone()) {
+            self.gone.push_back(name.clone());
+        }
         while self.gone.len() > keep {
-            self.gone.pop_front();
+            if let Some(oldest) = self.gone.pop_front() {
+                self.gone_names.remove(&oldest);
+            }
         }
     }
 
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -150,6 +150,28 @@
     assert!(world.token_of(new).expect("it leads") > token);
 }
 
+#[test]
+fn reports_answered_while_jobs_are_read_again_keep_a_lease_alive() {
+    // Read from the code, with a large fleet in mind: such answers were not noted, and the
+    // lease of a machine that was cut off afterwards seemed to have ended long ago.
+    let mut world = settled(3);
+    world.submit(0, service(1, 3));
+    world.run(secs(4));
+    let (_, machine) = world.where_runs("wk-000001")[0].clone();
+    world.cloud.outage = true;
+    // A watch comes too late, and the jobs, which are read instead, take 15 s to come.
+    world.store.kept = 1;
+    world.hold_lists = Some(world.now + secs(15));
+    (2..6).for_each(|id| assert_eq!(world.submit(1, job(id, 1)), Some(201)));
+    world.run(secs(13));
+    assert!(world.where_runs("wk-000005").is_empty(), "the jobs were not read again");
+    world.cut.insert(machine);
+    world.hold_lists = None;
+    // The world sees to it that no task runs twice.
+    world.run(secs(40));
+    assert_eq!(world.where_runs("wk-000001").len(), 3);
+}
+
 #[test]
 fn a_short_silence_of_the_store_kills_no_work() {
     let mut world = settled(2);
--- a/crates/rushyoke/src/drive.rs
+++ b/crates/rushyoke/src/drive.rs
@@ -18,8 +18,8 @@
 use crate::stats::{Delay, Stats};
 
 const TICK: Duration = Duration::from_millis(100);
-/// Requests that wait for the core; more are turned away.
-const INBOX: usize = 512;
+/// Health checks and controllers' questions that wait for the core.
+const FIRST: usize = 64;
 /// The lead's share of the state service's budget; the others share the rest.
 const LEAD_SHARE: f64 = 0.55;
 /// The lead alone uses the cloud, apart from the others' first look at the types.
@@ -61,17 +61,21 @@
 }
 
 async fn serve(settings: Settings) -> Result<(), String> {
-    let (core, mut inbox) = mpsc::channel::<Asked>(INBOX);
+    let sockets = settings.sockets;
+    // A connection carries one request at a time, so that none is ever turned away for want of
+    // room here: when all workers turn to a new lead at once, each of them would come again.
+    let (core, mut inbox) = mpsc::channel::<Asked>(sockets.served);
+    let (first, mut inbox_first) = mpsc::channel::<Asked>(FIRST);
     // Outcomes of our own calls, whose number is bounded by the core and the budgets.
     let (back, mut outcomes) = mpsc::unbounded_channel::<Input>();
-    let sockets = settings.sockets;
     let open = Rc::new(Cell::new(0));
     for (side, addr) in [(Side::Public, settings.public_addr), (Side::Peers, settings.peer_bind)] {
         let listener = Server::bind(addr).await?;
-        let server = Server { side, core: core.clone(), open: open.clone(), most: sockets.served };
+        let server =
+            Server { side, core: core.clone(), first: first.clone(), open: open.clone(), most: sockets.served };
         tokio::task::spawn_local(server.run(listener));
     }
-    drop(core);
+    drop((core, first));
     let start = now();
     tracing::info!(label = settings.facts.label, public = %settings.public_addr, "started");
     let mut driver = Driver {
@@ -98,6 +102,7 @@
             biased;
             Some(input) = outcomes.recv() => driver.input(input),
             _ = ticks.tick() => driver.tick(),
+            Some(asked) = inbox_first.recv() => driver.asked(asked),
             Some(asked) = inbox.recv() => driver.asked(asked),
         }
         driver.pump();
--- a/crates/rushyoke/src/http.rs
+++ b/crates/rushyoke/src/http.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Method, Request};
 use hyper_util::rt::TokioIo;
@@ -109,8 +109,13 @@
                 e.take_message().is_some()
             })?;
             let status = response.status().as_u16();
-            let body = Limited::new(response.into_body(), ask.most).collect().await.map_err(|_| false)?;
-            Ok((status, body.to_bytes()))
+            let body = match Limited::new(response.into_body(), ask.most).collect().await {
+                Ok(body) => body.to_bytes(),
+                // Too large to be read: the status says that it was carried out.
+                Err(error) if error.downcast_ref::<LengthLimitError>().is_some() => Bytes::new(),
+                Err(_) => return Err(false),
+            };
+            Ok((status, body))
         };
         match timeout(ask.wait, answer).await {
             Ok(Ok(answer)) => {
--- a/crates/rushyoke/src/outside.rs
+++ b/crates/rushyoke/src/outside.rs
@@ -100,6 +100,9 @@
         (StoreOp::NewLease { .. }, 200) => known(parse::<Lease>("state", &body).map(|l| StoreAnswer::Lease(l.lease))),
         (StoreOp::Touch(_) | StoreOp::EndLease(_), 200 | 204) => Outcome::Answered(StoreAnswer::LeaseLives),
         (StoreOp::Touch(_) | StoreOp::EndLease(_), 404) => Outcome::Answered(StoreAnswer::NoSuchLease),
+        // Changes have no size limit. More than can be taken are as good as too old: what they
+        // concern is read again, in pages.
+        (StoreOp::Watch { .. }, 200) if body.is_empty() => Outcome::Answered(StoreAnswer::TooOld),
         (StoreOp::Watch { .. }, 200) => known(parse::<Changes>("state", &body).map(StoreAnswer::Changes)),
         (StoreOp::Watch { .. }, 410) => Outcome::Answered(StoreAnswer::TooOld),
         _ => unexpected("state", status),
--- a/crates/rushyoke/src/serve.rs
+++ b/crates/rushyoke/src/serve.rs
@@ -43,6 +43,8 @@
 pub struct Server {
     pub side: Side,
     pub core: mpsc::Sender<Asked>,
+    /// For what must not wait behind a crowd of reports: health checks and controllers.
+    pub first: mpsc::Sender<Asked>,
     /// Connections open now and at the most, over both sides.
     pub open: Rc<Cell<usize>>,
     pub most: usize,
@@ -116,6 +118,7 @@
 
     async fn route(&self, route: Route, body: &Bytes) -> Answer {
         let submission = matches!(route, Route::Submit);
+        let core = if matches!(route, Route::Ready | Route::Peer) { &self.first } else { &self.core };
         let input: Box<dyn FnOnce(Req) -> Input> = match route {
             Route::Submit => match JobSpec::parse(body) {
                 Ok(spec) => Box::new(move |req| Input::Submit { req, spec: Box::new(spec) }),
@@ -143,7 +146,7 @@
             },
         };
         let (answer, answered) = oneshot::channel();
-        if self.core.try_send(Asked { input, answer, submission }).is_err() {
+        if core.try_send(Asked { input, answer, submission }).is_err() {
             return Answer::later(503, "too many requests at once");
         }
         answered.await.unwrap_or_else(|_| Answer::later(503, "no answer"))
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -149,6 +149,8 @@
     pub slow_txns: BTreeMap<usize, Duration>,
     /// Transactions of these nodes are held back until a time, unanswered.
     pub hold_txns: BTreeMap<usize, Duration>,
+    /// Lists of jobs are answered at this time.
+    pub hold_lists: Option<Duration>,
     /// Transactions that were applied after their caller had given them up.
     pub late_commits: u32,
     /// Rentals are carried out, but their answers are lost.
@@ -203,6 +205,7 @@
             adrift: BTreeSet::new(),
             slow_txns: BTreeMap::new(),
             hold_txns: BTreeMap::new(),
+            hold_lists: None,
             late_commits: 0,
             lose_rental_answers: false,
             task_s: 10.0,
@@ -321,6 +324,12 @@
                     self.push(self.now + CALL_LIMIT, late(Input::Store { call, outcome: Outcome::Unknown }));
                     return;
                 }
+                if let (StoreOp::List { prefix, .. }, Some(until)) = (&op, self.hold_lists)
+                    && prefix == "live/"
+                {
+                    self.push(until, Event::Store { node, incarnation, call, op, reply: true });
+                    return;
+                }
                 if let (StoreOp::Txn(_), Some(until)) = (&op, self.slow_txns.get(&node).copied()) {
                     self.push(until, Event::Store { node, incarnation, call, op, reply: true });
                     return;
