A story of 1,900 machines; no transaction looks at all that waits; services written first

Cause, found while writing a story of a takeover at this size (1,900 machines, 23,460 tasks, a zone of 633 machines silent): each transaction of the lead looked at every task that waits to be written, sixteen times a second, and wrote them in the order of their jobs' names, replicas too. The survey's and the late copies' direct calls were beyond the bound. Now a transaction looks at no more than may fit, production services come first, and all calls count.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -367,7 +367,8 @@
             if (report.session, report.seq) <= machine.report_seen {
                 // A copy that comes late proves nothing and renews nothing: its worker may be
                 // long dead. Or the worker began anew: its answer to a direct call tells.
-                if machine.direct.is_none() && machine.direct_from.is_none_or(|t| t <= now) {
+                let free = self.directs < env.facts.orders_at_once;
+                if free && machine.direct.is_none() && machine.direct_from.is_none_or(|t| t <= now) {
                     machine.direct_from = Some(now + COPY_PROBE);
                     self.direct(env, &name, Vec::new());
                 }
@@ -729,7 +730,7 @@
         if let Some(machine) = self.machines.get_mut(&place.machine) {
             machine.release(key, &job.spec, now);
         }
-        self.records.changed(key.clone(), false);
+        self.records.changed(key.clone(), None);
         self.place_due = true;
         self.note_progress(&key.0);
         self.after_change(&key.0);
@@ -986,7 +987,8 @@
         if due {
             let free = |m: &&Machine| m.up && !m.leaving && !m.unproven && m.direct.is_none() && !m.addr.is_empty();
             let others: Vec<Name> = self.machines.values().filter(free).map(|m| m.name.clone()).collect();
-            let sample: Vec<Name> = others.into_iter().sample(&mut env.rng, SURVEYED);
+            let most = SURVEYED.min(env.facts.orders_at_once.saturating_sub(self.directs));
+            let sample: Vec<Name> = others.into_iter().sample(&mut env.rng, most);
             sample.iter().for_each(|name| self.direct(env, name, Vec::new()));
             (self.survey.asked, self.survey.sample) = (Some(now), sample);
         }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -296,7 +296,8 @@
             }
         }
         tracing::debug!(job = &**name, task, machine = &**machine, attempt, "placed");
-        self.records.changed((name.clone(), task), true);
+        let turn = crate::records::Turn::of(&self.jobs[name].spec);
+        self.records.changed((name.clone(), task), Some(turn));
     }
 
     /// Zones where one more task of the job may go; `None` for all.
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -17,6 +17,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
+use rushyoke_wire::job::{JobSpec, Kind, Priority};
 use rushyoke_wire::store::Txn;
 
 use crate::fleet::TaskKey;
@@ -36,6 +37,25 @@
 /// Bytes of a value and of a transaction that stay unused.
 const SPARE: usize = 256;
 const TXN_BYTES: usize = 40 * 1024;
+/// The least that a task takes of a segment.
+const LEAST_BYTES: usize = 16;
+
+/// When a new place is written.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Turn {
+    /// A production service's: before all others.
+    First,
+    Rest,
+}
+
+impl Turn {
+    pub fn of(spec: &JobSpec) -> Turn {
+        match (spec.kind, spec.priority) {
+            (Kind::Service, Priority::Production) => Turn::First,
+            _ => Turn::Rest,
+        }
+    }
+}
 
 #[derive(Clone, Debug)]
 pub(crate) struct Batch {
@@ -72,8 +92,9 @@
 
 #[derive(Default)]
 pub(crate) struct Records {
-    /// Tasks whose new place waits to be durable, and tasks with other changes.
-    placed: BTreeSet<TaskKey>,
+    /// Tasks whose new place waits to be durable, those of production services first.
+    placed: BTreeSet<(bool, TaskKey)>,
+    /// Tasks with other changes.
     changed: BTreeSet<TaskKey>,
     flying: BTreeSet<TaskKey>,
     last: Segment,
@@ -91,18 +112,33 @@
 }
 
 impl Records {
-    pub fn changed(&mut self, key: TaskKey, placed: bool) {
-        if placed {
-            self.changed.remove(&key);
-            self.placed.insert(key);
-        } else if !self.placed.contains(&key) {
-            self.changed.insert(key);
+    pub fn changed(&mut self, key: TaskKey, placed: Option<Turn>) {
+        match placed {
+            Some(turn) => {
+                self.changed.remove(&key);
+                self.placed.insert((turn == Turn::Rest, key));
+            }
+            None if self.waits(&key) => {}
+            None => {
+                self.changed.insert(key);
+            }
         }
     }
 
+    /// Whether a new place of the task waits to be durable.
+    fn waits(&self, key: &TaskKey) -> bool {
+        [false, true].into_iter().any(|rest| self.placed.contains(&(rest, key.clone())))
+    }
+
+    fn settled(&mut self, key: &TaskKey) {
+        self.changed.remove(key);
+        self.placed.remove(&(false, key.clone()));
+        self.placed.remove(&(true, key.clone()));
+    }
+
     /// Whether a task's state is durable as it is.
     pub fn durable(&self, key: &TaskKey) -> bool {
-        !self.changed.contains(key) && !self.placed.contains(key) && !self.flying.contains(key)
+        !self.changed.contains(key) && !self.waits(key) && !self.flying.contains(key)
     }
 
     pub fn close(&mut self, job: &Name) {
@@ -221,16 +257,14 @@
         let room = env.facts.value_bytes.saturating_sub(SPARE);
         let most_conditions = env.facts.txn_ops * 4 - 1;
         let open = |name: &Name| self.jobs.get(name).filter(|job| !job.closing);
-        let mut due: Vec<TaskKey> = Vec::new();
-        for key in self.records.placed.iter().chain(&self.records.changed) {
-            if open(&key.0).is_some() {
-                due.push(key.clone());
-            }
-        }
+        // No more than may fit: with tens of thousands of tasks to place, a look at all of them
+        // for each transaction would take the processor.
+        let waiting = self.records.placed.iter().map(|(_, key)| key).chain(&self.records.changed);
+        let looked_at: Vec<TaskKey> = waiting.take(env.facts.value_bytes / LEAST_BYTES).cloned().collect();
+        let (due, over): (Vec<_>, Vec<_>) = looked_at.into_iter().partition(|key| open(&key.0).is_some());
         let records = &mut self.records;
         // What is over needs no record.
-        records.placed.retain(|key| open(&key.0).is_some());
-        records.changed.retain(|key| open(&key.0).is_some());
+        over.iter().for_each(|key| records.settled(key));
         if due.is_empty() && !records.doubt {
             return;
         }
@@ -278,8 +312,7 @@
         records.last.tasks = tasks;
         batch.segment = true;
         for (key, _) in &batch.tasks {
-            records.placed.remove(key);
-            records.changed.remove(key);
+            records.settled(key);
             records.flying.insert(key.clone());
         }
     }
@@ -407,7 +440,8 @@
         for ((name, task), _) in batch.tasks {
             let place = self.jobs.get(&name).and_then(|job| job.places.get(&task));
             let planned = place.is_some_and(|place| place.stage == Stage::Planned);
-            self.records.changed((name, task), planned);
+            let turn = self.jobs.get(&name).filter(|_| planned).map(|job| Turn::of(&job.spec));
+            self.records.changed((name, task), turn);
         }
         for name in batch.closed {
             if let Some(job) = self.jobs.get_mut(&name) {
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -5,6 +5,7 @@
 
 use rushyoke_core::{Facts, Policy, Team};
 use rushyoke_testkit::{World, facts, job, service};
+use rushyoke_wire::job::JobSpec;
 
 fn secs(s: u64) -> Duration {
     Duration::from_secs(s)
@@ -114,3 +115,65 @@
     world.run(secs(8));
     assert!(spot.iter().all(|name| !world.cloud.machines.contains_key(name)), "their leases were waited for");
 }
+
+#[test]
+fn a_takeover_of_a_large_fleet_with_a_third_of_it_silent_serves_services_first() {
+    let team = |cpus_max| Team { cpus: 6_000.0, cpus_max, gpus: 0.0, gpus_max: 0.0 };
+    let teams = ["red", "blue", "green"].map(|name| (name.to_owned(), team(14_000.0)));
+    let facts = Facts {
+        teams: BTreeMap::from(teams),
+        cloud_rps: 10.0,
+        report: secs(5),
+        lease: secs(26),
+        cancel: secs(56),
+        orders_at_once: 300,
+        ..facts(0, 3)
+    };
+    let mut world = World::deployed(facts, 1900, Policy::default(), &ZONES);
+    world.workers.values_mut().for_each(|w| w.run_s = 300.0);
+    world.task_s = 300.0;
+    world.check_every = 20;
+    world.cloud.capacity = 2400;
+    world.run(secs(8));
+    // Tens of thousands of tasks, a part of them replicas.
+    let mut submitted = Vec::new();
+    for id in 0..150 {
+        let team = ["red", "blue", "green"][id as usize % 3].to_owned();
+        let spec = if id < 60 { service(id, 16) } else { job(id, 250) };
+        assert_eq!(world.submit(id as usize % 3, JobSpec { team, ..spec }), Some(201));
+        submitted.push(format!("wk-{id:06}"));
+    }
+    world.run(secs(12));
+    let count = |world: &World, ids: &[String]| ids.iter().map(|id| world.where_runs(id).len()).sum::<usize>();
+    let (services, arrays) = submitted.split_at(60);
+    assert_eq!((count(&world, services), count(&world, arrays)), (960, 22_500));
+    // One zone is cut off from everything; the lead and the others fall and are back.
+    let zone = ZONES[0];
+    let cut: Vec<String> = world.workers.iter().filter(|(_, w)| w.zone == zone).map(|(n, _)| n.clone()).collect();
+    world.cut.extend(cut);
+    (0..3).for_each(|n| world.crash(n));
+    world.run(secs(1));
+    (0..3).for_each(|n| world.start_node(n));
+    world.run(secs(8));
+    assert!(world.lead().is_some(), "no lead");
+    assert_eq!(world.started, 23_460, "what runs until its lease ends was given up");
+    for (n, id) in submitted.iter().enumerate().step_by(7) {
+        assert_eq!(world.status(n % 3, id).map(|s| s.0), Some(200), "{id}");
+    }
+    assert!(world.most_orders <= 300, "{} direct calls at a time", world.most_orders);
+    // Its leases end: all replicas are back before all of the arrays' tasks are.
+    let (mut whole, from) = ([None, None], world.now);
+    let mut lost = 0;
+    while world.now < from + secs(60) && whole.contains(&None) {
+        world.run(Duration::from_millis(400));
+        let running = [count(&world, services), count(&world, arrays)];
+        lost = lost.max(960 - running[0]);
+        for (at, running, all) in [(0, running[0], 960), (1, running[1], 22_500)] {
+            if lost > 100 && running == all {
+                whole[at].get_or_insert(world.now - from);
+            }
+        }
+    }
+    let [Some(services), Some(arrays)] = whole else { panic!("not all is back: {whole:?}, {lost} lost") };
+    assert!(services <= secs(26) && services <= arrays && arrays <= secs(45), "back after {services:?}, {arrays:?}");
+}
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -149,6 +149,12 @@
     pub slow_txns: BTreeMap<usize, Duration>,
     /// Transactions of these nodes are held back until a time, unanswered.
     pub hold_txns: BTreeMap<usize, Duration>,
+    /// Steps from one look at the rules to the next; a large fleet takes long to look at.
+    pub check_every: u32,
+    steps: u32,
+    /// Direct orders under way by node, and the most that one had at a time.
+    orders: BTreeMap<usize, usize>,
+    pub most_orders: usize,
     /// Lists of jobs are answered at this time.
     pub hold_lists: Option<Duration>,
     /// Transactions that were applied after their caller had given them up.
@@ -205,6 +211,10 @@
             adrift: BTreeSet::new(),
             slow_txns: BTreeMap::new(),
             hold_txns: BTreeMap::new(),
+            check_every: 1,
+            steps: 0,
+            orders: BTreeMap::new(),
+            most_orders: 0,
             hold_lists: None,
             late_commits: 0,
             lose_rental_answers: false,
@@ -250,6 +260,7 @@
 
     /// The process ends; what it had sent is still under way.
     pub fn crash(&mut self, n: usize) {
+        self.orders.remove(&n);
         self.slots[n].node = None;
         self.watches.retain(|w| w.node != n);
         self.askers.retain(|(node, _), _| *node != n);
@@ -351,6 +362,9 @@
                 self.push(self.now + HOP, Event::Cloud { node, incarnation, call, op, reply: !lost });
             }
             Output::Order { call, addr: machine, orders } => {
+                let open = self.orders.entry(node).or_default();
+                *open += 1;
+                self.most_orders = self.most_orders.max(*open);
                 let unreachable = self.cut_links.contains(&(node, machine.clone()))
                     || self.cut.contains(&machine)
                     || self.deaf.contains(&machine)
@@ -388,6 +402,9 @@
         match event {
             Event::ToNode { node, incarnation, input } => {
                 if self.slots[node].incarnation == incarnation {
+                    if matches!(*input, Input::Ordered { .. }) && self.slots[node].node.is_some() {
+                        *self.orders.entry(node).or_default() -= 1;
+                    }
                     self.give(node, *input);
                 }
             }
@@ -492,7 +509,10 @@
             }
             self.machines_boot();
             self.workers_pass();
-            self.check();
+            self.steps += 1;
+            if self.steps.is_multiple_of(self.check_every) {
+                self.check();
+            }
         }
     }
 
