Rent nothing while the fleet is unclear; calls to machines out of reach back off

A new lead now reads the cloud's whole list before it rents, nobody rents while a survey is out or most of it failed, and a machine whose report is overdue counts until a call to it fails. Ruled out: how calls fail as a sign of a cut (calls to dead machines and to cut ones both hang; only hanging machines accept and do not answer, and these do not run, so giving them up soon serves better than waiting).

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -29,6 +29,9 @@
 const REPEAT_STOP: Duration = Duration::from_secs(1);
 /// After a direct order failed, the next one waits.
 const DIRECT_RETRY: Duration = Duration::from_millis(500);
+/// The wait grows by itself up to so many times: when a zone is cut off, hundreds of machines
+/// cannot be called, and each will report by itself once it can.
+const MOST_BACKOFF: u32 = 6;
 /// Allowance for clocks that drift apart, beside the published bound.
 const DRIFT: f64 = 1.002;
 const LAPSE_MARGIN: Duration = Duration::from_millis(250);
@@ -252,9 +255,11 @@
             && self.full_until.is_none_or(|t| t <= now)
     }
 
-    /// Whether the machine is expected to take tasks, now or once it is up.
+    /// Whether the machine is expected to take tasks, now or once it is up. One whose report
+    /// is overdue is, until a call to it fails.
     pub fn counts(&self) -> bool {
-        !self.leaving && !self.suspect && !self.quarantined && self.taken_at.is_none() && !self.unproven
+        let silent = self.suspect && self.probes_failed > 0;
+        !self.leaving && !silent && !self.quarantined && self.taken_at.is_none() && !self.unproven
     }
 
     pub fn replicas(&self) -> u32 {
@@ -334,6 +339,8 @@
     /// Machines that seem to be out of reach, and the ordinary ones among them.
     silent: Silent,
     cut_zones: BTreeSet<String>,
+    /// Most are out of reach: this node is, rather than they.
+    most: bool,
     /// When they were last so many that a cut of the network is more likely than their end.
     parted_at: Option<Instant>,
 }
@@ -446,11 +453,11 @@
             }
             Outcome::NotDone => {
                 machine.probes_failed += 1;
-                machine.direct_from = Some(now + DIRECT_RETRY);
+                machine.direct_from = Some(now + DIRECT_RETRY * machine.probes_failed.min(MOST_BACKOFF));
             }
             _ => {
                 machine.probes_failed += 1;
-                machine.direct_from = Some(now + DIRECT_RETRY);
+                machine.direct_from = Some(now + DIRECT_RETRY * machine.probes_failed.min(MOST_BACKOFF));
                 if machine.session == direct.session {
                     machine.unresolved.extend(direct.starts);
                 }
@@ -1009,6 +1016,7 @@
             let part = |failed: usize, asked: usize, up: usize| failed * up / asked.max(1);
             let firm = part(failed.firm, asked.firm, up.firm);
             self.survey.silent = Silent { all: part(failed.all, asked.all, up.all), firm };
+            self.survey.most = failed.all * 2 > asked.all;
         }
         let known = self.survey.silent;
         let silent = Silent { all: silent.all.max(known.all), firm: silent.firm.max(known.firm) };
@@ -1044,6 +1052,14 @@
         }
     }
 
+    /// Whether what is known of the machines is too little to rent by: a new lead learns from
+    /// the cloud's list of those without tasks, and the kind of the others; and when many fall
+    /// silent it may be this node's network. Each mistake would be a hundred machines.
+    pub fn fleet_unclear(&self, env: &Env) -> bool {
+        let asking = self.survey.asked.is_some_and(|at| env.steady().duration_since(at) < SURVEY_ANSWERED);
+        (self.inherited && !self.renting.listed) || self.survey.most || asking
+    }
+
     /// Whether a zone's machines are out of reach: new ones would be too.
     pub fn zone_is_cut(&self, zone: &str) -> bool {
         self.survey.cut_zones.contains(zone)
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -60,6 +60,8 @@
     loaded_pages: Vec<(Name, u32, u64, PageRecord)>,
     loaded_segments: Vec<(u64, u64, SegmentRecord)>,
     loaded: bool,
+    /// The records named machines.
+    pub inherited: bool,
     pub jobs: BTreeMap<Name, Job>,
     pub machines: BTreeMap<Name, Machine>,
     /// All zones that machines were ever in.
@@ -101,6 +103,7 @@
             loaded_pages: Vec::new(),
             loaded_segments: Vec::new(),
             loaded: false,
+            inherited: false,
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             zones: BTreeSet::new(),
@@ -333,6 +336,7 @@
             }
             self.after_change(&name);
         }
+        self.inherited = !self.machines.is_empty();
         let places: usize = self.jobs.values().map(|j| j.places.len()).sum();
         tracing::info!(jobs = self.jobs.len(), places, machines = self.machines.len(), "records read");
         // Machines that hold services are shown the token at once.
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -67,6 +67,8 @@
     listing: bool,
     listed_at: Option<Instant>,
     list_after: Option<String>,
+    /// A whole list has been read.
+    pub listed: bool,
     /// CPUs needed in all, over the last while.
     needs: VecDeque<(Instant, f64)>,
     /// Replicas that may be moved now.
@@ -133,7 +135,7 @@
         let now = env.steady();
         self.repeat_rentals(env);
         self.list(env);
-        if !env.types.is_empty() {
+        if !env.types.is_empty() && !self.fleet_unclear(env) {
             self.rent_what_is_missing(env);
         }
         self.empty_retiring(env);
@@ -205,7 +207,9 @@
         };
         for machine in self.machines.values().filter(|m| m.counts()) {
             let boot = env.type_named(&machine.kind).map_or(60.0, |k| k.boot_s);
-            if !machine.up && now.duration_since(machine.known).as_secs_f64() > boot * LATE_BOOT {
+            let late = !machine.up && now.duration_since(machine.known).as_secs_f64() > boot * LATE_BOOT;
+            // One that is known from a record only has room, but how much?
+            if late || machine.kind.is_empty() {
                 continue;
             }
             in_use += machine.used.cpus;
@@ -544,6 +548,8 @@
                 self.renting.list_after = last.filter(|_| listing.more);
                 if self.renting.list_after.is_some() {
                     self.renting.listed_at = None;
+                } else {
+                    self.renting.listed = true;
                 }
             }
             (RentCall::List, _) => self.renting.listing = false,
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -177,3 +177,22 @@
     let [Some(services), Some(arrays)] = whole else { panic!("not all is back: {whole:?}, {lost} lost") };
     assert!(services <= secs(26) && services <= arrays && arrays <= secs(45), "back after {services:?}, {arrays:?}");
 }
+
+#[test]
+fn a_lead_that_does_not_know_the_fleet_yet_or_lost_it_rents_nothing() {
+    // Found on a day with controllers cut off: each new lead rented a hundred machines at once
+    // for work that ran well, and so did one that the workers could not reach.
+    let mut world = at_work(60, 60);
+    let rentals = world.cloud.rentals;
+    let lead = world.lead().expect("a lead");
+    world.crash(lead);
+    world.run(secs(8));
+    assert_eq!(world.cloud.rentals, rentals, "the new lead rented");
+    world.start_node(lead);
+    let lead = world.lead().expect("a lead");
+    world.no_workers.insert(lead);
+    world.run(secs(12));
+    assert!(world.lead().is_some_and(|new| new != lead));
+    assert_eq!(world.cloud.rentals, rentals, "a lead without its workers rented");
+    assert_eq!((at_work_on(&world, 60).1, world.started), (480, 480));
+}
