No work for machines that hear nothing; the fleet written up

Cause: read from the code with the trouble of half-cut machines in mind: a machine that hears nothing but reports in time counted as alive again with each report, so that pass after pass placed work on it until its lease ended (28 s). Now it gets none from the first failed call until one is answered, and is no capacity after three; each report brings a call. The survey has a module of its own and holds rentals only where four fifths are silent, as a lead that is cut off.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -11,7 +11,6 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
-use rand::seq::IteratorRandom;
 use rushyoke_wire::cloud::{Listed, MachineType, Phase as CloudPhase};
 use rushyoke_wire::job::{JobSpec, Kind};
 use rushyoke_wire::worker::{Cause, Order, Orders, Report, TaskReport, TaskState};
@@ -23,6 +22,11 @@
 use crate::quota::Room;
 use crate::recover::Reign;
 
+mod survey;
+
+use survey::Silent;
+pub(crate) use survey::Survey;
+
 /// Orders in one message; the rest goes with the next.
 const MAX_ORDERS: usize = 200;
 /// A stop that shows no effect is repeated after this time.
@@ -41,6 +45,8 @@
 const PROMPT: Duration = Duration::from_secs(1);
 /// Direct calls that an overdue machine may miss before it is given up.
 const PROBES: u32 = 2;
+/// Failed calls in a row from which on a machine that reports all the same is no capacity.
+const MUTE: u32 = 3;
 /// A machine whose report is overdue gets this long to answer a direct call.
 const PROBE: Duration = Duration::from_millis(1200);
 /// A worker that reports to a node out of reach tries the next one after this time; a new
@@ -53,15 +59,6 @@
 const COPY_PROBE: Duration = Duration::from_secs(2);
 /// Share of a lease within which an answered report surely renewed it.
 const RENEWED: f64 = 0.7;
-/// Machines that must fail to answer for a survey, the machines that it asks, how often it
-/// is made, and when its answers are in.
-const SURVEY_FROM: usize = 3;
-const SURVEYED: usize = 48;
-const SURVEY_PERIOD: Duration = Duration::from_secs(5);
-const SURVEY_ANSWERED: Duration = Duration::from_millis(1000);
-/// Silent machines that are taken for cut off, as a number and as one part of so many.
-const PARTED: usize = 12;
-const PARTED_SHARE: usize = 6;
 /// Names of returned machines that are remembered, against late reports.
 const GONE_KEPT: usize = 4000;
 
@@ -140,6 +137,9 @@
     pub suspect: bool,
     /// Direct calls that failed since its report was overdue.
     probes_failed: u32,
+    /// Direct calls in a row that failed, whatever it reported meanwhile: it may be heard and
+    /// hear nothing itself. It gets no work until one is answered.
+    mute_calls: u32,
     pub quarantined: bool,
     /// Jobs whose tasks failed here since a task that started later completed.
     strikes: BTreeMap<Name, Instant>,
@@ -193,6 +193,7 @@
             release_sent: None,
             suspect: false,
             probes_failed: 0,
+            mute_calls: 0,
             quarantined: false,
             strikes: BTreeMap::new(),
             idle_since: Some(now),
@@ -250,6 +251,7 @@
             && self.fenced.is_some()
             && !self.leaving
             && !self.suspect
+            && self.mute_calls == 0
             && !self.quarantined
             && self.taken_at.is_none()
             && self.full_until.is_none_or(|t| t <= now)
@@ -258,7 +260,7 @@
     /// Whether the machine is expected to take tasks, now or once it is up. One whose report
     /// is overdue is, until a call to it fails.
     pub fn counts(&self) -> bool {
-        let silent = self.suspect && self.probes_failed > 0;
+        let silent = (self.suspect && self.probes_failed > 0) || self.mute_calls >= MUTE;
         !self.leaving && !silent && !self.quarantined && self.taken_at.is_none() && !self.unproven
     }
 
@@ -288,6 +290,12 @@
     fn alive(&mut self, now: Instant, via: Via, report: Duration) {
         let prompt = now.duration_since(self.reported) <= report.mul_f64(LATEST_REPORT) + PROMPT;
         self.heard = now;
+        if via == Via::Direct {
+            self.mute_calls = 0;
+        } else if self.mute_calls > 0 {
+            // It is back, or it hears nothing: a call tells.
+            self.direct_from = self.direct_from.map(|t| t.min(now));
+        }
         if via == Via::Direct || prompt {
             self.suspect = false;
             self.probes_failed = 0;
@@ -317,34 +325,6 @@
     }
 }
 
-/// Machines, and the ordinary ones among them.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct Silent {
-    all: usize,
-    firm: usize,
-}
-
-impl Silent {
-    fn note(&mut self, machine: &Machine) {
-        self.all += 1;
-        self.firm += usize::from(!machine.spot);
-    }
-}
-
-/// What a sample of the machines told when some fell silent.
-#[derive(Default)]
-pub(crate) struct Survey {
-    asked: Option<Instant>,
-    sample: Vec<Name>,
-    /// Machines that seem to be out of reach, and the ordinary ones among them.
-    silent: Silent,
-    cut_zones: BTreeSet<String>,
-    /// Most are out of reach: this node is, rather than they.
-    most: bool,
-    /// When they were last so many that a cut of the network is more likely than their end.
-    parted_at: Option<Instant>,
-}
-
 /// Tells apart the ways in which a report came.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Via {
@@ -453,11 +433,13 @@
             }
             Outcome::NotDone => {
                 machine.probes_failed += 1;
-                machine.direct_from = Some(now + DIRECT_RETRY * machine.probes_failed.min(MOST_BACKOFF));
+                machine.mute_calls += 1;
+                machine.direct_from = Some(now + DIRECT_RETRY * machine.mute_calls.min(MOST_BACKOFF));
             }
             _ => {
                 machine.probes_failed += 1;
-                machine.direct_from = Some(now + DIRECT_RETRY * machine.probes_failed.min(MOST_BACKOFF));
+                machine.mute_calls += 1;
+                machine.direct_from = Some(now + DIRECT_RETRY * machine.mute_calls.min(MOST_BACKOFF));
                 if machine.session == direct.session {
                     machine.unresolved.extend(direct.starts);
                 }
@@ -868,7 +850,7 @@
                 machine.postponed = true;
                 continue;
             }
-            let probe = machine.fenced.is_none();
+            let probe = machine.fenced.is_none() || machine.mute_calls > 0;
             let orders = self.orders_for(now, &name, Via::Direct);
             if orders.is_empty() && !probe {
                 continue;
@@ -920,7 +902,7 @@
             unreported += usize::from(now.duration_since(machine.reported) > late + PROBE);
             if machine.direct.is_none() && machine.direct_from.is_none_or(|t| t <= now) {
                 let unfenced = machine.fenced.is_none() && (fence_all || machine.hosts_service());
-                if std::mem::take(&mut machine.postponed) || unfenced {
+                if std::mem::take(&mut machine.postponed) || unfenced || machine.mute_calls > 0 {
                     due.push(machine.name.clone());
                 }
             }
@@ -980,91 +962,6 @@
         }
     }
 
-    /// Some machines fail to answer: asks a sample of the others, to tell the end of a few
-    /// machines from a cut of the network, long before most of their reports are overdue.
-    fn survey(&mut self, env: &mut Env, failing: usize, silent: Silent, up: Silent) {
-        let now = env.steady();
-        let due = self.survey.asked.is_none_or(|t| now.duration_since(t) >= SURVEY_PERIOD);
-        if failing < SURVEY_FROM {
-            if due {
-                self.survey = Survey::default();
-            }
-            return;
-        }
-        if due {
-            let free = |m: &&Machine| m.up && !m.leaving && !m.unproven && m.direct.is_none() && !m.addr.is_empty();
-            let others: Vec<Name> = self.machines.values().filter(free).map(|m| m.name.clone()).collect();
-            let most = SURVEYED.min(env.facts.orders_at_once.saturating_sub(self.directs));
-            let sample: Vec<Name> = others.into_iter().sample(&mut env.rng, most);
-            sample.iter().for_each(|name| self.direct(env, name, Vec::new()));
-            (self.survey.asked, self.survey.sample) = (Some(now), sample);
-        }
-        if self.survey.asked.is_some_and(|t| now.duration_since(t) >= SURVEY_ANSWERED) {
-            let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
-            let (mut asked, mut failed) = (Silent::default(), Silent::default());
-            for machine in self.survey.sample.iter().filter_map(|name| self.machines.get(name)) {
-                let zone = zones.entry(&machine.zone).or_default();
-                *zone = (zone.0 + 1, zone.1 + usize::from(machine.probes_failed > 0));
-                asked.note(machine);
-                if machine.probes_failed > 0 {
-                    failed.note(machine);
-                }
-            }
-            let (cut, whole): (Vec<_>, Vec<_>) = zones.iter().partition(|(_, (asked, failed))| failed * 2 > *asked);
-            let cut = cut.into_iter().filter(|(_, (asked, _))| *asked >= PARTED / 2 && !whole.is_empty());
-            self.survey.cut_zones = cut.map(|(zone, _)| (*zone).to_owned()).collect();
-            let part = |failed: usize, asked: usize, up: usize| failed * up / asked.max(1);
-            let firm = part(failed.firm, asked.firm, up.firm);
-            self.survey.silent = Silent { all: part(failed.all, asked.all, up.all), firm };
-            self.survey.most = failed.all * 2 > asked.all;
-        }
-        let known = self.survey.silent;
-        let silent = Silent { all: silent.all.max(known.all), firm: silent.firm.max(known.firm) };
-        // Spot machines alone are more likely taken back.
-        let many = |silent: usize, up: usize| silent * PARTED_SHARE > up;
-        let parted = silent.all >= PARTED && many(silent.all, up.all) && (up.firm == 0 || many(silent.firm, up.firm));
-        if parted {
-            if self.survey.parted_at.is_none() {
-                let (silent, of) = (silent.all, up.all);
-                tracing::info!(silent, of, "many machines are silent at once: waiting for their leases to end");
-            }
-            self.survey.parted_at = Some(now);
-        } else if self.survey.parted_at.is_some_and(|t| now.duration_since(t) >= SURVEY_PERIOD) {
-            // Not before: when a cut ends, the last machines get their time to answer, too.
-            self.survey.parted_at = None;
-        }
-    }
-
-    /// Whether a silent machine is likely cut off, with many others, and not dead.
-    pub fn parted(&self, machine: &Machine) -> bool {
-        machine.probes_failed > 0 && (self.survey.parted_at.is_some() || self.survey.cut_zones.contains(&machine.zone))
-    }
-
-    /// When the lease of a machine that is cut off has likely ended. An earlier lead that is
-    /// cut off with it may go on answering it; one that is known to be silent fell before its
-    /// key did.
-    fn spared_until(&self, env: &Env, machine: &Machine) -> Instant {
-        let lease = env.facts.lease;
-        match machine.fenced {
-            Some(_) => machine.heard + lease,
-            None if self.old_known => self.since + lease.saturating_sub(env.policy.lead_ttl),
-            None => machine.lapse_at(self.old_silent, self.unnoted, lease),
-        }
-    }
-
-    /// Whether what is known of the machines is too little to rent by: a new lead learns from
-    /// the cloud's list of those without tasks, and the kind of the others; and when many fall
-    /// silent it may be this node's network. Each mistake would be a hundred machines.
-    pub fn fleet_unclear(&self, env: &Env) -> bool {
-        let asking = self.survey.asked.is_some_and(|at| env.steady().duration_since(at) < SURVEY_ANSWERED);
-        (self.inherited && !self.renting.listed) || self.survey.most || asking
-    }
-
-    /// Whether a zone's machines are out of reach: new ones would be too.
-    pub fn zone_is_cut(&self, zone: &str) -> bool {
-        self.survey.cut_zones.contains(zone)
-    }
-
     fn lease_lapsed(&mut self, env: &mut Env, name: &Name) {
         let now = env.steady();
         let machine = self.machines.get_mut(name).expect("listed");
--- /dev/null
+++ b/crates/core/src/fleet/survey.rs
@@ -0,0 +1,141 @@
+//! Tells the end of a few machines from a cut of the network when some fall silent, by asking
+//! a sample of the others.
+//!
+//! Guards against giving up, within seconds, a third of a fleet whose work runs on until its
+//! leases end, and against renting by what a lead does not know. Nothing here proves a place
+//! empty: it only says how long to wait before a machine is returned.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use rand::seq::IteratorRandom;
+
+use super::Machine;
+use crate::jobs::Name;
+use crate::node::Env;
+use crate::recover::Reign;
+
+/// Machines that must fail to answer for a survey, the machines that it asks, how often it
+/// is made, and when its answers are in.
+const SURVEY_FROM: usize = 3;
+const SURVEYED: usize = 48;
+const SURVEY_PERIOD: Duration = Duration::from_secs(5);
+const SURVEY_ANSWERED: Duration = Duration::from_millis(1000);
+/// Silent machines that are taken for cut off, as a number and as one part of so many.
+const PARTED: usize = 12;
+const PARTED_SHARE: usize = 6;
+
+/// Machines, and the ordinary ones among them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Silent {
+    all: usize,
+    firm: usize,
+}
+
+impl Silent {
+    pub(super) fn note(&mut self, machine: &Machine) {
+        self.all += 1;
+        self.firm += usize::from(!machine.spot);
+    }
+}
+
+/// What a sample of the machines told when some fell silent.
+#[derive(Default)]
+pub(crate) struct Survey {
+    asked: Option<Instant>,
+    sample: Vec<Name>,
+    /// Machines that seem to be out of reach, and the ordinary ones among them.
+    silent: Silent,
+    cut_zones: BTreeSet<String>,
+    /// Most are out of reach: this node is, rather than they.
+    most: bool,
+    /// When they were last so many that a cut of the network is more likely than their end.
+    parted_at: Option<Instant>,
+}
+
+impl Reign {
+    /// Some machines fail to answer: asks a sample of the others, to tell the end of a few
+    /// machines from a cut of the network, long before most of their reports are overdue.
+    pub(super) fn survey(&mut self, env: &mut Env, failing: usize, silent: Silent, up: Silent) {
+        let now = env.steady();
+        let due = self.survey.asked.is_none_or(|t| now.duration_since(t) >= SURVEY_PERIOD);
+        if failing < SURVEY_FROM {
+            if due {
+                self.survey = Survey::default();
+            }
+            return;
+        }
+        if due {
+            let free = |m: &&Machine| m.up && !m.leaving && !m.unproven && m.direct.is_none() && !m.addr.is_empty();
+            let others: Vec<Name> = self.machines.values().filter(free).map(|m| m.name.clone()).collect();
+            let most = SURVEYED.min(env.facts.orders_at_once.saturating_sub(self.directs));
+            let sample: Vec<Name> = others.into_iter().sample(&mut env.rng, most);
+            sample.iter().for_each(|name| self.direct(env, name, Vec::new()));
+            (self.survey.asked, self.survey.sample) = (Some(now), sample);
+        }
+        if self.survey.asked.is_some_and(|t| now.duration_since(t) >= SURVEY_ANSWERED) {
+            let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+            let (mut asked, mut failed) = (Silent::default(), Silent::default());
+            for machine in self.survey.sample.iter().filter_map(|name| self.machines.get(name)) {
+                let zone = zones.entry(&machine.zone).or_default();
+                *zone = (zone.0 + 1, zone.1 + usize::from(machine.probes_failed > 0));
+                asked.note(machine);
+                if machine.probes_failed > 0 {
+                    failed.note(machine);
+                }
+            }
+            let (cut, whole): (Vec<_>, Vec<_>) = zones.iter().partition(|(_, (asked, failed))| failed * 2 > *asked);
+            let cut = cut.into_iter().filter(|(_, (asked, _))| *asked >= PARTED / 2 && !whole.is_empty());
+            self.survey.cut_zones = cut.map(|(zone, _)| (*zone).to_owned()).collect();
+            let part = |failed: usize, asked: usize, up: usize| failed * up / asked.max(1);
+            let firm = part(failed.firm, asked.firm, up.firm);
+            self.survey.silent = Silent { all: part(failed.all, asked.all, up.all), firm };
+            self.survey.most = failed.all * 5 >= asked.all * 4 && asked.all > 0;
+        }
+        let known = self.survey.silent;
+        let silent = Silent { all: silent.all.max(known.all), firm: silent.firm.max(known.firm) };
+        // Spot machines alone are more likely taken back.
+        let many = |silent: usize, up: usize| silent * PARTED_SHARE > up;
+        let parted = silent.all >= PARTED && many(silent.all, up.all) && (up.firm == 0 || many(silent.firm, up.firm));
+        if parted {
+            if self.survey.parted_at.is_none() {
+                let (silent, of) = (silent.all, up.all);
+                tracing::info!(silent, of, "many machines are silent at once: waiting for their leases to end");
+            }
+            self.survey.parted_at = Some(now);
+        } else if self.survey.parted_at.is_some_and(|t| now.duration_since(t) >= SURVEY_PERIOD) {
+            // Not before: when a cut ends, the last machines get their time to answer, too.
+            self.survey.parted_at = None;
+        }
+    }
+
+    /// Whether a silent machine is likely cut off, with many others, and not dead.
+    pub fn parted(&self, machine: &Machine) -> bool {
+        machine.probes_failed > 0 && (self.survey.parted_at.is_some() || self.survey.cut_zones.contains(&machine.zone))
+    }
+
+    /// When the lease of a machine that is cut off has likely ended. An earlier lead that is
+    /// cut off with it may go on answering it; one that is known to be silent fell before its
+    /// key did.
+    pub(super) fn spared_until(&self, env: &Env, machine: &Machine) -> Instant {
+        let lease = env.facts.lease;
+        match machine.fenced {
+            Some(_) => machine.heard + lease,
+            None if self.old_known => self.since + lease.saturating_sub(env.policy.lead_ttl),
+            None => machine.lapse_at(self.old_silent, self.unnoted, lease),
+        }
+    }
+
+    /// Whether what is known of the machines is too little to rent by: a new lead learns from
+    /// the cloud's list of those without tasks, and the kind of the others; and when many fall
+    /// silent it may be this node's network. Each mistake would be a hundred machines.
+    pub fn fleet_unclear(&self, env: &Env) -> bool {
+        let asking = self.survey.asked.is_some_and(|at| env.steady().duration_since(at) < SURVEY_ANSWERED);
+        (self.inherited && !self.renting.listed) || self.survey.most || asking
+    }
+
+    /// Whether a zone's machines are out of reach: new ones would be too.
+    pub fn zone_is_cut(&self, zone: &str) -> bool {
+        self.survey.cut_zones.contains(zone)
+    }
+}
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -635,6 +635,22 @@
     assert!(!world.workers.contains_key(&deaf), "it was not returned");
 }
 
+#[test]
+fn a_machine_that_hears_nothing_gets_no_work_after_the_first_call_fails() {
+    let mut world = settled(4);
+    world.cloud.outage = true;
+    // Its reports come all the time, so that it seems to be alive and free.
+    world.deaf.insert("n-000000".into());
+    world.submit(0, job(1, 8));
+    world.run(secs(3));
+    assert!(world.placed_on("wk-000001", "n-000000") > 0, "the story is about another machine");
+    for id in 2..6 {
+        world.submit(id as usize % 3, job(id, 4));
+        world.run(secs(1));
+        assert_eq!(world.placed_on(&format!("wk-{id:06}"), "n-000000"), 0, "job {id}");
+    }
+}
+
 #[test]
 fn late_copies_of_reports_keep_no_dead_machine_alive() {
     for by in [3, 15] {
