Count the processor's work; keep idle connections while sockets are free

Memory is no issue: 17 of 46 MB.

Change: idle connections of our own are kept as long as the sockets that others may open are free, and give way when these are opened.

The lead stays overloaded: more is needed.

--- a/crates/rushyoke/src/command.rs
+++ b/crates/rushyoke/src/command.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,7 +10,7 @@
 use rushyoke_core::Outcome;
 use tokio::task::LocalSet;
 
-use crate::http::{Ask, Http};
+use crate::http::{Ask, Http, Room};
 
 #[derive(clap::Args)]
 pub struct Target {
@@ -44,7 +45,10 @@
     };
     let wait = Duration::from_secs(at.timeout);
     let ask = Ask { addr: at.server, method, path, body: Bytes::from(body), connect: wait, wait, most: 1 << 20 };
-    match LocalSet::new().run_until(Http::new(1).ask(ask)).await {
+    match LocalSet::new()
+        .run_until(Http::new(Room { own: 1, open: Rc::default(), most: 0 }, Rc::default()).ask(ask))
+        .await
+    {
         Outcome::Answered((200 | 201, body)) => Ok(String::from_utf8_lossy(&body).into_owned()),
         Outcome::Answered((status, body)) => {
             Err(format!("{} answered {status}: {}", at.server, String::from_utf8_lossy(&body)))
--- a/crates/rushyoke/src/drive.rs
+++ b/crates/rushyoke/src/drive.rs
@@ -4,6 +4,8 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use rushyoke_core::{Answer, Call, CloudOp, Input, Node, Now, Outcome, Output, Req, StoreOp, Urgency};
@@ -11,7 +13,7 @@
 use tokio::task::LocalSet;
 
 use crate::budget::Budget;
-use crate::http::Http;
+use crate::http::{Http, Room};
 use crate::outside;
 use crate::serve::{Asked, Server, Side};
 use crate::settings::Settings;
@@ -48,6 +50,8 @@
     back: mpsc::UnboundedSender<Input>,
     stats: Rc<RefCell<Stats>>,
     others: usize,
+    waits: Arc<AtomicU64>,
+    ticked: Instant,
 }
 
 fn now() -> Now {
@@ -56,11 +60,11 @@
 }
 
 /// Serves until the process is killed.
-pub async fn run(settings: Settings) -> Result<(), String> {
-    LocalSet::new().run_until(serve(settings)).await
+pub async fn run(settings: Settings, waits: Arc<AtomicU64>) -> Result<(), String> {
+    LocalSet::new().run_until(serve(settings, waits)).await
 }
 
-async fn serve(settings: Settings) -> Result<(), String> {
+async fn serve(settings: Settings, waits: Arc<AtomicU64>) -> Result<(), String> {
     let sockets = settings.sockets;
     // A connection carries one request at a time, so that none is ever turned away for want of
     // room here: when all workers turn to a new lead at once, each of them would come again.
@@ -69,20 +73,22 @@
     // Outcomes of our own calls, whose number is bounded by the core and the budgets.
     let (back, mut outcomes) = mpsc::unbounded_channel::<Input>();
     let open = Rc::new(Cell::new(0));
+    let start = now();
+    let stats = Rc::new(RefCell::new(Stats::new(start.steady)));
+    let http = Http::new(Room { own: sockets.kept, open: open.clone(), most: sockets.served }, stats.clone());
     for (side, addr) in [(Side::Public, settings.public_addr), (Side::Peers, settings.peer_bind)] {
         let listener = Server::bind(addr).await?;
-        let server =
-            Server { side, core: core.clone(), first: first.clone(), open: open.clone(), most: sockets.served };
+        let (core, first, open, stats) = (core.clone(), first.clone(), open.clone(), stats.clone());
+        let server = Server { side, core, first, open, most: sockets.served, http: http.clone(), stats };
         tokio::task::spawn_local(server.run(listener));
     }
     drop((core, first));
-    let start = now();
     tracing::info!(label = settings.facts.label, public = %settings.public_addr, "started");
     let mut driver = Driver {
         store: Budget::new(settings.state_rps, settings.state_writes, 0.4, start.steady),
         cloud: Budget::new(settings.cloud_rps, settings.cloud_rps, 1.0, start.steady),
         node: Node::new(settings.facts, settings.policy, rand::random(), start),
-        http: Http::new(sockets.kept),
+        http,
         store_calls: Rc::new(Cell::new(0)),
         most_store_calls: sockets.store,
         store_addr: settings.state,
@@ -91,8 +97,10 @@
         waiting: HashMap::new(),
         next_req: 0,
         back,
-        stats: Rc::new(RefCell::new(Stats::new(start.steady))),
+        stats,
         others: settings.nodes.saturating_sub(1),
+        waits,
+        ticked: start.steady,
     };
     driver.cloud.share(CLOUD_SHARE);
     let mut ticks = tokio::time::interval(TICK);
@@ -112,6 +120,8 @@
 impl Driver {
     fn tick(&mut self) {
         let now = Instant::now();
+        self.stats.borrow_mut().late(now.duration_since(self.ticked).saturating_sub(TICK));
+        self.ticked = now;
         let share = match (self.node.token(), self.others) {
             (_, 0) => 1.0,
             (Some(_), _) => LEAD_SHARE,
@@ -124,6 +134,7 @@
         for (call, _) in self.cloud.expired(now) {
             self.input(Input::Cloud { call, outcome: Outcome::NotDone });
         }
+        self.stats.borrow_mut().waits(self.waits.load(Ordering::Relaxed));
         self.stats.borrow_mut().tick(now);
         self.input(Input::Tick);
     }
--- a/crates/rushyoke/src/http.rs
+++ b/crates/rushyoke/src/http.rs
@@ -1,7 +1,7 @@
 //! A small HTTP/1.1 client: a few kept connections per address, deadlines, and an
 //! honest account of whether a request may have been carried out.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,6 +16,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::stats::{Stats, Work};
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// Connections kept per address while idle.
@@ -25,8 +27,24 @@
 pub struct Http {
     /// Idle connections, the most recently used last.
     idle: Rc<RefCell<VecDeque<(SocketAddr, Sender)>>>,
-    /// How many are kept at the most: the one idle for longest gives way.
-    kept: usize,
+    room: Room,
+    stats: Rc<RefCell<Stats>>,
+}
+
+/// How many idle connections are kept: a share of our own, and what those that others may
+/// open leave free. To open one costs several times what an exchange on it does.
+#[derive(Clone)]
+pub struct Room {
+    pub own: usize,
+    /// Connections that others have open, and the most that they may.
+    pub open: Rc<Cell<usize>>,
+    pub most: usize,
+}
+
+impl Room {
+    fn kept(&self) -> usize {
+        self.own + self.most.saturating_sub(self.open.get())
+    }
 }
 
 pub struct Ask {
@@ -41,8 +59,8 @@
 }
 
 impl Http {
-    pub fn new(kept: usize) -> Http {
-        Http { idle: Rc::default(), kept }
+    pub fn new(room: Room, stats: Rc<RefCell<Stats>>) -> Http {
+        Http { idle: Rc::default(), room, stats }
     }
 
     pub async fn ask(&self, ask: Ask) -> Outcome<(u16, Bytes)> {
@@ -58,6 +76,7 @@
             // An attempt to connect that was given up does not complete later.
             _ => return Outcome::NotDone,
         };
+        self.stats.borrow_mut().count(Work::Opened);
         let _ = stream.set_nodelay(true);
         let Ok((sender, connection)) = handshake(TokioIo::new(stream)).await else {
             return Outcome::NotDone;
@@ -82,10 +101,17 @@
         if idle.iter().rev().filter(|(kept, _)| *kept == addr).take(KEPT).count() == KEPT {
             return;
         }
-        if idle.len() >= self.kept {
+        idle.push_back((addr, sender));
+        drop(idle);
+        self.give_way();
+    }
+
+    /// Others have opened connections: those idle for longest make room for them.
+    pub fn give_way(&self) {
+        let mut idle = self.idle.borrow_mut();
+        while idle.len() > self.room.kept() {
             idle.pop_front();
         }
-        idle.push_back((addr, sender));
     }
 
     /// Closes what is kept for an address that stopped answering.
--- a/crates/rushyoke/src/main.rs
+++ b/crates/rushyoke/src/main.rs
@@ -11,6 +11,8 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use clap::{Parser, Subcommand};
 
@@ -57,7 +59,14 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let waits = Arc::new(AtomicU64::new(0));
+    let counted = waits.clone();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .on_thread_park(move || {
+            counted.fetch_add(1, Ordering::Relaxed);
+        })
+        .build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(error) => return fail(1, &format!("the runtime cannot start: {error}")),
@@ -79,7 +88,7 @@
                 return ExitCode::SUCCESS;
             }
             init_log();
-            return match runtime.block_on(drive::run(settings)) {
+            return match runtime.block_on(drive::run(settings, waits)) {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(error) => fail(1, &error),
             };
--- a/crates/rushyoke/src/serve.rs
+++ b/crates/rushyoke/src/serve.rs
@@ -1,7 +1,7 @@
 //! The servers: users, workers and health checks on one address, the other controllers
 //! on another. Every request is answered at once or handed to the core.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -21,6 +21,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::http::Http;
+use crate::stats::{Stats, Work};
+
 /// Largest body that is taken.
 const MOST_BODY: usize = 64 * 1024;
 /// A connection on which nothing comes for so long is closed.
@@ -48,6 +51,9 @@
     /// Connections open now and at the most, over both sides.
     pub open: Rc<Cell<usize>>,
     pub most: usize,
+    /// Our own connections, which give way.
+    pub http: Http,
+    pub stats: Rc<RefCell<Stats>>,
 }
 
 impl Server {
@@ -68,7 +74,9 @@
                 continue;
             }
             let _ = stream.set_nodelay(true);
+            self.stats.borrow_mut().count(Work::Accepted);
             self.open.set(self.open.get() + 1);
+            self.http.give_way();
             let server = self.clone();
             tokio::task::spawn_local(async move {
                 let service = service_fn(|request| server.serve(request));
@@ -118,6 +126,11 @@
 
     async fn route(&self, route: Route, body: &Bytes) -> Answer {
         let submission = matches!(route, Route::Submit);
+        self.stats.borrow_mut().count(match route {
+            Route::Report => Work::Report,
+            Route::Ready | Route::Peer => Work::Peer,
+            Route::Submit | Route::Status(_) | Route::Cancel(_) => Work::User,
+        });
         let core = if matches!(route, Route::Ready | Route::Peer) { &self.first } else { &self.core };
         let input: Box<dyn FnOnce(Req) -> Input> = match route {
             Route::Submit => match JobSpec::parse(body) {
--- a/crates/rushyoke/src/stats.rs
+++ b/crates/rushyoke/src/stats.rs
@@ -25,14 +25,51 @@
 
 pub struct Stats {
     delays: [Histogram<u32>; 4],
+    work: [u64; WORK.len()],
     shed: u64,
+    /// Waits of the process so far, and at the last line.
+    waits: u64,
+    waited: u64,
+    /// How late the latest tick came: the processor was short for so long.
+    late: Duration,
     since: Instant,
 }
 
+/// What the processor works on, counted.
+#[derive(Clone, Copy)]
+pub enum Work {
+    /// Workers' reports.
+    Report = 0,
+    /// Requests of users.
+    User = 1,
+    /// Health checks and the other controllers' questions.
+    Peer = 2,
+    /// Connections that others opened.
+    Accepted = 3,
+    /// Connections that this node opened.
+    Opened = 4,
+}
+
+const WORK: [&str; 5] = ["reports", "users", "peers", "accepted", "opened"];
+
+impl Default for Stats {
+    fn default() -> Stats {
+        Stats::new(Instant::now())
+    }
+}
+
 impl Stats {
     pub fn new(now: Instant) -> Stats {
         let histogram = || Histogram::new_with_max(LONGEST_MS, 2).expect("the bounds are fixed");
-        Stats { delays: [histogram(), histogram(), histogram(), histogram()], shed: 0, since: now }
+        Stats {
+            delays: [histogram(), histogram(), histogram(), histogram()],
+            work: [0; WORK.len()],
+            shed: 0,
+            waits: 0,
+            waited: 0,
+            late: Duration::ZERO,
+            since: now,
+        }
     }
 
     pub fn note(&mut self, what: Delay, delay: Duration) {
@@ -40,6 +77,20 @@
         self.delays[what as usize].saturating_record(ms);
     }
 
+    pub fn count(&mut self, what: Work) {
+        self.work[what as usize] += 1;
+    }
+
+    /// How often the process has waited so far, since it started.
+    pub fn waits(&mut self, waits: u64) {
+        self.waits = waits;
+    }
+
+    /// A tick came so much later than it was due.
+    pub fn late(&mut self, by: Duration) {
+        self.late = self.late.max(by);
+    }
+
     /// A request was turned away for want of room.
     pub fn shed(&mut self) {
         self.shed += 1;
@@ -58,7 +109,14 @@
             }
             histogram.reset();
         }
-        tracing::info!(shed = self.shed, "delays (count, median, 95%, most): {line}");
+        let late_ms = self.late.as_millis() as u64;
+        tracing::info!(shed = self.shed, late_ms, "delays (count, median, 95%, most): {line}");
+        let counted = WORK.iter().zip(&self.work).map(|(name, count)| format!("{name} {count}"));
+        let waits = self.waits - self.waited;
+        tracing::info!(waits, "work: {}", counted.collect::<Vec<_>>().join(", "));
+        self.waited = self.waits;
+        self.work = [0; WORK.len()];
         self.shed = 0;
+        self.late = Duration::ZERO;
     }
 }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,7 +7,7 @@
 mod worker;
 mod world;
 
-pub use cloud::Cloud;
+pub use cloud::{Cloud, Rented};
 pub use store::Store;
 pub use worker::{Task, Worker};
 pub use world::{World, facts, job, service};
