Read what others send in slices of 16, so that renewals never wait for a crowd

An answer of the state service waits behind all connections that are ready.

Change: reads of connections that others opened, and their acceptance, are paced: 16, then the sockets are looked at again, and what is not paced (our own calls, the other controllers) goes first.

--- a/crates/rushyoke/src/drive.rs
+++ b/crates/rushyoke/src/drive.rs
@@ -15,6 +15,7 @@
 use crate::budget::Budget;
 use crate::http::{Http, Room};
 use crate::outside;
+use crate::pace::Pace;
 use crate::serve::{Asked, Server, Side};
 use crate::settings::Settings;
 use crate::stats::{Delay, Stats};
@@ -82,10 +83,13 @@
     let start = now();
     let stats = Rc::new(RefCell::new(Stats::new(start.steady)));
     let http = Http::new(Room { own: sockets.kept, open: open.clone(), most: sockets.served }, stats.clone());
+    let pace = Pace::default();
+    tokio::task::spawn_local(pace.clone().run());
     for (side, addr) in [(Side::Public, settings.public_addr), (Side::Peers, settings.peer_bind)] {
         let listener = Server::bind(addr).await?;
         let (core, first, open, stats) = (core.clone(), first.clone(), open.clone(), stats.clone());
-        let server = Server { side, core, first, open, most: sockets.served, http: http.clone(), stats };
+        let (pace, http) = (pace.clone(), http.clone());
+        let server = Server { side, core, first, open, most: sockets.served, pace, http, stats };
         tokio::task::spawn_local(server.run(listener));
     }
     drop((core, first));
--- a/crates/rushyoke/src/main.rs
+++ b/crates/rushyoke/src/main.rs
@@ -5,6 +5,7 @@
 mod drive;
 mod http;
 mod outside;
+mod pace;
 mod serve;
 mod settings;
 mod stats;
--- /dev/null
+++ b/crates/rushyoke/src/pace.rs
@@ -0,0 +1,168 @@
+//! Bounded slices of what others send: after a few reads from their connections the process looks
+//! for its own answers before it goes on.
+//!
+//! Guards the lead's lease against a crowd. When all workers come at once, on a small machine,
+//! what is ready to be read takes seconds to serve; an answer of the state service that came
+//! meanwhile would wait behind all of it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Reads from others' connections in one slice.
+const SLICE: u32 = 16;
+
+/// Shared by all connections that others opened.
+#[derive(Clone, Default)]
+pub struct Pace(Rc<Inner>);
+
+#[derive(Default)]
+struct Inner {
+    used: Cell<u32>,
+    /// Connections, in their order, that wait for the next slice.
+    waiting: RefCell<VecDeque<Waker>>,
+    exhausted: tokio::sync::Notify,
+}
+
+impl Pace {
+    /// Whether one more read fits into this slice; else it is woken in a later one.
+    fn admit(&self, cx: &mut Context<'_>) -> bool {
+        if self.0.used.get() < SLICE {
+            return true;
+        }
+        self.0.waiting.borrow_mut().push_back(cx.waker().clone());
+        self.0.exhausted.notify_one();
+        false
+    }
+
+    fn spend(&self) {
+        self.0.used.set(self.0.used.get() + 1);
+    }
+
+    /// Waits until another connection may be accepted, and counts it.
+    pub async fn turn(&self) {
+        std::future::poll_fn(|cx| if self.admit(cx) { Poll::Ready(()) } else { Poll::Pending }).await;
+        self.spend();
+    }
+
+    /// Begins slice after slice, forever. What is ready to be read is looked for in between, and
+    /// served first if it is not paced.
+    pub async fn run(self) {
+        loop {
+            self.0.exhausted.notified().await;
+            // Goes on only after the runtime has looked at the sockets.
+            tokio::task::yield_now().await;
+            self.0.used.set(0);
+            let mut waiting = self.0.waiting.borrow_mut();
+            let next = waiting.len().min(SLICE as usize);
+            let woken: Vec<Waker> = waiting.drain(..next).collect();
+            let more = !waiting.is_empty();
+            drop(waiting);
+            woken.into_iter().for_each(Waker::wake);
+            if more {
+                self.0.exhausted.notify_one();
+            }
+        }
+    }
+}
+
+/// A connection whose reads are paced.
+pub struct Paced<S> {
+    pub stream: S,
+    pub pace: Pace,
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Paced<S> {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        if !self.pace.admit(cx) {
+            return Poll::Pending;
+        }
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if polled.is_ready() {
+            self.pace.spend();
+        }
+        polled
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Paced<S> {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt, duplex};
+    use tokio::task::LocalSet;
+
+    use super::*;
+
+    #[test]
+    fn an_answer_of_our_own_does_not_wait_behind_a_crowd() {
+        // Found on a day on which two of three processes ended: the third lost its lease while it
+        // served the workers of all three.
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        LocalSet::new().block_on(&runtime, async {
+            let pace = Pace::default();
+            tokio::task::spawn_local(pace.clone().run());
+            let served = Rc::new(Cell::new(0u32));
+            let mut crowd = Vec::new();
+            for _ in 0..200 {
+                let (mut other, stream) = duplex(64);
+                other.write_all(b"x").await.expect("room");
+                crowd.push(other);
+                let (mut paced, served) = (Paced { stream, pace: pace.clone() }, served.clone());
+                tokio::task::spawn_local(async move {
+                    while paced.read_u8().await.is_ok() {
+                        served.set(served.get() + 1);
+                    }
+                });
+            }
+            let (mut state, mut own) = duplex(64);
+            let (before, at) = (served.clone(), Rc::new(Cell::new(None)));
+            let seen = at.clone();
+            let answered = tokio::task::spawn_local(async move {
+                own.read_u8().await.expect("an answer");
+                seen.set(Some(before.get()));
+            });
+            // The answer comes while the crowd is being served.
+            while served.get() == 0 {
+                tokio::task::yield_now().await;
+            }
+            let then = served.get();
+            state.write_all(b"x").await.expect("room");
+            answered.await.expect("it ends");
+            let waited = at.get().expect("seen") - then;
+            assert!(waited <= 2 * SLICE, "{waited} of the crowd came first");
+            while served.get() < 200 {
+                tokio::task::yield_now().await;
+            }
+        });
+    }
+}
--- a/crates/rushyoke/src/serve.rs
+++ b/crates/rushyoke/src/serve.rs
@@ -22,6 +22,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::http::Http;
+use crate::pace::{Pace, Paced};
 use crate::stats::{Stats, Work};
 
 /// Largest body that is taken.
@@ -51,6 +52,8 @@
     /// Connections open now and at the most, over both sides.
     pub open: Rc<Cell<usize>>,
     pub most: usize,
+    /// Requests of users and workers are served in slices.
+    pub pace: Pace,
     /// Our own connections, which give way.
     pub http: Http,
     pub stats: Rc<RefCell<Stats>>,
@@ -63,6 +66,9 @@
 
     pub async fn run(self, listener: TcpListener) {
         loop {
+            if let Side::Public = self.side {
+                self.pace.turn().await;
+            }
             let Ok((stream, _)) = listener.accept().await else {
                 // Out of sockets: those in use come free.
                 tokio::time::sleep(Duration::from_millis(50)).await;
@@ -80,13 +86,16 @@
             let server = self.clone();
             tokio::task::spawn_local(async move {
                 let service = service_fn(|request| server.serve(request));
-                let connection = http1::Builder::new()
-                    .timer(TokioTimer::new())
-                    .header_read_timeout(IDLE)
-                    .max_buf_size(72 * 1024)
-                    .serve_connection(TokioIo::new(stream), service);
+                let mut http = http1::Builder::new();
+                http.timer(TokioTimer::new()).header_read_timeout(IDLE).max_buf_size(72 * 1024);
                 // Connections end as clients please.
-                let _ = connection.await;
+                let _ = match server.side {
+                    Side::Public => {
+                        let paced = Paced { stream, pace: server.pace.clone() };
+                        http.serve_connection(TokioIo::new(paced), service).await
+                    }
+                    Side::Peers => http.serve_connection(TokioIo::new(stream), service).await,
+                };
                 server.open.set(server.open.get() - 1);
             });
         }
