Bound what bodies, heads and unfinished jobs take of the machine's memory

Cause (by reading): each connection could keep 72 KiB unread and 64 KiB of a body, without end if its sender was slow: 900 of them pass 37 MB. And 5,000 unfinished jobs of 100,000 tasks take 70 MB.

Change: 16 KiB a connection, bodies together a tenth of the memory that the facts name (503 with Retry-After at once beyond), 408 after 10 s; unfinished jobs a fifth of it (429). Stories of each on a clock that stands still.

--- a/crates/core/src/facts.rs
+++ b/crates/core/src/facts.rs
@@ -36,6 +36,8 @@
     pub cloud_rps: f64,
     /// Direct calls to workers at a time, as far as the sockets go.
     pub orders_at_once: usize,
+    /// Memory that unfinished jobs may take.
+    pub job_bytes: usize,
 }
 
 /// The operators' own settings, with the defaults of the design.
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -180,7 +180,16 @@
     pub mean_run_s: f64,
 }
 
+/// What a job and each of its tasks that has a place, or waits for another, take of memory, about.
+const JOB_BYTES: usize = 1500;
+const PLACE_BYTES: usize = 250;
+
 impl Job {
+    /// Memory that it takes, about.
+    pub fn bytes(&self) -> usize {
+        JOB_BYTES + self.done.len() * 8 + (self.places.len() + self.returned.len()) * PLACE_BYTES
+    }
+
     pub fn new(spec: JobSpec, at_ms: u64, version: u64, cancelled: bool) -> Job {
         Job {
             id: Name::from(spec.id.as_str()),
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -14,7 +14,7 @@
 use crate::facts::{Facts, Policy};
 use crate::fleet::Tasks;
 use crate::io::*;
-use crate::jobs::Name;
+use crate::jobs::{Job, Name};
 use crate::lead::{Election, LeadCall};
 use crate::records::RecordCall;
 use crate::recover::{LoadCall, Reign};
@@ -363,7 +363,10 @@
         self.progress_sent = Some(now);
         let progress = self.reign.as_mut().map(Reign::take_progress).unwrap_or_default();
         let token = self.token();
-        let full = self.reign.as_ref().is_some_and(|r| r.jobs.len() >= self.env.policy.max_jobs);
+        let full = self.reign.as_ref().is_some_and(|reign| {
+            let bytes: usize = reign.jobs.values().map(Job::bytes).sum();
+            reign.jobs.len() >= self.env.policy.max_jobs || bytes >= self.env.facts.job_bytes
+        });
         if token.is_some() {
             self.users.full = full;
         }
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -3,8 +3,8 @@
 
 use std::time::Duration;
 
-use rushyoke_core::Policy;
-use rushyoke_testkit::{World, job, service};
+use rushyoke_core::{Facts, Policy};
+use rushyoke_testkit::{World, facts, job, service};
 use rushyoke_wire::job::{JobStatus, Priority};
 
 fn secs(s: u64) -> Duration {
@@ -249,6 +249,20 @@
     assert_eq!(world.submit(2, job(7, 4)), Some(201));
 }
 
+#[test]
+fn jobs_that_would_take_too_much_memory_are_turned_away_at_once() {
+    let facts = Facts { job_bytes: 40_000, ..facts(0, 3) };
+    let mut world = World::deployed(facts, 1, Policy::default(), &["a"]);
+    world.run(secs(6));
+    // Few jobs, but of a hundred thousand tasks each.
+    (1..=3).for_each(|id| assert_eq!(world.submit(0, job(id, 100_000)), Some(201)));
+    world.run(secs(3));
+    (0..3).for_each(|node| assert_eq!(world.submit(node, job(4, 1)), Some(429)));
+    assert!(world.cancel(0, "wk-000001").is_some());
+    world.run(secs(6));
+    assert_eq!(world.submit(0, job(4, 1)), Some(201));
+}
+
 #[test]
 fn a_late_start_does_not_run_a_task_twice() {
     let mut world = settled(2);
--- a/crates/rushyoke/src/drive.rs
+++ b/crates/rushyoke/src/drive.rs
@@ -84,12 +84,15 @@
     let stats = Rc::new(RefCell::new(Stats::new(start.steady)));
     let http = Http::new(Room { own: sockets.kept, open: open.clone(), most: sockets.served }, stats.clone());
     let pace = Pace::default();
+    let bodies = Rc::new(Cell::new(0));
     tokio::task::spawn_local(pace.clone().run());
     for (side, addr) in [(Side::Public, settings.public_addr), (Side::Peers, settings.peer_bind)] {
         let listener = Server::bind(addr).await?;
         let (core, first, open, stats) = (core.clone(), first.clone(), open.clone(), stats.clone());
         let (pace, http) = (pace.clone(), http.clone());
-        let server = Server { side, core, first, open, most: sockets.served, pace, http, stats };
+        let (bodies, most_bodies) = (bodies.clone(), settings.body_bytes);
+        let most = sockets.served;
+        let server = Server { side, core, first, open, most, bodies, most_bodies, pace, http, stats };
         tokio::task::spawn_local(server.run(listener));
     }
     drop((core, first));
--- a/crates/rushyoke/src/serve.rs
+++ b/crates/rushyoke/src/serve.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -20,6 +20,7 @@
 use rushyoke_wire::worker::UnreadReport;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
 
 use crate::http::Http;
 use crate::pace::{Pace, Paced};
@@ -27,8 +28,12 @@
 
 /// Largest body that is taken.
 const MOST_BODY: usize = 64 * 1024;
+/// Largest head of a request, and what a connection may keep unread.
+const MOST_HEAD: usize = 16 * 1024;
 /// A connection on which nothing comes for so long is closed.
 const IDLE: Duration = Duration::from_secs(40);
+/// A body must be there after this time.
+const SLOWEST_BODY: Duration = Duration::from_secs(10);
 
 /// A request on its way to the core.
 pub struct Asked {
@@ -52,6 +57,9 @@
     /// Connections open now and at the most, over both sides.
     pub open: Rc<Cell<usize>>,
     pub most: usize,
+    /// Memory taken by bodies that are being read, over both sides, and at the most.
+    pub bodies: Rc<Cell<usize>>,
+    pub most_bodies: usize,
     /// Requests of users and workers are served in slices.
     pub pace: Pace,
     /// Our own connections, which give way.
@@ -87,7 +95,7 @@
             tokio::task::spawn_local(async move {
                 let service = service_fn(|request| server.serve(request));
                 let mut http = http1::Builder::new();
-                http.timer(TokioTimer::new()).header_read_timeout(IDLE).max_buf_size(72 * 1024);
+                http.timer(TokioTimer::new()).header_read_timeout(IDLE).max_buf_size(MOST_HEAD);
                 // Connections end as clients please.
                 let _ = match server.side {
                     Side::Public => {
@@ -118,20 +126,37 @@
             response.headers_mut().insert("allow", allowed.as_str().parse().expect("a method's name"));
             return Ok(response);
         }
-        let body = match Limited::new(request.into_body(), MOST_BODY).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(error) => {
-                let large = error.downcast_ref::<LengthLimitError>().is_some();
-                let answer = match large {
-                    true => Answer::error(413, "the body is larger than 64 KiB"),
-                    false => Answer::error(400, "the body could not be read"),
-                };
+        match self.body(request.into_body()).await {
+            Ok(body) => Ok(respond(self.route(route, &body).await)),
+            Err(answer) => {
                 let mut response = respond(answer);
                 response.headers_mut().insert("connection", "close".parse().expect("a fixed value"));
-                return Ok(response);
+                Ok(response)
             }
-        };
-        Ok(respond(self.route(route, &body).await))
+        }
+    }
+
+    /// Reads a body, of which no more is taken than it announced, and all together no more than
+    /// there is memory for.
+    async fn body<B: Body<Data = Bytes>>(&self, body: B) -> Result<Bytes, Answer>
+    where
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let size = body.size_hint().upper().map_or(MOST_BODY, |size| size.min(MOST_BODY as u64) as usize);
+        if self.bodies.get() + size > self.most_bodies {
+            self.stats.borrow_mut().shed();
+            return Err(Answer::later(503, "too many requests at once"));
+        }
+        self.bodies.set(self.bodies.get() + size);
+        let _given_back = GivenBack { bodies: self.bodies.clone(), size };
+        match timeout(SLOWEST_BODY, Limited::new(body, MOST_BODY).collect()).await {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => {
+                Err(Answer::error(413, "the body is larger than 64 KiB"))
+            }
+            Ok(Err(_)) => Err(Answer::error(400, "the body could not be read")),
+            Err(_) => Err(Answer::error(408, "the body came too slowly")),
+        }
     }
 
     async fn route(&self, route: Route, body: &Bytes) -> Answer {
@@ -183,6 +208,18 @@
     }
 }
 
+/// Gives a body's memory back, also when its connection ends before it is read.
+struct GivenBack {
+    bodies: Rc<Cell<usize>>,
+    size: usize,
+}
+
+impl Drop for GivenBack {
+    fn drop(&mut self) {
+        self.bodies.set(self.bodies.get() - self.size);
+    }
+}
+
 enum Route {
     Submit,
     Status(String),
@@ -218,3 +255,68 @@
     }
     response
 }
+
+#[cfg(test)]
+mod tests {
+    use http_body_util::StreamBody;
+    use hyper::body::Frame;
+
+    use super::*;
+    use crate::http::Room;
+
+    fn server(most_bodies: usize) -> Server {
+        let room = Room { own: 1, open: Rc::default(), most: 1 };
+        Server {
+            side: Side::Public,
+            core: mpsc::channel(1).0,
+            first: mpsc::channel(1).0,
+            open: Rc::default(),
+            most: 1,
+            bodies: Rc::default(),
+            most_bodies,
+            pace: Pace::default(),
+            http: Http::new(room, Rc::default()),
+            stats: Rc::default(),
+        }
+    }
+
+    /// Runs on a clock that stands still and jumps to the next timer.
+    fn at_once<T>(story: impl Future<Output = T>) -> T {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+        runtime.expect("a runtime").block_on(story)
+    }
+
+    fn pieces(sizes: Vec<usize>) -> StreamBody<impl futures_util::Stream<Item = Result<Frame<Bytes>, Infallible>>> {
+        let frames = sizes.into_iter().map(|size| Ok(Frame::data(Bytes::from(vec![b'x'; size]))));
+        StreamBody::new(futures_util::stream::iter(frames))
+    }
+
+    #[test]
+    fn a_body_takes_no_more_than_its_bound() {
+        at_once(async {
+            let server = server(200_000);
+            assert_eq!(server.body(pieces(vec![30_000, 30_000])).await.expect("small enough").len(), 60_000);
+            assert_eq!(server.body(pieces(vec![30_000; 9])).await.expect_err("too large").status, 413);
+            assert_eq!(server.bodies.get(), 0, "its memory was given back");
+        });
+    }
+
+    #[test]
+    fn slow_senders_are_let_go_and_a_crowd_of_them_is_turned_away_at_once() {
+        at_once(async {
+            let server = server(200_000);
+            let never = || StreamBody::new(futures_util::stream::pending::<Result<Frame<Bytes>, Infallible>>());
+            let three = async { tokio::join!(server.body(never()), server.body(never()), server.body(never())) };
+            let fourth = async {
+                tokio::time::sleep(Duration::from_secs(1)).await;
+                let refused = server.body(pieces(vec![10])).await.expect_err("no room");
+                assert_eq!((refused.status, refused.retry_after_s), (503, Some(1)));
+            };
+            let (three, ()) = tokio::join!(three, fourth);
+            for slow in [three.0, three.1, three.2] {
+                assert_eq!(slow.expect_err("too slow").status, 408);
+            }
+            assert_eq!(server.body(pieces(vec![10])).await.expect("room again").len(), 10);
+        });
+    }
+}
--- a/crates/rushyoke/src/settings.rs
+++ b/crates/rushyoke/src/settings.rs
@@ -22,6 +22,8 @@
     pub cloud_rps: f64,
     pub nodes: usize,
     pub sockets: Sockets,
+    /// Memory that bodies of requests may take while they are read.
+    pub body_bytes: usize,
 }
 
 /// How the platform's limit on sockets is divided. Reports come over a connection from each
@@ -45,6 +47,12 @@
     }
 }
 
+/// Memory if the platform does not tell how much there is, and the parts of it that unfinished
+/// jobs and bodies that are being read may take. Connections take most of the rest.
+const MEMORY: usize = 64_000_000;
+const JOBS_PART: usize = 5;
+const BODIES_PART: usize = 10;
+
 #[derive(Deserialize)]
 struct File {
     label: String,
@@ -124,6 +132,7 @@
 #[derive(Deserialize)]
 struct Quota {
     max_sockets: usize,
+    mem_mb: Option<f64>,
 }
 
 /// The operators' settings; what is left out keeps its default.
@@ -208,6 +217,10 @@
     if peers.contains_key(&file.label) {
         return Err("others: names this node itself".into());
     }
+    let memory = match facts.quota.mem_mb {
+        None => MEMORY,
+        Some(mb) => (count("facts.quota.mem_mb", mb)?.min(1e6) * 1e6) as usize,
+    };
     let sockets = Sockets::divide(facts.quota.max_sockets);
     let core = Facts {
         label: file.label.clone(),
@@ -222,6 +235,7 @@
         list_lag: positive("facts.cloud.list_lag_s", facts.cloud.list_lag_s)?,
         cloud_rps: count("facts.cloud.rps", facts.cloud.rps)?,
         orders_at_once: sockets.orders,
+        job_bytes: memory / JOBS_PART,
     };
     Ok(Settings {
         nodes: peers.len() + 1,
@@ -236,6 +250,7 @@
         state_writes: count("facts.state.write_rps", facts.state.write_rps)?,
         cloud_rps: facts.cloud.rps,
         sockets,
+        body_bytes: memory / BODIES_PART,
     })
 }
 
--- a/crates/testkit/examples/loopback.rs
+++ b/crates/testkit/examples/loopback.rs
@@ -5,7 +5,8 @@
 //!     cargo run --release -p rushyoke-testkit --example loopback -- [SECONDS] [MACHINES] [LOAD]
 //!
 //! `WRAP` names a program to start each controller with, `{}` standing for its label, such as
-//! `WRAP="strace -c -f -o /tmp/{}.calls"` or `WRAP="perf record -g -o /tmp/{}.perf"`.
+//! `WRAP="strace -c -f -o /tmp/{}.calls"` or `WRAP="perf record -g -o /tmp/{}.perf"`; `PROGRAM` another
+//! build of the program, such as one with its symbols.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -367,11 +368,12 @@
     sleep(Duration::from_millis(100)).await;
     let folder = std::env::temp_dir();
     let wrap = std::env::var("WRAP").unwrap_or_default();
+    let program = std::env::var("PROGRAM").unwrap_or("target/release/rushyoke".into());
     let start = |node: usize| -> Child {
         let file = folder.join(format!("rushyoke-loopback-{node}.toml"));
         std::fs::write(&file, settings(node)).expect("a file can be written");
         let line = wrap.replace("{}", &format!("node-{node}"));
-        let mut words = line.split_whitespace().chain(["target/release/rushyoke", "--config"]);
+        let mut words = line.split_whitespace().chain([program.as_str(), "--config"]);
         let mut command = Command::new(words.next().expect("a program"));
         command.args(words).arg(&file).spawn().expect("the program is built (cargo build --release)")
     };
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -35,6 +35,7 @@
         list_lag: Duration::from_secs(4),
         cloud_rps: 4.0,
         orders_at_once: 64,
+        job_bytes: 8 << 20,
     }
 }
 
