Drawn mixes with relays that hang and processors that are short; calls to machines that end

The stand-in lost a direct call whose machine ended while it was on its way; the program's own calls always end in time.

--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -952,18 +952,19 @@
                 }
             }
             let machines: Vec<String> = world.workers.keys().cloned().collect();
-            let machine = machines[draw.below(machines.len() as u64) as usize].clone();
+            let drawn = draw.below(1 + machines.len() as u64) as usize;
+            let machine = machines.get(drawn).cloned().unwrap_or_default();
             let node = draw.below(3) as usize;
             let until = world.now + secs(2 + draw.below(20));
             let moment = Duration::from_millis(50 + draw.below(2500));
-            match draw.below(12) {
+            match draw.below(14) {
                 0 => drop(world.workers.remove(&machine)),
                 1 => drop(world.cut.insert(machine)),
                 2 => drop(world.deaf.insert(machine)),
                 3 => drop(world.copy_reports.insert(machine, secs(1 + draw.below(25)))),
                 4 => drop(world.hold_orders.insert(machine, until)),
                 5 => drop(world.hold_txns.insert(node, until)),
-                6 => world.restart_worker(&machine),
+                6 if world.workers.contains_key(&machine) => world.restart_worker(&machine),
                 7 => drop(world.no_workers.insert(node)),
                 8 => {
                     world.no_store.insert(node);
@@ -971,6 +972,8 @@
                 }
                 9 => world.cloud.outage = true,
                 10 => world.store.outage = true,
+                11 => world.hold_relays = Some(until),
+                12 => drop(world.busy.insert(node, (0.9, Duration::from_millis(50 * draw.below(9))))),
                 _ => {}
             }
             // A process falls, and is back in a moment, often amid an election.
@@ -982,10 +985,11 @@
             }
             world.run(secs(2 + draw.below(12)));
             if round % 3 == 2 {
-                let (id, _) = submitted[draw.below(submitted.len() as u64) as usize];
-                // Without an answer it may have been carried out all the same.
-                world.cancel(node, &format!("wk-{id:06}"));
-                cancelled.push(id);
+                if let Some((id, _)) = submitted.get(draw.below(1 + submitted.len() as u64) as usize).copied() {
+                    // Without an answer it may have been carried out all the same.
+                    world.cancel(node, &format!("wk-{id:06}"));
+                    cancelled.push(id);
+                }
                 world.cut.clear();
                 world.deaf.clear();
                 world.copy_reports.clear();
@@ -994,6 +998,7 @@
                 world.no_workers.clear();
                 world.no_store.clear();
                 world.no_peers.clear();
+                world.busy.clear();
                 world.cloud.outage = false;
                 let now = world.now;
                 world.store.end_outage(now);
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -471,6 +471,11 @@
             Event::Order { node, incarnation, call, machine, orders, reply } => {
                 let now = self.now;
                 let Some(worker) = self.workers.get_mut(&machine) else {
+                    if reply {
+                        // It ended while the call was on its way, which is given up in time.
+                        let input = Box::new(Input::Ordered { call, outcome: Outcome::Unknown });
+                        self.push(now + CALL_LIMIT, Event::ToNode { node, incarnation, input });
+                    }
                     return;
                 };
                 let status = worker.direct(now, &orders);
