--- a/crates/rushyoke/src/serve.rs
+++ b/crates/rushyoke/src/serve.rs
@@ -29,7 +29,7 @@
 /// Largest body that is taken.
 const MOST_BODY: usize = 64 * 1024;
 /// Largest head of a request, and what a connection may keep unread.
-const MOST_HEAD: usize = 16 * 1024;
+const MOST_HEAD: usize = 8 * 1024;
 /// A connection on which nothing comes for so long is closed.
 const IDLE: Duration = Duration::from_secs(40);
 /// A body must be there after this time.
--- a/crates/rushyoke/src/settings.rs
+++ b/crates/rushyoke/src/settings.rs
@@ -50,7 +50,7 @@
 /// Memory if the platform does not tell how much there is, and the parts of it that unfinished
 /// jobs and bodies that are being read may take. Connections take most of the rest.
 const MEMORY: usize = 64_000_000;
-const JOBS_PART: usize = 5;
+const JOBS_PART: usize = 8;
 const BODIES_PART: usize = 10;
 
 #[derive(Deserialize)]
--- a/crates/testkit/examples/loopback.rs
+++ b/crates/testkit/examples/loopback.rs
@@ -224,7 +224,8 @@
     }
 
     async fn reports_of(self: &Rc<Self>, name: &str, worker: Rc<RefCell<Worker>>) {
-        let (mut node, mut kept, mut last) = (0, None, Instant::now() - REPORT);
+        let spread = name.bytes().last().map_or(0, usize::from) % NODES;
+        let (mut node, mut kept, mut last) = (spread, None, Instant::now() - REPORT);
         while self.workers.borrow().contains_key(name) {
             sleep(Duration::from_millis(50)).await;
             let changed = {
