Answer reports only while the view of cancellations is fresh, not the lease alone

Cause: what bounded an old leader's answers was its last confirmed renewal. A renewal does not show that it has heard every cancellation: its watch may hang, be refused or be limited while touches succeed, and an outage that follows then let it answer for the whole allowance more. A new leader answered reports before it had read the jobs at all, and the answer that shows a worker the new token renewed the lease of cancelled tasks without stopping them.

Now reports are answered for the allowance after the older of the last renewal and the moment up to which the view is proven complete (when the answered watch, or the first page of the jobs, was sent). The watch is renewed as often as the lease. Every answer that renews a lease stops what is known to be cancelled, also while records are read and to a worker that has not seen the token. A leader that renews but hears nothing for half the allowance gives way. A task that is saving is told again to end at once.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -399,15 +399,44 @@
             }
             orders
         } else {
+            let stops = self.stops_of_cancelled(&report, tasks)?;
             self.unnoted = Some(now);
             if let Some(machine) = self.machines.get_mut(&name) {
                 machine.report_seen = machine.report_seen.max(seen);
             }
-            Vec::new()
+            stops
         };
         Some(Answer::json(200, &Orders { token: self.baton, session: None, orders }))
     }
 
+    /// What an answer must stop that is given while the tables are not filled, since it lets
+    /// all else run for another lease; `None` if the tasks must be told for that.
+    fn stops_of_cancelled(&self, report: &Report, tasks: Tasks) -> Option<Vec<Order>> {
+        if !self.jobs.values().any(|job| job.cancelled) {
+            return Some(Vec::new());
+        }
+        let read: Vec<TaskReport>;
+        let listed = match tasks {
+            Tasks::Unread(raw) => {
+                read = serde_json::from_str(raw.get()).unwrap_or_default();
+                &read
+            }
+            Tasks::Told(_) => &report.tasks,
+            Tasks::Digest(_) => return None,
+        };
+        let stops = self.cancelled_among(listed).into_iter();
+        Some(stops.map(|(task, attempt)| Order::Stop { task, attempt, grace_s: 0.0 }).collect())
+    }
+
+    /// Listed tasks of cancelled jobs that have not ended.
+    fn cancelled_among(&self, listed: &[TaskReport]) -> Vec<Attempt> {
+        let cancelled = |task: &&TaskReport| {
+            let job = parse_task(&task.task).and_then(|(id, _)| self.jobs.get(id));
+            task.state != TaskState::Exited && job.is_some_and(|job| job.cancelled)
+        };
+        listed.iter().filter(cancelled).map(|task| (task.task.clone(), task.attempt)).collect()
+    }
+
     /// The outcome of direct orders.
     pub fn ordered(&mut self, env: &mut Env, name: &Name, outcome: Outcome<(u16, Report)>) {
         let now = env.steady();
@@ -541,10 +570,14 @@
         machine.session = report.session;
         machine.seq = report.seq;
         if report.token < baton {
+            // The answer that shows it our token also renews its lease.
+            let condemned = self.cancelled_among(&report.tasks).into_iter();
+            let strangers = condemned.map(|attempt| (attempt, false)).collect();
+            self.machines.get_mut(name).expect("reported").strangers = strangers;
             // An earlier lead may still command it: show it the token first. The answer to a
             // report does so too, a little later.
             let later = via == Via::Report && now.duration_since(self.since) < fence_by_report(env.facts.report);
-            if !later || machine.hosts_service() {
+            if !later || self.machines[name].hosts_service() {
                 self.urge(name);
             }
             return false;
@@ -774,7 +807,11 @@
         let Some(machine) = self.machines.get_mut(name) else {
             return orders;
         };
-        if machine.fenced.is_none() || !machine.orders_due {
+        if machine.fenced.is_none() {
+            let stop = |(task, attempt): &Attempt| Order::Stop { task: task.clone(), attempt: *attempt, grace_s: 0.0 };
+            return machine.strangers.iter().map(|(attempt, _)| stop(attempt)).collect();
+        }
+        if !machine.orders_due {
             return orders;
         }
         let mut due_again = !machine.strangers.is_empty() || !machine.residue.is_empty();
@@ -813,7 +850,9 @@
                     let due = match place.stop_sent {
                         None => true,
                         Some(sent) => {
-                            via == Via::Report && place.stage != Stage::Saving && now.duration_since(sent) > REPEAT_STOP
+                            // One that saves is told again only if it must not.
+                            let waits = place.stage == Stage::Saving && grace > 0.0;
+                            via == Via::Report && !waits && now.duration_since(sent) > REPEAT_STOP
                         }
                     };
                     if due {
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/lead.rs
@@ -22,8 +22,9 @@
 const COURTESY: Duration = Duration::from_millis(200);
 const REST: Duration = Duration::from_secs(6);
 
-/// How long a lead goes on answering reports after the last confirmed renewal of its
-/// lease: a cancellation told elsewhere must still be over in time once it falls silent.
+/// How long a lead goes on answering reports after the older of two moments: the last confirmed
+/// renewal of its lease, and the last up to which it surely knows all cancellations. One
+/// that was told elsewhere must still be over in time once it falls silent.
 pub(crate) fn silence_allowance(facts: &Facts) -> Duration {
     let margin = Duration::from_secs(2) + facts.cancel / 100;
     facts.cancel.saturating_sub(facts.lease).saturating_sub(margin)
@@ -237,6 +238,12 @@
             Outcome::Answered(StoreAnswer::LeaseLives) => {
                 *confirmed = sent.max(*confirmed);
                 *next_touch = sent + ttl / 3;
+                if let Some(reign) = &mut self.reign
+                    && reign.lease_renewed(sent, ttl, &self.env.facts)
+                {
+                    self.step_down("the lease is renewed, but what users cancel is not heard");
+                    self.election.rest(now);
+                }
             }
             Outcome::Answered(StoreAnswer::NoSuchLease) => self.step_down("the lease has ended"),
             _ if newest => *next_touch = now + RETRY,
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -15,7 +15,7 @@
 use crate::fleet::Tasks;
 use crate::io::*;
 use crate::jobs::{Job, Name};
-use crate::lead::{Election, LeadCall};
+use crate::lead::{Election, LeadCall, silence_allowance};
 use crate::records::RecordCall;
 use crate::recover::{LoadCall, Reign};
 use crate::relay::{Judged, Relaying, no_tasks};
@@ -256,7 +256,7 @@
         let Some(purpose) = self.env.calls.remove(&call) else {
             return;
         };
-        if !matches!(purpose, Purpose::Lead(LeadCall::Watch) | Purpose::Load(LoadCall::Watch)) || ok {
+        if !matches!(purpose, Purpose::Lead(LeadCall::Watch) | Purpose::Load(LoadCall::Watch { .. })) || ok {
             self.store.note(self.env.steady(), ok);
         }
         match purpose {
@@ -486,8 +486,10 @@
             self.step_down("a worker has seen a higher token");
             return Judged::Elsewhere(report);
         }
-        if !self.election.entitled(self.env.now.steady, &self.env.facts) {
-            // Silent for too long: a new lead counts on our saying nothing more.
+        let (now, facts) = (self.env.now.steady, &self.env.facts);
+        if !reign.sees_cancellations(now, facts) || !self.election.entitled(now, facts) {
+            // Silent for too long: a new lead counts on our saying nothing more, and so does
+            // whoever cancelled a job of which this node cannot have heard.
             return Judged::Answer(Answer::later(503, "the state service does not answer"));
         }
         reign.report(&mut self.env, report, tasks).map_or(Judged::Untold, Judged::Answer)
@@ -525,7 +527,7 @@
     pub(crate) fn begin_reign(&mut self, baton: u64) {
         let facts = &self.env.facts;
         tracing::info!(baton, "leading from now on");
-        let silent = self.env.steady() + crate::lead::silence_allowance(facts);
+        let silent = self.env.steady() + silence_allowance(facts);
         let mut reign = Reign::new(baton, self.env.steady(), silent, facts);
         reign.begin(&mut self.env);
         self.reign = Some(reign);
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -12,13 +12,13 @@
 use crate::fleet::{Machine, Survey};
 use crate::io::*;
 use crate::jobs::*;
+use crate::lead::silence_allowance;
 use crate::node::{Env, Purpose};
 use crate::quota::Quotas;
 use crate::records::Records;
 use crate::rent::Renting;
 use crate::speculate::Speculation;
 
-const WATCH_MS: u64 = 20_000;
 const RETRY: Duration = Duration::from_millis(250);
 const PASS_GAP: Duration = Duration::from_millis(50);
 const PASS_GAP_PER_JOB: Duration = Duration::from_micros(500);
@@ -36,7 +36,7 @@
     Jobs,
     Segments,
     Pages,
-    Watch,
+    Watch { sent: Instant },
 }
 
 #[derive(Debug)]
@@ -63,6 +63,16 @@
     retry: Option<Instant>,
     watch_from: u64,
     watching: bool,
+    /// When the reading of all jobs began that is under way.
+    reading_since: Instant,
+    /// Every cancellation that was confirmed before this moment is known: the request whose
+    /// answer showed it was sent then. Renewals of the lease prove nothing of the kind, since
+    /// a watch may be closed, refused, limited or hang while they succeed.
+    view: Option<Instant>,
+    /// When the last confirmed renewal was sent, and for how long renewals have succeeded since
+    /// the view last grew; a spell without any, as in an outage, does not count.
+    renewed: Instant,
+    renewed_blind: Duration,
     /// What was read so far, kept until the load is complete.
     loaded_pages: Vec<(Name, u32, u64, PageRecord)>,
     loaded_segments: Vec<(u64, u64, SegmentRecord)>,
@@ -111,6 +121,10 @@
             retry: None,
             watch_from: 0,
             watching: false,
+            reading_since: now,
+            view: None,
+            renewed: now,
+            renewed_blind: Duration::ZERO,
             loaded_pages: Vec::new(),
             loaded_segments: Vec::new(),
             loaded: false,
@@ -176,8 +190,30 @@
             .collect()
     }
 
+    /// Whether reports may be answered, as far as the view of cancellations goes. Without
+    /// one none may: a worker that is answered keeps what it runs for another lease.
+    pub fn sees_cancellations(&self, now: Instant, facts: &Facts) -> bool {
+        self.view.is_some_and(|view| now.saturating_duration_since(view) <= silence_allowance(facts))
+    }
+
+    fn view_grew(&mut self, to: Instant) {
+        self.view = Some(self.view.map_or(to, |view| view.max(to)));
+        self.renewed_blind = Duration::ZERO;
+    }
+
+    /// A renewal that was sent then is confirmed; true if renewals have succeeded for so long
+    /// without any sign of what users cancel that another node should lead.
+    pub fn lease_renewed(&mut self, sent: Instant, ttl: Duration, facts: &Facts) -> bool {
+        self.renewed_blind += sent.saturating_duration_since(self.renewed).min(ttl);
+        self.renewed = self.renewed.max(sent);
+        self.renewed_blind > silence_allowance(facts) / 2
+    }
+
     fn read_on(&mut self, env: &mut Env) {
         self.waiting = true;
+        if matches!(&self.load, Load::Jobs { after } if after.is_empty()) {
+            self.reading_since = env.steady();
+        }
         let (call, op) = match &self.load {
             Load::Jobs { after } => (LoadCall::Jobs, StoreOp::List { prefix: LIVE.into(), after: after.clone() }),
             Load::Segments { after } => {
@@ -189,14 +225,20 @@
                 return;
             }
         };
-        env.store(Purpose::Load(call), Urgency::High, op);
+        // Until the jobs are read no worker is answered.
+        let urgency = if matches!(call, LoadCall::Jobs) { Urgency::Lead } else { Urgency::High };
+        env.store(Purpose::Load(call), urgency, op);
     }
 
+    /// The watch is renewed as often as the lease, since what it shows bounds what may be
+    /// answered just as a renewal does.
     fn watch(&mut self, env: &mut Env) {
         if !self.watching {
             self.watching = true;
-            let op = StoreOp::Watch { prefix: LIVE.into(), after: self.watch_from, wait_ms: WATCH_MS };
-            env.store(Purpose::Load(LoadCall::Watch), Urgency::High, op);
+            let sent = env.steady();
+            let wait_ms = env.policy.lead_ttl.as_millis() as u64 / 3;
+            let op = StoreOp::Watch { prefix: LIVE.into(), after: self.watch_from, wait_ms };
+            env.store(Purpose::Load(LoadCall::Watch { sent }), Urgency::Lead, op);
         }
     }
 
@@ -213,6 +255,9 @@
                 for Item { key, value, version } in page.rows {
                     self.live_changed(env, &key, value, version);
                 }
+                if !page.more {
+                    self.view_grew(self.reading_since);
+                }
                 self.load = match last {
                     Some(after) if page.more => Load::Jobs { after },
                     // Only the jobs were read again; all else is ours alone to write.
@@ -252,8 +297,9 @@
                     _ => self.complete_load(env),
                 }
             }
-            (LoadCall::Watch, Outcome::Answered(StoreAnswer::Changes(changes))) => {
+            (LoadCall::Watch { sent }, Outcome::Answered(StoreAnswer::Changes(changes))) => {
                 self.watching = false;
+                self.view_grew(sent);
                 self.watch_from = changes.revision;
                 for event in changes.events {
                     if let Event::Put { key, value, version } = event {
@@ -262,13 +308,13 @@
                 }
                 self.watch(env);
             }
-            (LoadCall::Watch, Outcome::Answered(StoreAnswer::TooOld)) => {
+            (LoadCall::Watch { .. }, Outcome::Answered(StoreAnswer::TooOld)) => {
                 // What is read again is merged into what is known.
                 self.watching = false;
                 self.load = Load::Jobs { after: String::new() };
                 self.read_on(env);
             }
-            (LoadCall::Watch, _) => {
+            (LoadCall::Watch { .. }, _) => {
                 self.watching = false;
                 self.retry = Some(env.steady() + RETRY);
             }
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -167,7 +167,7 @@
     world.cloud.outage = true;
     // A watch comes too late, and the jobs, which are read instead, take 15 s to come.
     world.store.kept = 1;
-    world.hold_lists = Some(world.now + secs(15));
+    world.hold_lists = Some(("live/", world.now + secs(15)));
     (2..6).for_each(|id| assert_eq!(world.submit(1, job(id, 1)), Some(201)));
     world.run(secs(13));
     assert!(world.where_runs("wk-000005").is_empty(), "the jobs were not read again");
--- a/crates/rushyoke/src/outside.rs
+++ b/crates/rushyoke/src/outside.rs
@@ -17,8 +17,9 @@
 
 use crate::http::{Ask, Http};
 
-/// What a watch may take beyond the time it waits.
-const WATCH_SLACK: Duration = Duration::from_secs(4);
+/// What a watch may take beyond the time it waits: one that hangs is soon opened again, since
+/// the lead may answer no worker for long without it.
+const WATCH_SLACK: Duration = Duration::from_millis(1500);
 const STORE_WAIT: Duration = Duration::from_millis(1500);
 const CLOUD_WAIT: Duration = Duration::from_secs(5);
 const WORKER_WAIT: Duration = Duration::from_secs(3);
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -3,11 +3,13 @@
 //! They follow the published protocol and check the users' rules as they go.
 
 mod cloud;
+mod rules;
 mod store;
 mod worker;
 mod world;
 
 pub use cloud::{Cloud, Rented};
+pub use rules::Rules;
 pub use store::Store;
 pub use worker::{Task, Worker};
 pub use world::{World, facts, job, service};
--- /dev/null
+++ b/crates/testkit/src/rules.rs
@@ -0,0 +1,119 @@
+//! What users were told, and the rules for what they may be told next.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use rushyoke_core::{Answer, Input};
+use rushyoke_wire::job::{JobStatus, JobView};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Submit,
+    Status,
+    Cancel,
+    Other,
+}
+
+/// What a user asked, and what any user had been told of the job before.
+#[derive(Clone, Debug)]
+pub struct Question {
+    kind: Kind,
+    job: String,
+    accepted: bool,
+    over: Option<JobStatus>,
+}
+
+/// The state of things as users know it.
+#[derive(Default)]
+pub struct Rules {
+    submitted: BTreeSet<String>,
+    accepted: BTreeSet<String>,
+    over: BTreeMap<String, JobStatus>,
+    /// Jobs that a user asked to cancel.
+    unwanted: BTreeSet<String>,
+    /// Tasks that completed on some machine.
+    done: BTreeMap<String, BTreeSet<u32>>,
+    /// Numbers of tasks by job.
+    tasks: BTreeMap<String, u32>,
+    /// Answers of status 200 and 201.
+    pub told: u64,
+}
+
+impl Rules {
+    /// Notes a question at the moment it is asked.
+    pub(crate) fn question(&mut self, input: &Input) -> Question {
+        let (kind, job) = match input {
+            Input::Submit { spec, .. } => {
+                self.submitted.insert(spec.id.clone());
+                self.tasks.entry(spec.id.clone()).or_insert(spec.tasks);
+                (Kind::Submit, spec.id.clone())
+            }
+            Input::Status { id, .. } => (Kind::Status, id.clone()),
+            Input::Cancel { id, .. } => {
+                self.unwanted.insert(id.clone());
+                (Kind::Cancel, id.clone())
+            }
+            _ => (Kind::Other, String::new()),
+        };
+        Question { kind, accepted: self.accepted.contains(&job), over: self.over.get(&job).copied(), job }
+    }
+
+    /// Checks an answer against all that any node told before its question was asked.
+    pub(crate) fn answered(&mut self, now: Duration, node: usize, question: &Question, answer: &Answer) {
+        let Question { kind, job, accepted, over } = question;
+        if *kind == Kind::Other {
+            return;
+        }
+        if matches!(answer.status, 400 | 404 | 422) {
+            assert!(!accepted, "at {now:?} node {node} answers {} about {job}, which was accepted", answer.status);
+            return;
+        }
+        if !matches!(answer.status, 200 | 201) {
+            assert!(matches!(answer.status, 429 | 503), "{job}: status {}", answer.status);
+            assert!(answer.retry_after_s.is_some(), "{job}: {} without a time to come back", answer.status);
+            return;
+        }
+        self.told += 1;
+        let view: JobView = serde_json::from_slice(&answer.body).expect("a job's state is well formed");
+        assert!(self.submitted.contains(job), "at {now:?} {job}, which nobody submitted, is {:?}", view.state);
+        if let Some(over) = over {
+            assert_eq!(view.state, *over, "at {now:?} node {node}: {job} went back");
+        }
+        self.accepted.insert(job.clone());
+        if view.state.is_final() {
+            let told = *self.over.entry(job.clone()).or_insert(view.state);
+            assert_eq!(told, view.state, "at {now:?} {job} has two ends");
+        }
+        match view.state {
+            JobStatus::Done => {
+                let (done, all) = (self.finished(job), self.tasks[job]);
+                assert_eq!(done, all, "at {now:?} {job} is called done");
+            }
+            JobStatus::Cancelled => assert!(self.unwanted.contains(job), "at {now:?} nobody cancelled {job}"),
+            _ => {}
+        }
+    }
+
+    pub(crate) fn finish(&mut self, task: &str) {
+        if let Some((job, number)) = task.rsplit_once('/')
+            && let Ok(number) = number.parse()
+        {
+            self.done.entry(job.to_owned()).or_default().insert(number);
+        }
+    }
+
+    /// How many tasks of a job completed somewhere.
+    pub fn finished(&self, job: &str) -> u32 {
+        self.done.get(job).map_or(0, |tasks| tasks.len() as u32)
+    }
+
+    /// Whether a user was told that the job is done or cancelled.
+    pub fn is_over(&self, job: &str) -> bool {
+        self.over.contains_key(job)
+    }
+
+    /// Jobs that a user was told are accepted.
+    pub fn accepted(&self) -> Vec<String> {
+        self.accepted.iter().cloned().collect()
+    }
+}
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -6,9 +6,10 @@
 use rushyoke_core::*;
 use rushyoke_wire::job::{JobSpec, JobStatus, JobView, Kind, Priority};
 use rushyoke_wire::peer::{PeerTell, RelayTold, decode};
-use rushyoke_wire::worker::{Elsewhere, Orders, Report, TaskState};
+use rushyoke_wire::worker::{Cause, Elsewhere, Orders, Report, TaskState};
 
 use crate::cloud::Cloud;
+use crate::rules::{Question, Rules};
 use crate::store::Store;
 use crate::worker::Worker;
 
@@ -17,6 +18,8 @@
 const CALL_LIMIT: Duration = Duration::from_millis(1500);
 const RELAY_LIMIT: Duration = Duration::from_secs(1);
 const REPORT_LIMIT: Duration = Duration::from_secs(4);
+/// What a watch may take beyond the time it waits, before its caller gives it up.
+const WATCH_SLACK: Duration = Duration::from_millis(1500);
 
 /// The platform's facts of a small test deployment.
 pub fn facts(node: usize, nodes: usize) -> Facts {
@@ -102,7 +105,7 @@
 }
 
 enum Asker {
-    User(u64),
+    User(u64, Question),
     Worker { machine: String, id: u64 },
     Peer { node: usize, incarnation: u64 },
     Relay { node: usize, incarnation: u64, call: Call },
@@ -160,8 +163,33 @@
     pub most_orders: usize,
     /// So many renewals of leases are lost.
     pub lose_touches: u32,
-    /// Lists of jobs are answered at this time.
-    pub hold_lists: Option<Duration>,
+    /// Lists of keys with this prefix are answered at this time.
+    pub hold_lists: Option<(&'static str, Duration)>,
+    /// Nodes whose watches hang while all their other calls pass.
+    pub hang_watches: BTreeSet<usize>,
+    /// What these nodes read, compare and write in the store is carried out at once and answered
+    /// at this time.
+    pub hold_answers: BTreeMap<usize, Duration>,
+    /// Transactions of these nodes are carried out at once, and only their answers are lost.
+    pub lose_answers: BTreeSet<usize>,
+    /// Transactions that were carried out although their answers were lost.
+    pub unanswered: u32,
+    /// Machines whose reports reach no controller, while commands reach them.
+    pub mute: BTreeSet<String>,
+    /// Machines that hang until this time: nothing runs, nothing is sent or taken.
+    pub hang: BTreeMap<String, Duration>,
+    /// A copy of each report is kept, and comes to every node as soon as another one leads.
+    pub keep_for_next: bool,
+    kept: Vec<(String, Report)>,
+    /// Reports that came to a new lead from before its time.
+    pub came_to_next: u64,
+    seen_lead: Option<(usize, u64)>,
+    /// Tokens under which any node ever led, and whether two did at a time.
+    pub reigns: BTreeSet<u64>,
+    pub two_led: bool,
+    pub rules: Rules,
+    /// Tasks that began after their job's cancellation was confirmed.
+    pub late_starts: u64,
     /// Transactions that were applied after their caller had given them up.
     pub late_commits: u32,
     /// Rentals are carried out, but their answers are lost.
@@ -229,6 +257,20 @@
             most_orders: 0,
             lose_touches: 0,
             hold_lists: None,
+            hang_watches: BTreeSet::new(),
+            hold_answers: BTreeMap::new(),
+            lose_answers: BTreeSet::new(),
+            unanswered: 0,
+            mute: BTreeSet::new(),
+            hang: BTreeMap::new(),
+            keep_for_next: false,
+            kept: Vec::new(),
+            came_to_next: 0,
+            seen_lead: None,
+            reigns: BTreeSet::new(),
+            two_led: false,
+            rules: Rules::default(),
+            late_starts: 0,
             late_commits: 0,
             lose_rental_answers: false,
             task_s: 10.0,
@@ -321,7 +363,8 @@
         let late = |input| Event::ToNode { node, incarnation, input: Box::new(input) };
         match output {
             Output::Answer { req, answer } => match self.askers.remove(&(node, req)) {
-                Some(Asker::User(id)) => {
+                Some(Asker::User(id, question)) => {
+                    self.rules.answered(self.now, node, &question, &answer);
                     self.answers.insert(id, answer);
                 }
                 Some(Asker::Worker { machine, id })
@@ -345,6 +388,12 @@
             },
             Output::Store { call, op, .. } => {
                 if let StoreOp::Watch { prefix, after, wait_ms } = op {
+                    if self.no_store.contains(&node) || self.store.outage {
+                        // Watches that are open wait; a new one is refused like all else.
+                        let outcome = Outcome::Answered(StoreAnswer::Unavailable);
+                        self.push(self.now + HOP, late(Input::Store { call, outcome }));
+                        return;
+                    }
                     let until = self.now + Duration::from_millis(wait_ms);
                     self.watches.push(Watch { node, incarnation, call, prefix, after, until });
                     return;
@@ -360,8 +409,8 @@
                     self.push(self.now + CALL_LIMIT, late(Input::Store { call, outcome: Outcome::Unknown }));
                     return;
                 }
-                if let (StoreOp::List { prefix, .. }, Some(until)) = (&op, self.hold_lists)
-                    && prefix == "live/"
+                if let (StoreOp::List { prefix, .. }, Some((held, until))) = (&op, self.hold_lists)
+                    && prefix == held
                 {
                     self.push(until, Event::Store { node, incarnation, call, op, reply: true });
                     return;
@@ -370,6 +419,11 @@
                     self.push(until, Event::Store { node, incarnation, call, op, reply: true });
                     return;
                 }
+                if matches!(op, StoreOp::Txn(_)) && self.lose_answers.contains(&node) {
+                    self.push(self.now + CALL_LIMIT, late(Input::Store { call, outcome: Outcome::Unknown }));
+                    self.push(self.now + HOP, Event::Store { node, incarnation, call, op, reply: false });
+                    return;
+                }
                 match self.hold_txns.get(&node) {
                     Some(until) if matches!(op, StoreOp::Txn(_)) => {
                         let until = *until;
@@ -455,10 +509,17 @@
             Event::Store { node, incarnation, call, op, reply } => {
                 let answer =
                     if self.store.outage { StoreAnswer::Unavailable } else { self.store.execute(self.now, &op) };
-                self.late_commits += u32::from(!reply && matches!(answer, StoreAnswer::Committed(_)));
+                let committed = u32::from(!reply && matches!(answer, StoreAnswer::Committed(_)));
+                if self.lose_answers.contains(&node) {
+                    self.unanswered += committed;
+                } else {
+                    self.late_commits += committed;
+                }
                 if reply {
+                    let user = matches!(op, StoreOp::Txn(_) | StoreOp::Get(_));
+                    let held = self.hold_answers.get(&node).copied().filter(|_| user).unwrap_or_default();
                     let input = Box::new(Input::Store { call, outcome: Outcome::Answered(answer) });
-                    self.push(self.now + HOP, Event::ToNode { node, incarnation, input });
+                    self.push(held.max(self.now + HOP), Event::ToNode { node, incarnation, input });
                 }
             }
             Event::Cloud { node, incarnation, call, op, reply } => {
@@ -475,6 +536,15 @@
             }
             Event::Order { node, incarnation, call, machine, orders, reply } => {
                 let now = self.now;
+                if let Some(until) = self.hang.get(&machine).copied() {
+                    if reply {
+                        let input = Box::new(Input::Ordered { call, outcome: Outcome::Unknown });
+                        self.push(now + CALL_LIMIT, Event::ToNode { node, incarnation, input });
+                    }
+                    let at = until + HOP;
+                    self.push(at, Event::Order { node, incarnation, call, machine, orders, reply: false });
+                    return;
+                }
                 let Some(worker) = self.workers.get_mut(&machine) else {
                     if reply {
                         // It ended while the call was on its way, which is given up in time.
@@ -508,7 +578,7 @@
 
     fn report_answered(&mut self, machine: &str, id: u64, answer: &Answer) {
         let now = self.now;
-        if self.cut.contains(machine) || self.deaf.contains(machine) {
+        if self.cut.contains(machine) || self.deaf.contains(machine) || self.hang.contains_key(machine) {
             return;
         }
         let nodes = self.slots.len();
@@ -561,6 +631,7 @@
             }
             self.machines_boot();
             self.workers_pass();
+            self.leads_pass();
             self.steps += 1;
             if self.steps.is_multiple_of(self.check_every) {
                 self.check();
@@ -570,13 +641,15 @@
 
     fn watches_due(&mut self) {
         self.store.expire(self.now);
-        if self.store.outage {
-            return;
-        }
         let now = self.now;
         let mut due = Vec::new();
         self.watches.retain(|watch| {
-            if self.no_store.contains(&watch.node) || self.adrift.contains(&watch.node) {
+            if now > watch.until + WATCH_SLACK {
+                due.push((watch.node, watch.incarnation, watch.call, Outcome::Unknown));
+                return false;
+            }
+            let waits = [&self.no_store, &self.adrift, &self.hang_watches].into_iter().any(|n| n.contains(&watch.node));
+            if waits || self.store.outage {
                 return true;
             }
             let answer = self.store.watch(&watch.prefix, watch.after).or_else(|| {
@@ -584,17 +657,148 @@
                 (watch.until <= now).then_some(StoreAnswer::Changes(none))
             });
             if let Some(answer) = answer {
-                due.push((watch.node, watch.incarnation, watch.call, answer));
+                due.push((watch.node, watch.incarnation, watch.call, Outcome::Answered(answer)));
                 return false;
             }
             true
         });
-        for (node, incarnation, call, answer) in due {
-            let input = Box::new(Input::Store { call, outcome: Outcome::Answered(answer) });
+        for (node, incarnation, call, outcome) in due {
+            let input = Box::new(Input::Store { call, outcome });
             self.push(now + HOP, Event::ToNode { node, incarnation, input });
         }
     }
 
+    /// Notes who leads, and gives a new lead the reports that were kept for it.
+    fn leads_pass(&mut self) {
+        let tokens: Vec<u64> = (0..self.slots.len()).filter_map(|n| self.token_of(n)).collect();
+        self.two_led |= tokens.len() > 1;
+        self.reigns.extend(tokens);
+        let lead = self.lead().and_then(|n| Some((n, self.token_of(n)?)));
+        if lead.is_none() || lead == self.seen_lead {
+            return;
+        }
+        let first = self.seen_lead.is_none();
+        self.seen_lead = lead;
+        for (machine, report) in std::mem::take(&mut self.kept).into_iter().filter(|_| !first) {
+            self.came_to_next += 1;
+            for node in 0..self.slots.len() {
+                let report = Box::new(report.clone());
+                self.push(self.now + HOP, Event::Report { node, machine: machine.clone(), id: 0, report });
+            }
+        }
+    }
+
+    /// Ends all troubles.
+    pub fn calm(&mut self) {
+        self.no_store.clear();
+        self.no_workers.clear();
+        self.no_peers.clear();
+        self.cut.clear();
+        self.hold_orders.clear();
+        self.hold_reports.clear();
+        self.deaf.clear();
+        self.copy_reports.clear();
+        self.cut_links.clear();
+        self.adrift.clear();
+        self.slow_txns.clear();
+        self.hold_txns.clear();
+        self.hold_lists = None;
+        self.hang_watches.clear();
+        self.lose_answers.clear();
+        self.hold_answers.clear();
+        self.mute.clear();
+        self.hang.clear();
+        self.keep_for_next = false;
+        self.kept.clear();
+        self.hold_relays = None;
+        self.lose_touches = 0;
+        self.lose_rental_answers = false;
+        self.busy.clear();
+        self.cloud.outage = false;
+        if self.store.outage {
+            let now = self.now;
+            self.store.end_outage(now);
+        }
+    }
+
+    /// What is checked once troubles are over: users who ask at every node every five seconds
+    /// are answered about each accepted job within 75 s, and no job waits for 90 s while a
+    /// machine that fits has room and its team is under its limit.
+    pub fn check_served(&mut self) {
+        let jobs = self.rules.accepted();
+        let mut answered: BTreeMap<String, Duration> = jobs.iter().map(|job| (job.clone(), self.now)).collect();
+        let mut waits: BTreeMap<String, Duration> = BTreeMap::new();
+        for _ in 0..22 {
+            self.run(Duration::from_secs(4));
+            for node in 0..self.slots.len() {
+                let asked: Vec<(String, u64)> = jobs
+                    .iter()
+                    .map(|job| (job.clone(), self.ask(node, |req| Input::Status { req, id: job.clone() })))
+                    .collect();
+                self.run(Duration::from_millis(350));
+                for (job, id) in asked {
+                    if self.answers.remove(&id).is_some_and(|answer| answer.status == 200) {
+                        answered.insert(job, self.now);
+                    }
+                }
+            }
+            for (job, at) in &answered {
+                assert!(self.now - *at < Duration::from_secs(75), "no question about {job} is answered");
+            }
+            for job in &jobs {
+                if !self.could_start(job) {
+                    waits.remove(job);
+                } else {
+                    let since = *waits.entry(job.clone()).or_insert(self.now);
+                    let waited = self.now - since;
+                    assert!(waited < Duration::from_secs(90), "{job} waits although there is room");
+                }
+            }
+        }
+        let long: Vec<&String> = waits
+            .iter()
+            .filter(|(_, since)| self.now - **since > Duration::from_secs(60))
+            .map(|(job, _)| job)
+            .collect();
+        assert!(long.is_empty(), "{long:?} wait although there is room");
+    }
+
+    /// Whether a task of the job waits that a machine has room for, within its team's limit.
+    fn could_start(&self, id: &str) -> bool {
+        let spec = &self.specs[id];
+        if self.rules.is_over(id) || self.cancelled.contains_key(id) {
+            return false;
+        }
+        let of = |task: &str| task.split('/').next().and_then(|id| self.specs.get(id));
+        let present = |w: &Worker| {
+            let held = w.tasks.iter().filter(|t| t.state != TaskState::Exited);
+            held.filter_map(|t| of(&t.name)).cloned().collect::<Vec<JobSpec>>()
+        };
+        let all: Vec<JobSpec> = self.workers.values().flat_map(present).collect();
+        let there = all.iter().filter(|s| s.id == id).count() as u32;
+        let finished = self.rules.finished(id);
+        if there + finished >= spec.tasks {
+            return false;
+        }
+        let used: f64 = all.iter().filter(|s| s.team == spec.team).map(|s| s.cpus).sum();
+        if used + spec.cpus > self.facts.teams[&spec.team].cpus_max + 1e-6 {
+            return false;
+        }
+        let fits = |w: &Worker| {
+            let kind = self.cloud.types.iter().find(|t| t.name == w.kind);
+            let (cpus, memory) = kind.map_or((0.0, 0.0), |k| (k.cpus, k.memory_gb));
+            let (held_cpus, held_memory) =
+                present(w).iter().fold((0.0, 0.0), |(c, m), s| (c + s.cpus, m + s.memory_gb));
+            held_cpus + spec.cpus <= cpus + 1e-6
+                && held_memory + spec.memory_gb <= memory + 1e-6
+                && (spec.spot || !w.spot)
+                && spec.zone.as_ref().is_none_or(|zone| *zone == w.zone)
+                && !w.fails_all
+                && w.notice_s.is_none()
+        };
+        !spec.one_zone && !spec.spread && self.workers.values().any(fits)
+    }
+
     fn machines_boot(&mut self) {
         let due: Vec<String> = self
             .cloud
@@ -614,13 +818,17 @@
         let (now, nodes) = (self.now, self.slots.len());
         let (lease, period) = (self.facts.lease, self.facts.report);
         let mut reports = Vec::new();
-        for worker in self.workers.values_mut() {
+        self.hang.retain(|_, until| *until > now);
+        for worker in self.workers.values_mut().filter(|w| !self.hang.contains_key(&w.name)) {
             let service = |task: &str| {
                 let id = task.split('/').next().unwrap_or_default();
                 self.specs.get(id).is_some_and(|s| s.kind == Kind::Service)
             };
             let errors = worker.errors();
             if worker.pass(now, lease, service) {
+                for task in worker.tasks.iter().filter(|t| t.why == Some(Cause::Done)) {
+                    self.rules.finish(&task.name);
+                }
                 self.failed += worker.errors().saturating_sub(errors);
                 worker.next_report = worker.next_report.min(now + Duration::from_millis(500));
             }
@@ -646,7 +854,11 @@
         for event in reports {
             if let Event::Report { machine, .. } = &event
                 && !self.cut.contains(machine)
+                && !self.mute.contains(machine)
             {
+                if let (true, Event::Report { report, .. }) = (self.keep_for_next, &event) {
+                    self.kept.push((machine.clone(), (**report).clone()));
+                }
                 let late = self.hold_reports.get(machine).copied();
                 let by = self.copy_reports.get(machine).copied();
                 if let (Some(by), Event::Report { machine, report, .. }) = (by, &event) {
@@ -667,6 +879,10 @@
         let mut used: BTreeMap<&str, f64> = BTreeMap::new();
         let mut zones: BTreeMap<&str, BTreeMap<&str, u32>> = BTreeMap::new();
         for worker in self.workers.values() {
+            if self.hang.contains_key(&worker.name) && self.now > worker.lease_from + self.facts.lease {
+                // Its tasks are dropped as soon as it goes on.
+                continue;
+            }
             for task in worker.tasks.iter().filter(|t| matches!(t.state, TaskState::Running | TaskState::Saving)) {
                 on.entry(task.name.clone()).or_default().insert(worker.name.clone());
                 let id = task.name.split('/').next().expect("a task's name starts with its job");
@@ -692,6 +908,8 @@
             assert!(machines.len() <= 1, "at {:?} {task} is on {machines:?}", self.now);
             if !self.running.contains_key(task) {
                 self.started += 1;
+                let id = task.split('/').next().expect("a task's name starts with its job");
+                self.late_starts += u64::from(self.cancelled.contains_key(id));
             }
         }
         self.running = on;
@@ -719,8 +937,10 @@
         self.serial += 1;
         let id = self.serial;
         let req = Req(id);
-        self.askers.insert((node, req), Asker::User(id));
-        self.give(node, input(req));
+        let input = input(req);
+        let question = self.rules.question(&input);
+        self.askers.insert((node, req), Asker::User(id, question));
+        self.give(node, input);
         id
     }
 
@@ -748,6 +968,17 @@
         Some((answer.status, serde_json::from_slice(&answer.body).ok()))
     }
 
+    /// Asks a node for a job's state without waiting for the answer, which is checked when it comes.
+    pub fn ask_status(&mut self, node: usize, job: &str) {
+        self.ask(node, |req| Input::Status { req, id: job.into() });
+    }
+
+    /// Submits at a node without waiting for the answer.
+    pub fn ask_submit(&mut self, node: usize, spec: JobSpec) {
+        self.specs.insert(spec.id.clone(), spec.clone());
+        self.ask(node, |req| Input::Submit { req, spec: Box::new(spec) });
+    }
+
     /// Asks a node for many jobs at once; the statuses of the answers within a second.
     pub fn ask_all(&mut self, node: usize, jobs: &[String]) -> Vec<u16> {
         let asked = jobs.iter().map(|job| self.ask(node, |req| Input::Status { req, id: job.clone() }));
