A look under way answers only those who asked before it was sent

Cause: a question joined the comparison that was already under way for an earlier one about the same job, and so was told what was true before another node told the newer state. Also: what was compared is kept with the question, since the cache may lose it meanwhile (404 for an accepted job).

--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -3,14 +3,15 @@
 //! checked again. Final states are cached, since they never change.
 //!
 //! Guards against older answers: a cached version is compared in the store before it is
-//! told, and an unknown job is reported missing only after a look there.
+//! told, and an unknown job is reported missing only after a look there. A look answers only
+//! the requests that came before it was sent: what another node told since may be newer.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use rushyoke_wire::job::{JobSpec, JobStatus, JobView, Kind};
 use rushyoke_wire::peer::Progress;
-use rushyoke_wire::store::Txn;
+use rushyoke_wire::store::{Item, Txn};
 
 use crate::io::*;
 use crate::jobs::*;
@@ -28,10 +29,11 @@
 #[derive(Clone, Debug)]
 pub(crate) enum UserCall {
     Check {
-        jobs: Vec<String>,
+        looked: Vec<Looked>,
     },
     Read {
         job: String,
+        reqs: Vec<Req>,
     },
     Create {
         req: Req,
@@ -55,8 +57,17 @@
     },
 }
 
+/// A job whose cached version is compared in the store, and the requests that wait for it. What is
+/// compared is kept here, since the cache may lose it meanwhile.
+#[derive(Clone, Debug)]
+pub(crate) struct Looked {
+    job: String,
+    known: Option<Known>,
+    reqs: Vec<Req>,
+}
+
 #[derive(Clone, Copy, Debug)]
-struct Known {
+pub(crate) struct Known {
     state: RecordState,
     tasks: u32,
     version: u64,
@@ -68,7 +79,7 @@
     order: VecDeque<String>,
     /// From the lead, for display.
     progress: HashMap<String, (u32, u32)>,
-    /// Requests whose job's state is being looked up.
+    /// Requests whose job's state is to be looked up, by a transaction that is not sent yet.
     lookups: BTreeMap<String, Vec<Req>>,
     /// Jobs to compare in the next transaction.
     queue: VecDeque<String>,
@@ -147,18 +158,21 @@
     }
 
     fn look_up(&mut self, req: Req, id: String) {
+        self.queue_lookup(id, [req]);
+        self.check();
+    }
+
+    fn queue_lookup(&mut self, id: String, reqs: impl IntoIterator<Item = Req>) {
         let waiting = self.users.lookups.entry(id.clone()).or_default();
-        waiting.push(req);
-        if waiting.len() > 1 {
-            return;
+        if waiting.is_empty() {
+            self.users.queue.push_back(id);
         }
-        self.users.queue.push_back(id);
-        self.check();
+        waiting.extend(reqs);
     }
 
-    fn read(&mut self, job: String) {
+    fn read(&mut self, job: String, reqs: Vec<Req>) {
         let op = StoreOp::Get(job_key(&job));
-        self.env.store(Purpose::User(UserCall::Read { job }), Urgency::High, op);
+        self.env.store(Purpose::User(UserCall::Read { job, reqs }), Urgency::High, op);
     }
 
     /// Compares cached versions in the store: one transaction for all that wait. Ids that
@@ -169,13 +183,15 @@
             return;
         }
         let count = self.users.queue.len().min(CHECKED);
-        let jobs: Vec<String> = self.users.queue.drain(..count).collect();
-        let mut txn = Txn::default();
-        for job in &jobs {
-            txn = txn.when(job_key(job), self.users.known.get(job).map_or(0, |k| k.version));
+        let (mut txn, mut looked) = (Txn::default(), Vec::new());
+        for job in self.users.queue.drain(..count) {
+            let known = self.users.known.get(&job).copied();
+            txn = txn.when(job_key(&job), known.map_or(0, |k| k.version));
+            let reqs = self.users.lookups.remove(&job).unwrap_or_default();
+            looked.push(Looked { job, known, reqs });
         }
         self.users.checking = true;
-        self.env.store(Purpose::User(UserCall::Check { jobs }), Urgency::High, StoreOp::Txn(txn));
+        self.env.store(Purpose::User(UserCall::Check { looked }), Urgency::High, StoreOp::Txn(txn));
     }
 
     fn view(&self, id: &str, known: Known) -> Answer {
@@ -193,34 +209,36 @@
         Answer::json(200, &JobView { id: id.to_owned(), state, done: Some(done), running: Some(running) })
     }
 
-    /// Answers all that wait for a job's state, which has just been checked.
-    fn found(&mut self, id: &str) {
-        let answer = match self.users.known.get(id) {
-            Some(known) => self.view(id, *known),
+    /// Answers requests that came before the job's state, which was found, was looked up. What
+    /// is known since may be newer.
+    fn found(&mut self, id: &str, found: Option<Known>, reqs: Vec<Req>) {
+        let newest = self.users.known.get(id).copied().into_iter().chain(found).max_by_key(|known| known.version);
+        let answer = match newest {
+            Some(known) => self.view(id, known),
             None => Answer::error(404, "no such job"),
         };
-        for req in self.users.lookups.remove(id).unwrap_or_default() {
+        for req in reqs {
             self.close(req, answer.clone());
         }
     }
 
-    fn fail_lookup(&mut self, id: &str) {
-        for req in self.users.lookups.remove(id).unwrap_or_default() {
+    fn fail_lookup(&mut self, reqs: Vec<Req>) {
+        for req in reqs {
             self.close(req, Answer::later(503, "the state service did not answer"));
         }
     }
 
-    fn learn_item(&mut self, id: &str, item: Option<rushyoke_wire::store::Item>) -> bool {
-        let Some(item) = item else { return true };
+    /// What a job's record says; `None` if it cannot be read.
+    fn learn_item(&mut self, id: &str, item: Item) -> Option<Known> {
         match serde_json::from_value::<JobRecord>(item.value) {
             Ok(record) => {
                 let known = Known { state: record.state, tasks: record.tasks, version: item.version };
                 self.users.learn(id, known, self.env.policy.known_jobs);
-                true
+                Some(known)
             }
             Err(error) => {
                 tracing::error!(job = id, %error, "a record cannot be read");
-                false
+                None
             }
         }
     }
@@ -294,35 +312,35 @@
     pub(crate) fn user_outcome(&mut self, call: UserCall, outcome: Outcome<StoreAnswer>) {
         let unsure = Answer::later(503, "the state service did not answer");
         match (call, outcome) {
-            (UserCall::Check { jobs }, outcome) => {
+            (UserCall::Check { looked }, outcome) => {
                 self.users.checking = false;
                 match outcome {
                     Outcome::Answered(StoreAnswer::Committed(_)) => {
-                        for job in jobs {
-                            self.found(&job);
+                        for Looked { job, known, reqs } in looked {
+                            self.found(&job, known, reqs);
                         }
                     }
                     Outcome::Answered(StoreAnswer::Refused(failed)) => {
-                        for job in jobs {
+                        for Looked { job, reqs, .. } in looked {
                             if failed.contains(&job_key(&job)) {
-                                self.read(job);
+                                self.read(job, reqs);
                             } else {
-                                self.users.queue.push_back(job);
+                                self.queue_lookup(job, reqs);
                             }
                         }
                     }
-                    _ => jobs.iter().for_each(|job| self.fail_lookup(job)),
+                    _ => looked.into_iter().for_each(|looked| self.fail_lookup(looked.reqs)),
                 }
                 self.check();
             }
-            (UserCall::Read { job }, Outcome::Answered(StoreAnswer::Item(item))) => {
-                if self.learn_item(&job, item) {
-                    self.found(&job);
-                } else {
-                    self.fail_lookup(&job);
+            (UserCall::Read { job, reqs }, Outcome::Answered(StoreAnswer::Item(None))) => self.found(&job, None, reqs),
+            (UserCall::Read { job, reqs }, Outcome::Answered(StoreAnswer::Item(Some(item)))) => {
+                match self.learn_item(&job, item) {
+                    Some(known) => self.found(&job, Some(known), reqs),
+                    None => self.fail_lookup(reqs),
                 }
             }
-            (UserCall::Read { job }, _) => self.fail_lookup(&job),
+            (UserCall::Read { reqs, .. }, _) => self.fail_lookup(reqs),
             (UserCall::Create { req, job, tasks }, Outcome::Answered(StoreAnswer::Committed(version))) => {
                 let known = Known { state: RecordState::Open, tasks, version };
                 self.users.learn(&job, known, self.env.policy.known_jobs);
@@ -332,12 +350,11 @@
             (UserCall::Create { req, job, .. }, Outcome::Answered(StoreAnswer::Refused(_))) => self.look_up(req, job),
             (UserCall::Create { req, .. }, _) => self.close(req, unsure),
             (UserCall::Refuse { req, job, answer }, Outcome::Answered(StoreAnswer::Item(item))) => {
-                let exists = item.is_some();
-                if exists && self.learn_item(&job, item) {
-                    let answer = self.view(&job, self.users.known[&job]);
-                    self.close(req, answer);
-                } else {
-                    self.close(req, answer);
+                match item.map(|item| self.learn_item(&job, item)) {
+                    None => self.close(req, answer),
+                    Some(Some(known)) => self.found(&job, Some(known), vec![req]),
+                    // It was accepted, whatever its record says.
+                    Some(None) => self.close(req, unsure),
                 }
             }
             (UserCall::Refuse { req, .. }, _) => self.close(req, unsure),
@@ -371,8 +388,7 @@
             (UserCall::CancelWrite { req, job, tasks }, Outcome::Answered(StoreAnswer::Committed(version))) => {
                 let known = Known { state: RecordState::Cancelled, tasks, version };
                 self.users.learn(&job, known, self.env.policy.known_jobs);
-                let answer = self.view(&job, self.users.known[&job]);
-                self.close(req, answer);
+                self.found(&job, Some(known), vec![req]);
             }
             (UserCall::CancelWrite { req, job, .. }, Outcome::Answered(StoreAnswer::Refused(_))) => {
                 // It changed in between; look once more while the user waits.
