Stories of meetings of troubles; no work for machines whose reports get lost

Found: a machine whose reports reach no controller answers direct calls, so that it seemed to live and was given work that its lease ended again and again (48 starts in 30 s for 4 replicas). It gets no work and is no capacity until it reports again.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -137,6 +137,9 @@
     /// Direct calls in a row that failed, whatever it reported meanwhile: it may be heard and
     /// hear nothing itself. It gets no work until one is answered.
     mute_calls: u32,
+    /// It answers direct calls, but its reports come no more, and so its lease ends again and
+    /// again: what is started there is lost.
+    unreporting: bool,
     pub quarantined: bool,
     /// Jobs whose tasks failed here since a task that started later completed.
     strikes: BTreeMap<Name, Instant>,
@@ -191,6 +194,7 @@
             suspect: false,
             probes_failed: 0,
             mute_calls: 0,
+            unreporting: false,
             quarantined: false,
             strikes: BTreeMap::new(),
             idle_since: Some(now),
@@ -249,6 +253,7 @@
             && !self.leaving
             && !self.suspect
             && self.mute_calls == 0
+            && !self.unreporting
             && !self.quarantined
             && self.taken_at.is_none()
             && self.full_until.is_none_or(|t| t <= now)
@@ -257,7 +262,7 @@
     /// Whether the machine is expected to take tasks, now or once it is up. One whose report
     /// is overdue is, until a call to it fails.
     pub fn counts(&self) -> bool {
-        let silent = (self.suspect && self.probes_failed > 0) || self.mute_calls >= MUTE;
+        let silent = (self.suspect && self.probes_failed > 0) || self.mute_calls >= MUTE || self.unreporting;
         !self.leaving && !silent && !self.quarantined && self.taken_at.is_none() && !self.unproven
     }
 
@@ -287,6 +292,7 @@
     fn alive(&mut self, now: Instant, via: Via, report: Duration) {
         let prompt = now.duration_since(self.reported) <= report.mul_f64(LATEST_REPORT) + PROMPT;
         self.heard = now;
+        self.unreporting &= via == Via::Direct;
         if via == Via::Direct {
             self.mute_calls = 0;
         } else if self.mute_calls > 0 {
@@ -947,6 +953,7 @@
         let (mut up, mut overdue, mut unheard, mut unreported, mut unreached) = (0, 0, 0, 0, 0);
         let alone = now.duration_since(self.visited) > late + PROBE;
         let mut mute = false;
+        let mut unreporting = Vec::new();
         let (mut failing, mut all, mut quiet_ones) = (0, Silent::default(), Silent::default());
         for machine in self.machines.values_mut().filter(|m| m.up) {
             up += 1;
@@ -963,7 +970,10 @@
                 quiet_ones.note(machine);
             }
             unheard += usize::from(quiet > late + PROBE);
-            unreported += usize::from(now.duration_since(machine.reported) > late + PROBE);
+            if now.duration_since(machine.reported) > late + PROBE {
+                unreported += 1;
+                unreporting.push(machine.name.clone());
+            }
             if machine.direct.is_none() && machine.direct_from.is_none_or(|t| t <= now) {
                 let unfenced = machine.fenced.is_none() && (fence_all || machine.hosts_service());
                 if std::mem::take(&mut machine.postponed) || unfenced || machine.mute_calls > 0 {
@@ -1002,6 +1012,15 @@
         // Reports that other nodes hand on arrive all the same, but no call of ours does.
         let deaf_ears = alone && self.survey.most && !most(unheard);
         self.cut_off = most(unreached) || deaf_ears || most(unreported) && (most(unheard) || settled);
+        // Reports of most machines missing, or just after a takeover: they look for this node.
+        if settled && !most(unreported) {
+            for name in unreporting {
+                let machine = self.machines.get_mut(&name).expect("listed");
+                if !std::mem::replace(&mut machine.unreporting, true) && !machine.suspect {
+                    tracing::info!(machine = &*name, "answers calls, but does not report; gets no work");
+                }
+            }
+        }
         // Most silent at once: more likely the network, or this node, than the machines.
         // Returning them would kill what still runs.
         let most = overdue > 2 && overdue * 2 > up || self.survey.most || self.asking(now);
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -178,8 +178,8 @@
     pub mute: BTreeSet<String>,
     /// Machines that hang until this time: nothing runs, nothing is sent or taken.
     pub hang: BTreeMap<String, Duration>,
-    /// A copy of each report is kept, and comes to every node as soon as another one leads.
-    pub keep_for_next: bool,
+    /// A copy of each report is kept, and comes to every node so long after another one leads.
+    pub keep_for_next: Option<Duration>,
     kept: Vec<(String, Report)>,
     /// Reports that came to a new lead from before its time.
     pub came_to_next: u64,
@@ -194,6 +194,8 @@
     pub late_commits: u32,
     /// Rentals are carried out, but their answers are lost.
     pub lose_rental_answers: bool,
+    /// How long a rented machine takes to come up.
+    pub boot: Duration,
     /// How long a task runs on a machine that comes up.
     pub task_s: f64,
     /// Tasks that failed on machines that fail all.
@@ -263,7 +265,7 @@
             unanswered: 0,
             mute: BTreeSet::new(),
             hang: BTreeMap::new(),
-            keep_for_next: false,
+            keep_for_next: None,
             kept: Vec::new(),
             came_to_next: 0,
             seen_lead: None,
@@ -273,6 +275,7 @@
             late_starts: 0,
             late_commits: 0,
             lose_rental_answers: false,
+            boot: Duration::from_secs(10),
             task_s: 10.0,
             failed: 0,
             started: 0,
@@ -678,12 +681,13 @@
             return;
         }
         let first = self.seen_lead.is_none();
+        let at = self.now + HOP + self.keep_for_next.unwrap_or_default();
         self.seen_lead = lead;
         for (machine, report) in std::mem::take(&mut self.kept).into_iter().filter(|_| !first) {
             self.came_to_next += 1;
             for node in 0..self.slots.len() {
                 let report = Box::new(report.clone());
-                self.push(self.now + HOP, Event::Report { node, machine: machine.clone(), id: 0, report });
+                self.push(at, Event::Report { node, machine: machine.clone(), id: 0, report });
             }
         }
     }
@@ -708,7 +712,7 @@
         self.hold_answers.clear();
         self.mute.clear();
         self.hang.clear();
-        self.keep_for_next = false;
+        self.keep_for_next = None;
         self.kept.clear();
         self.hold_relays = None;
         self.lose_touches = 0;
@@ -804,9 +808,7 @@
             .cloud
             .machines
             .iter()
-            .filter(|(name, m)| {
-                !m.up && !self.cloud.stillborn.contains(*name) && self.now >= m.since + Duration::from_secs(10)
-            })
+            .filter(|(name, m)| !m.up && !self.cloud.stillborn.contains(*name) && self.now >= m.since + self.boot)
             .map(|(name, _)| name.clone())
             .collect();
         for name in due {
@@ -856,7 +858,7 @@
                 && !self.cut.contains(machine)
                 && !self.mute.contains(machine)
             {
-                if let (true, Event::Report { report, .. }) = (self.keep_for_next, &event) {
+                if let (true, Event::Report { report, .. }) = (self.keep_for_next.is_some(), &event) {
                     self.kept.push((machine.clone(), (**report).clone()));
                 }
                 let late = self.hold_reports.get(machine).copied();
