--- /dev/null
+++ b/crates/core/src/awaits.rs
@@ -0,0 +1,158 @@
+//! Jobs that await others, as the lead sees them. The durable truth is the end of the job that is
+//! awaited, `job/<id>`, which is written once: a dependent goes on when that says done, and is
+//! over when it says cancelled. What stands here is derived from it, and derived again by a new lead.
+//!
+//! Guards against a task that starts before all that its job awaits is durably done, and against
+//! a job that is left waiting for one that was cancelled. Only accepted jobs can be named, so
+//! there are no cycles; chains may be long, so nothing here recurs.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use rushyoke_wire::job::Priority;
+
+use crate::io::*;
+use crate::jobs::*;
+use crate::node::{Env, Purpose};
+use crate::recover::Reign;
+
+/// Records of awaited jobs that are read at a time.
+const READING: usize = 8;
+const RETRY: Duration = Duration::from_millis(400);
+
+#[derive(Default)]
+pub(crate) struct Awaited {
+    /// The jobs that await each job.
+    dependents: BTreeMap<Name, BTreeSet<Name>>,
+    /// Awaited jobs that are not unfinished, as far as is known: how they ended must be read.
+    unread: BTreeSet<Name>,
+    reading: BTreeSet<Name>,
+    retry: Option<Instant>,
+}
+
+impl Reign {
+    /// Takes note of what a job awaits. One that has begun has nothing to wait for.
+    pub fn link(&mut self, env: &mut Env, name: &Name) {
+        let Some(job) = self.jobs.get_mut(name) else { return };
+        let begun = !job.places.is_empty() || job.done_count > 0;
+        if job.cancelled || begun || job.spec.awaits.is_empty() {
+            return;
+        }
+        job.from_ms = env.now.wall_ms;
+        let awaits: BTreeSet<Name> = job.spec.awaits.iter().map(|id| Name::from(id.as_str())).collect();
+        job.pending = awaits.clone();
+        let (priority, due_ms) = (job.priority, job.due_ms);
+        let mut lost = false;
+        for dep in &awaits {
+            self.awaited.dependents.entry(dep.clone()).or_default().insert(name.clone());
+            match self.jobs.get(dep) {
+                Some(dep) => lost |= dep.cancelled,
+                None => {
+                    self.awaited.unread.insert(dep.clone());
+                }
+            }
+        }
+        self.raise(awaits, priority, due_ms);
+        if lost {
+            self.orphan(env, vec![name.clone()]);
+        }
+    }
+
+    /// Jobs take the highest priority and the most urgent deadline of those that need them.
+    fn raise(&mut self, awaits: BTreeSet<Name>, priority: Priority, due_ms: Option<u64>) {
+        let mut left: Vec<Name> = awaits.into_iter().collect();
+        while let Some(name) = left.pop() {
+            let Some(job) = self.jobs.get_mut(&name) else { continue };
+            let sooner = due_ms.is_some_and(|due| job.due_ms.is_none_or(|own| due < own));
+            if job.priority >= priority && !sooner {
+                continue;
+            }
+            job.priority = job.priority.max(priority);
+            if sooner {
+                job.due_ms = due_ms;
+            }
+            left.extend(job.pending.iter().cloned());
+        }
+    }
+
+    /// A job has ended durably: those that await it go on, or end with it.
+    pub fn dependency_over(&mut self, env: &mut Env, dep: &Name, state: RecordState) {
+        let Some(dependents) = self.awaited.dependents.remove(dep) else {
+            return;
+        };
+        if state == RecordState::Cancelled {
+            self.orphan(env, dependents.into_iter().collect());
+            return;
+        }
+        for name in dependents {
+            let Some(job) = self.jobs.get_mut(&name) else { continue };
+            job.pending.remove(dep);
+            if !job.is_blocked() {
+                tracing::debug!(job = &*name, "all that it awaits is done");
+                job.from_ms = env.now.wall_ms;
+                self.place_due = true;
+            }
+        }
+    }
+
+    /// A job that these need was cancelled, and so are they, with all that needs them in turn.
+    fn orphan(&mut self, env: &mut Env, mut left: Vec<Name>) {
+        while let Some(name) = left.pop() {
+            let Some(job) = self.jobs.get_mut(&name).filter(|job| !job.cancelled) else {
+                continue;
+            };
+            tracing::debug!(job = &*name, "a job that it needs was cancelled");
+            job.orphaned = true;
+            self.stop_cancelled(env, &name);
+            left.extend(self.awaited.dependents.remove(&name).into_iter().flatten());
+        }
+    }
+
+    /// A job is forgotten, and awaits nothing any more.
+    pub fn unlink(&mut self, job: &Job) {
+        for dep in &job.spec.awaits {
+            if let Some(dependents) = self.awaited.dependents.get_mut(dep.as_str()) {
+                dependents.remove(&job.id);
+                if dependents.is_empty() {
+                    self.awaited.dependents.remove(dep.as_str());
+                    self.awaited.unread.remove(dep.as_str());
+                }
+            }
+        }
+    }
+
+    /// Reads how awaited jobs ended that are not in the table.
+    pub fn read_awaited(&mut self, env: &mut Env) {
+        let now = env.steady();
+        if self.awaited.unread.is_empty() || self.awaited.retry.is_some_and(|from| from > now) {
+            return;
+        }
+        while self.awaited.reading.len() < READING {
+            let Some(dep) = self.awaited.unread.pop_first() else { return };
+            if self.awaited.reading.insert(dep.clone()) {
+                let op = StoreOp::Get(job_key(&dep));
+                env.store(Purpose::Load(crate::recover::LoadCall::Awaited(dep)), Urgency::High, op);
+            }
+        }
+    }
+
+    pub fn awaited_read(&mut self, env: &mut Env, dep: Name, outcome: Outcome<StoreAnswer>) {
+        self.awaited.reading.remove(&dep);
+        if let Outcome::Answered(StoreAnswer::Item(Some(item))) = outcome
+            && let Ok(record) = serde_json::from_value::<JobRecord>(item.value)
+        {
+            if record.state != RecordState::Open {
+                self.dependency_over(env, &dep, record.state);
+                return;
+            }
+            // It is in the table by now, and tells of its end itself.
+            if self.jobs.contains_key(&dep) {
+                return;
+            }
+        }
+        if self.awaited.dependents.contains_key(&dep) {
+            self.awaited.unread.insert(dep);
+            self.awaited.retry = Some(env.steady() + RETRY);
+        }
+    }
+}
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -5,14 +5,13 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use rushyoke_wire::job::JobSpec;
+use rushyoke_wire::job::{JobSpec, Priority};
 use serde::{Deserialize, Serialize};
 
 pub type Name = Arc<str>;
 
-/// Tasks in one record. Even with every task on a machine of its own, a record stays
-/// below the store's limit for a value: 80 entries of a task, an attempt of up to 20
-/// digits and a machine with its address.
+/// Tasks in one record. With every task on a machine of its own a record takes up to 8 KiB; where
+/// the store's values hold less, the tasks are written into the log again instead.
 pub const PAGE: u32 = 80;
 
 /// Machines on which a job must have failed before the fault is sought in the job.
@@ -23,6 +22,16 @@
 pub struct JobRecord {
     pub state: RecordState,
     pub tasks: u32,
+    /// Jobs that must be done first, while it is open: it is cancelled if one of them is.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub awaits: Vec<String>,
+}
+
+impl JobRecord {
+    /// The record of a job that is over.
+    pub fn over(state: RecordState, tasks: u32) -> JobRecord {
+        JobRecord { state, tasks, awaits: Vec::new() }
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -149,10 +158,17 @@
 pub struct Job {
     pub id: Name,
     pub spec: JobSpec,
-    /// Order of submission as far as the clocks tell.
-    pub at_ms: u64,
     pub version: u64,
     pub cancelled: bool,
+    /// Cancelled because a job that it needs is: that is not yet in its own record.
+    pub orphaned: bool,
+    /// Jobs that it awaits and that are not known to be durably done.
+    pub pending: BTreeSet<Name>,
+    /// When it was submitted, as far as the clocks tell, or when the last job that it awaits was done.
+    pub from_ms: u64,
+    /// The highest priority, and the most urgent deadline, of it and of those that need it.
+    pub priority: Priority,
+    pub due_ms: Option<u64>,
     /// The change of `job/<id>` to done is durable or under way.
     pub closing: bool,
     pub done_count: u32,
@@ -183,22 +199,33 @@
 /// What a job and each of its tasks that has a place, or waits for another, take of memory, about.
 const JOB_BYTES: usize = 1500;
 const PLACE_BYTES: usize = 250;
+/// What a job that it awaits takes, in its description and in the index.
+const AWAIT_BYTES: usize = 300;
 
 impl Job {
     /// Memory that it takes, about.
     pub fn bytes(&self) -> usize {
-        JOB_BYTES + self.done.len() * 8 + (self.places.len() + self.returned.len()) * PLACE_BYTES
+        JOB_BYTES
+            + self.done.len() * 8
+            + self.spec.awaits.len() * AWAIT_BYTES
+            + (self.places.len() + self.returned.len()) * PLACE_BYTES
     }
 
     pub fn new(spec: JobSpec, at_ms: u64, version: u64, cancelled: bool) -> Job {
+        let priority = spec.priority;
+        let due_ms = spec.deadline_s.map(|due_s| at_ms.saturating_add((due_s * 1000.0) as u64));
         Job {
             id: Name::from(spec.id.as_str()),
             done: vec![0; (spec.tasks as usize).div_ceil(64)],
             mean_run_s: spec.estimate_s,
             spec,
-            at_ms,
             version,
             cancelled,
+            orphaned: false,
+            pending: BTreeSet::new(),
+            from_ms: at_ms,
+            priority,
+            due_ms,
             closing: false,
             done_count: 0,
             places: BTreeMap::new(),
@@ -235,12 +262,17 @@
 
     /// Tasks that have neither a place nor an end.
     pub fn waiting(&self) -> u32 {
-        if self.cancelled {
+        if self.cancelled || self.is_blocked() {
             return 0;
         }
         self.spec.tasks - self.next + self.returned.len() as u32
     }
 
+    /// Whether jobs that it awaits are not done: until then it holds and wants nothing.
+    pub fn is_blocked(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
     /// Tasks not yet done.
     pub fn open(&self) -> u32 {
         self.spec.tasks - self.done_count
@@ -248,7 +280,7 @@
 
     /// The next task that may start now.
     pub fn peek(&self, now: Instant) -> Option<u32> {
-        if self.cancelled {
+        if self.cancelled || self.is_blocked() {
             return None;
         }
         let again = self.returned.iter().find(|(_, from)| **from <= now).map(|(task, _)| *task);
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -330,6 +330,9 @@
         }
         if first || self.reign.is_some() {
             let value = serde_json::to_value(&*self.env.types).expect("types always encode");
+            if value.to_string().len() > self.env.facts.value_bytes {
+                return;
+            }
             let txn = rushyoke_wire::store::Txn::default().put(TYPES_KEY, value);
             self.env.store(Purpose::KeepTypes, Urgency::Low, StoreOp::Txn(txn));
         }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -67,17 +67,19 @@
 
 /// Whether the job is too late for every aim that the users set for its class. Among
 /// the others the one with the least left to do goes first: when more is asked than can
-/// be done, so the most jobs are in time.
+/// be done, so the most jobs are in time. A deadline counts from the submission, aims from when the
+/// last job that it awaits was done.
 fn hopeless(env: &Env, job: &Job) -> bool {
     if job.spec.kind == Kind::Service {
         return false;
     }
-    let age = env.now.wall_ms.saturating_sub(job.at_ms) as f64 / 1000.0;
-    let end = age + job.mean_run_s;
+    let since = |ms: u64| env.now.wall_ms as f64 / 1000.0 - ms as f64 / 1000.0;
+    let end = since(job.from_ms) + job.mean_run_s;
     let aims = env.facts.objectives.iter().filter(|o| o.kind == "finished");
     let aims = aims.filter(|o| o.class.as_ref() == Some(&job.spec.class)).filter_map(|o| o.within);
-    let last = aims.map(|w| w.as_secs_f64()).chain(job.spec.deadline_s).reduce(f64::max);
-    last.is_some_and(|last| end > last)
+    let left = aims.map(|within| within.as_secs_f64() - end);
+    let left = left.chain(job.due_ms.map(|due| -since(due) - job.mean_run_s)).reduce(f64::max);
+    left.is_some_and(|left| left < 0.0)
 }
 
 /// Whether a job starves: none of its tasks was placed for so long, while others are. With
@@ -96,7 +98,7 @@
     /// Gives each job that starves a slice of its tasks, to be placed before all but services.
     fn mark_starving(&mut self, env: &Env) {
         for job in self.jobs.values_mut().filter(|job| job.slice == 0 && job.waiting() > 0) {
-            let age = Duration::from_millis(env.now.wall_ms.saturating_sub(job.at_ms));
+            let age = Duration::from_millis(env.now.wall_ms.saturating_sub(job.from_ms));
             if starves(env, job, age) {
                 tracing::debug!(job = &*job.id, waiting = job.waiting(), "starves; served out of turn");
                 job.slice = job.spec.tasks.div_ceil(SLICES).min(job.waiting());
@@ -107,8 +109,8 @@
 
     /// The jobs within their team's guarantee.
     pub fn within_guarantee(&self) -> BTreeSet<Name> {
-        let mut jobs: Vec<&Job> = self.jobs.values().filter(|job| !job.cancelled).collect();
-        jobs.sort_by(|a, b| a.at_ms.cmp(&b.at_ms).then_with(|| a.id.cmp(&b.id)));
+        let mut jobs: Vec<&Job> = self.jobs.values().filter(|job| !job.cancelled && !job.is_blocked()).collect();
+        jobs.sort_by(|a, b| a.from_ms.cmp(&b.from_ms).then_with(|| a.id.cmp(&b.id)));
         self.quotas.within(jobs.into_iter()).into_iter().collect()
     }
 
@@ -132,7 +134,7 @@
                 job: job.id.clone(),
                 class: if job.slice > 0 { class.min(1) } else { class },
                 starved: job.slice > 0,
-                priority: job.spec.priority,
+                priority: job.priority,
                 hopeless: hopeless(env, job),
                 work: f64::from(job.waiting()) * job.spec.cpus * job.mean_run_s,
             });
@@ -206,7 +208,7 @@
     fn patience_over(&self, env: &Env, job: &Job) -> bool {
         let allowed = env.facts.objectives.iter().find(|o| o.kind == "guarantee").and_then(|o| o.within);
         let patience = allowed.unwrap_or(DEFAULT_PATIENCE).mul_f64(env.policy.patience_share);
-        u128::from(env.now.wall_ms.saturating_sub(job.at_ms)) >= patience.as_millis()
+        u128::from(env.now.wall_ms.saturating_sub(job.from_ms)) >= patience.as_millis()
     }
 
     /// Places up to `most` tasks of a job; returns how many.
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -48,7 +48,7 @@
 /// leaves those within theirs alone: they would only come back and go first.
 fn outranks(job: &Job, victim: &Job, within: &BTreeSet<Name>) -> bool {
     let entitled = job.spec.priority == Priority::Production || within.contains(&job.id);
-    victim.spec.priority < job.spec.priority && (entitled || !within.contains(&victim.id)) && !spared(job, victim)
+    victim.priority < job.priority && (entitled || !within.contains(&victim.id)) && !spared(job, victim)
 }
 
 /// Whether a job's tasks were placed since it starved: what stops them again would undo it.
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -37,6 +37,8 @@
 /// Bytes of a value and of a transaction that stay unused.
 const SPARE: usize = 256;
 const TXN_BYTES: usize = 40 * 1024;
+/// What a task takes of a segment, about.
+const TASK_BYTES: usize = 48;
 /// The least that a task takes of a segment.
 const LEAST_BYTES: usize = 16;
 
@@ -87,7 +89,8 @@
 struct Sealed {
     number: u64,
     version: u64,
-    pages: BTreeSet<(Name, u32)>,
+    /// Tasks of which no later segment has a newer state.
+    tasks: BTreeSet<TaskKey>,
 }
 
 #[derive(Default)]
@@ -152,9 +155,26 @@
     }
 
     /// Takes over a segment that an earlier lead left; they come in the order of writing.
-    pub fn inherit(&mut self, number: u64, version: u64, pages: BTreeSet<(Name, u32)>) {
+    pub fn inherit(&mut self, number: u64, version: u64, tasks: BTreeSet<TaskKey>) {
         self.last.number = self.last.number.max(number + 1);
-        self.sealed.push_back(Sealed { number, version, pages });
+        self.newer(tasks.iter());
+        self.sealed.push_back(Sealed { number, version, tasks });
+    }
+
+    /// States of these tasks stand in a later segment now.
+    fn newer<'a>(&mut self, tasks: impl Iterator<Item = &'a TaskKey>) {
+        for key in tasks {
+            for sealed in &mut self.sealed {
+                sealed.tasks.remove(key);
+            }
+        }
+    }
+
+    /// How many segments may be kept before tasks are written again to free the oldest: with more
+    /// tasks at work than a dozen segments hold, that must not write the same ones round and round.
+    fn most_sealed(&self, value_bytes: usize) -> usize {
+        let tasks: usize = self.sealed.iter().map(|sealed| sealed.tasks.len()).sum();
+        SEGMENTS + 2 * tasks * TASK_BYTES / value_bytes.max(1)
     }
 }
 
@@ -243,8 +263,13 @@
             job.closing = true;
             conditioned.insert(name.clone());
             let mut next = std::mem::take(txn).when(job_key(&name), job.version).delete(live_key(&name));
-            if !job.cancelled {
-                let record = JobRecord { state: RecordState::Done, tasks: job.spec.tasks };
+            // A cancellation by its user stands there already.
+            let end = match (job.cancelled, job.orphaned) {
+                (false, _) => Some(RecordState::Done),
+                (true, orphaned) => orphaned.then_some(RecordState::Cancelled),
+            };
+            if let Some(state) = end {
+                let record = JobRecord::over(state, job.spec.tasks);
                 next = next.put(job_key(&name), serde_json::to_value(record).expect("records always encode"));
             }
             *txn = next;
@@ -280,11 +305,11 @@
         due.iter().for_each(|key| whole.add(key, place_of(key), addr_len));
         let mut tasks: BTreeSet<TaskKey>;
         if whole.bytes > room && !records.doubt && records.last.version > 0 {
-            let pages = records.last.tasks.iter().map(|(job, task)| (job.clone(), task / PAGE)).collect();
             let (number, version) = (records.last.number, records.last.version);
+            let sealed = std::mem::take(&mut records.last.tasks);
             tasks = BTreeSet::new();
             size = Size::default();
-            records.sealed.push_back(Sealed { number, version, pages });
+            records.sealed.push_back(Sealed { number, version, tasks: sealed });
             records.last = Segment { number: number + 1, ..Segment::default() };
         } else {
             tasks = kept.into_iter().cloned().collect();
@@ -325,42 +350,57 @@
 
     /// Writes pages of the oldest segment while there are many, and deletes it once all
     /// that it names stands elsewhere. Only beside a write of the last segment, which
-    /// keeps a late copy of this transaction from being applied.
+    /// keeps a late copy of this transaction from being applied. What does not fit into a page
+    /// is written into the log once more.
     fn gather(&mut self, env: &Env, txn: &mut Txn, batch: &mut Batch) {
-        while let Some(oldest) = self.records.sealed.front() {
+        while let Some(mut oldest) = self.records.sealed.pop_front() {
             let version = oldest.version;
-            let mut pages = oldest.pages.iter().filter(|(name, page)| self.ungathered(version, name, *page));
-            if pages.next().is_some() {
+            oldest.tasks.retain(|(name, task)| self.ungathered(version, name, task / PAGE));
+            if !oldest.tasks.is_empty() {
+                self.records.sealed.push_front(oldest);
                 break;
             }
-            let number = oldest.number;
-            self.records.sealed.pop_front();
-            self.records.drop_key(segment_key(number));
+            self.records.drop_key(segment_key(oldest.number));
         }
         if !batch.segment || self.records.sealed.len() <= SEGMENTS {
             return;
         }
+        let room = env.facts.value_bytes.saturating_sub(SPARE);
+        let crowded = self.records.sealed.len() > self.records.most_sealed(room);
         let Some(oldest) = self.records.sealed.front() else { return };
         // The further behind, the more in one transaction.
         let behind = self.records.sealed.len() - SEGMENTS;
         let most = (txn.writes.len() + 1 + behind).min(env.facts.txn_ops);
         let mut bytes = env.facts.value_bytes;
-        for (name, page) in &oldest.pages {
+        let mut pages: Vec<(Name, u32)> = oldest.tasks.iter().map(|(name, task)| (name.clone(), task / PAGE)).collect();
+        pages.dedup();
+        let mut unfit: BTreeSet<(Name, u32)> = BTreeSet::new();
+        for (name, page) in pages {
             if txn.writes.len() >= most || bytes + env.facts.value_bytes > TXN_BYTES {
-                break;
+                return;
             }
-            let Some(job) = self.jobs.get(name).filter(|job| !job.closing) else {
+            let Some(job) = self.jobs.get(&name).filter(|job| !job.closing) else {
                 continue;
             };
-            if !self.ungathered(oldest.version, name, *page) {
+            let record = job.page_record(page, |m| self.machines.get(m).map(|m| m.addr.clone()).unwrap_or_default());
+            let value = serde_json::to_value(record).expect("records always encode");
+            let size = value.to_string().len();
+            if size > room {
+                unfit.insert((name, page));
                 continue;
             }
-            let record = job.page_record(*page, |m| self.machines.get(m).map(|m| m.addr.clone()).unwrap_or_default());
-            bytes += 200 + record.places.len() * 30 + record.machines.len() * 40;
-            let value = serde_json::to_value(record).expect("records always encode");
-            *txn = std::mem::take(txn).put(page_key(name, *page), value);
-            batch.pages.push((name.clone(), *page));
+            bytes += 200 + size;
+            *txn = std::mem::take(txn).put(page_key(&name, page), value);
+            batch.pages.push((name, page));
         }
+        // Nothing else is to be done for this segment.
+        let Some(oldest) = self.records.sealed.pop_front() else { return };
+        if crowded {
+            for key in oldest.tasks.iter().filter(|(name, task)| unfit.contains(&(name.clone(), task / PAGE))) {
+                self.records.changed(key.clone(), None);
+            }
+        }
+        self.records.sealed.push_back(oldest);
     }
 
     fn read_back(&mut self, env: &mut Env) {
@@ -383,7 +423,7 @@
                 self.records.in_flight = false;
                 self.records.flying.clear();
                 match outcome {
-                    Outcome::Answered(StoreAnswer::Committed(version)) => self.committed(batch, version),
+                    Outcome::Answered(StoreAnswer::Committed(version)) => self.committed(env, batch, version),
                     Outcome::Answered(StoreAnswer::Refused(failed)) => {
                         if failed.iter().any(|key| key == LEAD_KEY) {
                             return true;
@@ -463,10 +503,11 @@
         self.requeue(batch);
     }
 
-    fn committed(&mut self, batch: Batch, version: u64) {
+    fn committed(&mut self, env: &mut Env, batch: Batch, version: u64) {
         if batch.segment {
             self.records.last.version = version;
             self.records.doubt = false;
+            self.records.newer(batch.tasks.iter().map(|(key, _)| key));
         }
         for ((name, task), attempt) in batch.tasks {
             let place = self.jobs.get_mut(&name).and_then(|job| job.places.get_mut(&task));
@@ -486,6 +527,7 @@
         for name in batch.closed {
             let cancelled = self.jobs.get(&name).is_some_and(|job| job.cancelled);
             tracing::debug!(job = &*name, cancelled, "over");
+            self.dependency_over(env, &name, if cancelled { RecordState::Cancelled } else { RecordState::Done });
             self.forget_job(&name);
             self.place_due = true;
         }
@@ -498,7 +540,10 @@
         };
         job.version = job.version.max(version);
         match state {
-            RecordState::Done => self.forget_job(name),
+            RecordState::Done => {
+                self.dependency_over(env, name, RecordState::Done);
+                self.forget_job(name);
+            }
             RecordState::Cancelled => {
                 if !job.cancelled {
                     self.job_cancelled(env, name);
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -8,6 +8,7 @@
 use rushyoke_wire::peer::Progress;
 use rushyoke_wire::store::{Event, Item};
 
+use crate::awaits::Awaited;
 use crate::facts::Facts;
 use crate::fleet::{Machine, Survey};
 use crate::io::*;
@@ -36,7 +37,11 @@
     Jobs,
     Segments,
     Pages,
-    Watch { sent: Instant },
+    Watch {
+        sent: Instant,
+    },
+    /// The record of a job that others await.
+    Awaited(Name),
 }
 
 #[derive(Debug)]
@@ -105,6 +110,7 @@
     /// The workers seem to be out of this node's reach.
     pub cut_off: bool,
     pub survey: Survey,
+    pub awaited: Awaited,
 }
 
 impl Reign {
@@ -148,6 +154,7 @@
             progress: BTreeSet::new(),
             cut_off: false,
             survey: Survey::default(),
+            awaited: Awaited::default(),
         }
     }
 
@@ -318,6 +325,7 @@
                 self.watching = false;
                 self.retry = Some(env.steady() + RETRY);
             }
+            (LoadCall::Awaited(dep), outcome) => self.awaited_read(env, dep, outcome),
             _ => {
                 self.waiting = false;
                 self.retry = Some(env.steady() + RETRY);
@@ -363,15 +371,15 @@
         // In the order in which they were last written, so that the newest state stays.
         segments.sort_by_key(|(_, version, _)| *version);
         for (number, version, record) in segments {
-            let mut pages: BTreeSet<(Name, u32)> = BTreeSet::new();
+            let mut tasks: BTreeSet<(Name, u32)> = BTreeSet::new();
             for changed in &record.jobs {
                 if let Some(job) = self.jobs.get_mut(changed.job.as_str()) {
                     job.adopt_changes(version, changed, &record.machines, now);
-                    let tasks = changed.places.iter().map(|(t, ..)| t).chain(&changed.done).chain(&changed.open);
-                    pages.extend(tasks.map(|task| (job.id.clone(), task / PAGE)));
+                    let named = changed.places.iter().map(|(t, ..)| t).chain(&changed.done).chain(&changed.open);
+                    tasks.extend(named.map(|task| (job.id.clone(), *task)));
                 }
             }
-            self.records.inherit(number, version, pages);
+            self.records.inherit(number, version, tasks);
             addrs.extend(record.machines);
         }
         for (id, job) in &mut self.jobs {
@@ -388,6 +396,9 @@
                 self.quotas.add(&job.spec);
             }
         }
+        for name in self.jobs.keys().cloned().collect::<Vec<_>>() {
+            self.link(env, &name);
+        }
         for name in self.jobs.keys().cloned().collect::<Vec<_>>() {
             // A lead that fell between a cancellation and its stops leaves them to us.
             if self.jobs[&name].cancelled {
@@ -439,6 +450,10 @@
                 self.renting.saw_job(&record.spec);
                 let job = Job::new(record.spec, record.at_ms, version, record.cancelled);
                 self.jobs.insert(name.clone(), job);
+                // While all is read for the first time, what it awaits may come later.
+                if self.loaded {
+                    self.link(env, &name);
+                }
             }
         }
         if self.ready() {
@@ -449,6 +464,11 @@
 
     /// A user cancelled: nothing of the job starts any more, all that is there must go.
     pub fn job_cancelled(&mut self, env: &mut Env, name: &Name) {
+        self.stop_cancelled(env, name);
+        self.dependency_over(env, name, RecordState::Cancelled);
+    }
+
+    pub fn stop_cancelled(&mut self, env: &mut Env, name: &Name) {
         let Some(job) = self.jobs.get_mut(name) else {
             return;
         };
@@ -474,6 +494,7 @@
     /// Forgets a job whose end is durable.
     pub fn forget_job(&mut self, name: &Name) {
         if let Some(job) = self.jobs.remove(name) {
+            self.unlink(&job);
             for page in job.pages.keys() {
                 self.records.drop_key(page_key(name, *page));
             }
@@ -496,6 +517,7 @@
             return;
         }
         self.allowance = self.grant;
+        self.read_awaited(env);
         if self.last_look.is_none_or(|t| now.duration_since(t) >= Duration::from_millis(300)) {
             self.last_look = Some(now);
             self.check_silence(env);
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -6,7 +6,8 @@
 //! told, and an unknown job is reported missing only after a look there. A look answers only
 //! the requests that came before it was sent: what another node told since may be newer.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use rushyoke_wire::job::{JobSpec, JobStatus, JobView, Kind};
@@ -34,11 +35,20 @@
     Read {
         job: String,
         reqs: Vec<Req>,
+        /// A job that awaits this one is looked at again then.
+        again: Option<(String, Vec<Req>)>,
+    },
+    /// Whether a job that a submission awaits was accepted.
+    Awaited {
+        req: Req,
+        spec: Box<JobSpec>,
+        dep: String,
     },
     Create {
         req: Req,
         job: String,
         tasks: u32,
+        awaits: Arc<[String]>,
     },
     /// Before a refusal: an accepted job is never refused.
     Refuse {
@@ -63,14 +73,24 @@
 pub(crate) struct Looked {
     job: String,
     known: Option<Known>,
+    /// Jobs that it needs, directly or through others, and that are compared with it.
+    needs: Vec<String>,
     reqs: Vec<Req>,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Known {
     state: RecordState,
     tasks: u32,
     version: u64,
+    /// What it awaits, while it is open.
+    awaits: Arc<[String]>,
+}
+
+impl Known {
+    fn over(state: RecordState, tasks: u32, version: u64) -> Known {
+        Known { state, tasks, version, awaits: Arc::default() }
+    }
 }
 
 #[derive(Default)]
@@ -92,6 +112,9 @@
 
 impl Users {
     fn learn(&mut self, job: &str, known: Known, most: usize) {
+        if known.state != RecordState::Open {
+            self.progress.remove(job);
+        }
         match self.known.get_mut(job) {
             // Final is final, and older answers may arrive late.
             Some(old) if old.version >= known.version => {}
@@ -106,9 +129,46 @@
                 }
             }
         }
-        if known.state != RecordState::Open {
-            self.progress.remove(job);
+    }
+
+    /// Jobs that a job needs, directly or through others, and that are not known to be over;
+    /// and whether one of all is known to be cancelled, and so the job with them.
+    fn needs(&self, known: &Known, most: usize) -> (Vec<String>, bool) {
+        let (mut needs, mut seen) = (Vec::new(), BTreeSet::new());
+        let mut left: Vec<&String> = known.awaits.iter().collect();
+        while let Some(id) = left.pop() {
+            if !seen.insert(id) || needs.len() >= most {
+                continue;
+            }
+            match self.known.get(id) {
+                Some(dep) if dep.state == RecordState::Cancelled => return (needs, true),
+                Some(dep) if dep.state == RecordState::Done => {}
+                Some(dep) => {
+                    needs.push(id.clone());
+                    left.extend(dep.awaits.iter());
+                }
+                None => needs.push(id.clone()),
+            }
         }
+        (needs, false)
+    }
+
+    /// A job that needs a cancelled one is cancelled, whatever its own record still says.
+    fn conclude(&mut self, id: &str, mut known: Known) -> Known {
+        if known.state == RecordState::Open && self.needs(&known, usize::MAX).1 {
+            known = Known { awaits: Arc::default(), state: RecordState::Cancelled, ..known };
+            if let Some(cached) = self.known.get_mut(id).filter(|cached| cached.version <= known.version) {
+                *cached = known.clone();
+                self.progress.remove(id);
+            }
+        }
+        known
+    }
+
+    /// What is known of a job for good.
+    fn end_of(&mut self, id: &str) -> Option<Known> {
+        let known = self.known.get(id).cloned()?;
+        Some(self.conclude(id, known)).filter(|known| known.state != RecordState::Open)
     }
 
     pub fn take_progress(&mut self, progress: Vec<Progress>, most: usize) {
@@ -145,10 +205,8 @@
     }
 
     pub(crate) fn status(&mut self, req: Req, id: String) {
-        if let Some(known) = self.users.known.get(&id)
-            && known.state != RecordState::Open
-        {
-            let answer = self.view(&id, *known);
+        if let Some(known) = self.users.end_of(&id) {
+            let answer = self.view(&id, &known);
             self.env.answer(req, answer);
             return;
         }
@@ -170,9 +228,9 @@
         waiting.extend(reqs);
     }
 
-    fn read(&mut self, job: String, reqs: Vec<Req>) {
+    fn read(&mut self, job: String, reqs: Vec<Req>, again: Option<(String, Vec<Req>)>) {
         let op = StoreOp::Get(job_key(&job));
-        self.env.store(Purpose::User(UserCall::Read { job, reqs }), Urgency::High, op);
+        self.env.store(Purpose::User(UserCall::Read { job, reqs, again }), Urgency::High, op);
     }
 
     /// Compares cached versions in the store: one transaction for all that wait. Ids that
@@ -182,19 +240,27 @@
         if self.users.checking || self.users.queue.is_empty() {
             return;
         }
-        let count = self.users.queue.len().min(CHECKED);
-        let (mut txn, mut looked) = (Txn::default(), Vec::new());
-        for job in self.users.queue.drain(..count) {
-            let known = self.users.known.get(&job).copied();
-            txn = txn.when(job_key(&job), known.map_or(0, |k| k.version));
+        let most = CHECKED.min(self.env.facts.txn_ops * 4);
+        let (mut compared, mut looked) = (BTreeMap::new(), Vec::new());
+        while let Some(job) = self.users.queue.pop_front() {
+            let known = self.users.known.get(&job).cloned();
+            let (needs, _) = known.as_ref().map(|known| self.users.needs(known, most - 1)).unwrap_or_default();
+            if !compared.is_empty() && compared.len() + 1 + needs.len() > most {
+                self.users.queue.push_front(job);
+                break;
+            }
+            for id in needs.iter().chain([&job]) {
+                compared.insert(id.clone(), self.users.known.get(id).map_or(0, |known| known.version));
+            }
             let reqs = self.users.lookups.remove(&job).unwrap_or_default();
-            looked.push(Looked { job, known, reqs });
+            looked.push(Looked { job, known, needs, reqs });
         }
+        let txn = compared.into_iter().fold(Txn::default(), |txn, (job, version)| txn.when(job_key(&job), version));
         self.users.checking = true;
         self.env.store(Purpose::User(UserCall::Check { looked }), Urgency::High, StoreOp::Txn(txn));
     }
 
-    fn view(&self, id: &str, known: Known) -> Answer {
+    fn view(&self, id: &str, known: &Known) -> Answer {
         let (done, running) = match (known.state, self.reign.as_ref().and_then(|r| r.jobs.get(id))) {
             (RecordState::Done, _) => (known.tasks, 0),
             (_, Some(job)) => (job.done_count, job.running),
@@ -206,15 +272,30 @@
             RecordState::Open if running > 0 => JobStatus::Running,
             RecordState::Open => JobStatus::Queued,
         };
-        Answer::json(200, &JobView { id: id.to_owned(), state, done: Some(done), running: Some(running) })
+        let done_already = |dep: &&String| self.users.known.get(*dep).is_some_and(|dep| dep.state == RecordState::Done);
+        let awaits = known.awaits.iter().filter(|dep| !done_already(dep)).cloned().collect();
+        Answer::json(200, &JobView { id: id.to_owned(), state, done: Some(done), running: Some(running), awaits })
+    }
+
+    /// Looks at a job again for those of its requests that still wait.
+    fn look_again(&mut self, job: String, mut reqs: Vec<Req>) {
+        reqs.retain(|req| self.users.open.contains_key(req));
+        if !reqs.is_empty() {
+            self.queue_lookup(job, reqs);
+            self.check();
+        }
     }
 
     /// Answers requests that came before the job's state, which was found, was looked up. What
     /// is known since may be newer.
     fn found(&mut self, id: &str, found: Option<Known>, reqs: Vec<Req>) {
-        let newest = self.users.known.get(id).copied().into_iter().chain(found).max_by_key(|known| known.version);
+        let all = self.users.known.get(id).cloned().into_iter().chain(found);
+        let newest = all.max_by_key(|known| (known.version, known.state != RecordState::Open));
         let answer = match newest {
-            Some(known) => self.view(id, known),
+            Some(known) => {
+                let known = self.users.conclude(id, known);
+                self.view(id, &known)
+            }
             None => Answer::error(404, "no such job"),
         };
         for req in reqs {
@@ -232,8 +313,9 @@
     fn learn_item(&mut self, id: &str, item: Item) -> Option<Known> {
         match serde_json::from_value::<JobRecord>(item.value) {
             Ok(record) => {
-                let known = Known { state: record.state, tasks: record.tasks, version: item.version };
-                self.users.learn(id, known, self.env.policy.known_jobs);
+                let JobRecord { state, tasks, awaits } = record;
+                let known = Known { state, tasks, version: item.version, awaits: awaits.into() };
+                self.users.learn(id, known.clone(), self.env.policy.known_jobs);
                 Some(known)
             }
             Err(error) => {
@@ -244,12 +326,13 @@
     }
 
     pub(crate) fn submit(&mut self, req: Req, spec: JobSpec) {
-        let known = self.users.known.get(&spec.id).copied();
-        if let Some(known) = known {
-            if known.state != RecordState::Open {
-                let answer = self.view(&spec.id, known);
-                self.env.answer(req, answer);
-            } else if self.open(req, CHANGE_LIMIT) {
+        if let Some(known) = self.users.end_of(&spec.id) {
+            let answer = self.view(&spec.id, &known);
+            self.env.answer(req, answer);
+            return;
+        }
+        if self.users.known.contains_key(&spec.id) {
+            if self.open(req, CHANGE_LIMIT) {
                 self.look_up(req, spec.id);
             }
             return;
@@ -265,8 +348,24 @@
             self.refuse(req, spec.id, Answer::error(422, &why));
             return;
         }
-        let (job, tasks) = (spec.id.clone(), spec.tasks);
-        let record = JobRecord { state: RecordState::Open, tasks };
+        self.admit(req, spec);
+    }
+
+    /// Creates a job once all that it awaits is known to have been accepted.
+    fn admit(&mut self, req: Req, spec: JobSpec) {
+        if spec.awaits.contains(&spec.id) {
+            self.refuse(req, spec.id, Answer::error(422, "awaits: names the job itself"));
+            return;
+        }
+        if let Some(dep) = spec.awaits.iter().find(|dep| !self.users.known.contains_key(*dep)) {
+            let dep = dep.clone();
+            let op = StoreOp::Get(job_key(&dep));
+            let call = UserCall::Awaited { req, spec: Box::new(spec), dep };
+            self.env.store(Purpose::User(call), Urgency::High, op);
+            return;
+        }
+        let (job, tasks, awaits) = (spec.id.clone(), spec.tasks, spec.awaits.clone());
+        let record = JobRecord { state: RecordState::Open, tasks, awaits: awaits.clone() };
         let live = LiveRecord { at_ms: self.env.now.wall_ms, cancelled: false, spec };
         let live = serde_json::to_value(live).expect("records always encode");
         // A little is left for what a cancellation adds.
@@ -282,7 +381,8 @@
             .when(job_key(&job), 0)
             .put(job_key(&job), serde_json::to_value(record).expect("records always encode"))
             .put(live_key(&job), live);
-        self.env.store(Purpose::User(UserCall::Create { req, job, tasks }), Urgency::High, StoreOp::Txn(txn));
+        let call = UserCall::Create { req, job, tasks, awaits: awaits.into() };
+        self.env.store(Purpose::User(call), Urgency::High, StoreOp::Txn(txn));
     }
 
     /// Turns a submission away, unless the store has the job.
@@ -292,10 +392,8 @@
     }
 
     pub(crate) fn cancel(&mut self, req: Req, id: String) {
-        if let Some(known) = self.users.known.get(&id)
-            && known.state != RecordState::Open
-        {
-            let answer = self.view(&id, *known);
+        if let Some(known) = self.users.end_of(&id) {
+            let answer = self.view(&id, &known);
             self.env.answer(req, answer);
             return;
         }
@@ -316,14 +414,18 @@
                 self.users.checking = false;
                 match outcome {
                     Outcome::Answered(StoreAnswer::Committed(_)) => {
-                        for Looked { job, known, reqs } in looked {
+                        for Looked { job, known, reqs, .. } in looked {
                             self.found(&job, known, reqs);
                         }
                     }
                     Outcome::Answered(StoreAnswer::Refused(failed)) => {
-                        for Looked { job, reqs, .. } in looked {
+                        for Looked { job, reqs, mut needs, .. } in looked {
+                            needs.retain(|id| failed.contains(&job_key(id)));
                             if failed.contains(&job_key(&job)) {
-                                self.read(job, reqs);
+                                self.read(job, reqs, None);
+                            } else if let Some(last) = needs.pop() {
+                                needs.into_iter().for_each(|id| self.read(id, Vec::new(), None));
+                                self.read(last, Vec::new(), Some((job, reqs)));
                             } else {
                                 self.queue_lookup(job, reqs);
                             }
@@ -333,26 +435,53 @@
                 }
                 self.check();
             }
-            (UserCall::Read { job, reqs }, Outcome::Answered(StoreAnswer::Item(None))) => self.found(&job, None, reqs),
-            (UserCall::Read { job, reqs }, Outcome::Answered(StoreAnswer::Item(Some(item)))) => {
+            (UserCall::Read { job, reqs, again: None }, Outcome::Answered(StoreAnswer::Item(None))) => {
+                self.found(&job, None, reqs);
+            }
+            (UserCall::Read { job, reqs, again }, Outcome::Answered(StoreAnswer::Item(Some(item)))) => {
                 match self.learn_item(&job, item) {
-                    Some(known) => self.found(&job, Some(known), reqs),
+                    Some(known) if known.awaits.is_empty() => self.found(&job, Some(known), reqs),
+                    // What it needs may be cancelled.
+                    Some(_) => self.look_again(job, reqs),
                     None => self.fail_lookup(reqs),
                 }
+                if let Some((job, reqs)) = again {
+                    self.look_again(job, reqs);
+                }
             }
-            (UserCall::Read { reqs, .. }, _) => self.fail_lookup(reqs),
-            (UserCall::Create { req, job, tasks }, Outcome::Answered(StoreAnswer::Committed(version))) => {
-                let known = Known { state: RecordState::Open, tasks, version };
-                self.users.learn(&job, known, self.env.policy.known_jobs);
-                let state = JobStatus::Queued;
-                self.close(req, Answer::json(201, &JobView { id: job, state, done: None, running: None }));
+            (UserCall::Read { reqs, again, .. }, _) => {
+                self.fail_lookup(reqs);
+                self.fail_lookup(again.map(|(_, reqs)| reqs).unwrap_or_default());
+            }
+            (UserCall::Awaited { req, spec, dep }, Outcome::Answered(StoreAnswer::Item(Some(item)))) => {
+                match self.learn_item(&dep, item) {
+                    Some(_) if self.users.open.contains_key(&req) => self.admit(req, *spec),
+                    Some(_) => {}
+                    None => self.close(req, unsure),
+                }
+            }
+            (UserCall::Awaited { req, spec, dep }, Outcome::Answered(StoreAnswer::Item(None))) => {
+                let why = Answer::error(422, &format!("awaits: {dep} was never accepted"));
+                self.refuse(req, spec.id, why);
+            }
+            (UserCall::Awaited { req, .. }, _) => self.close(req, unsure),
+            (UserCall::Create { req, job, tasks, awaits }, Outcome::Answered(StoreAnswer::Committed(version))) => {
+                let known = Known { state: RecordState::Open, tasks, version, awaits };
+                self.users.learn(&job, known.clone(), self.env.policy.known_jobs);
+                let state = match self.users.conclude(&job, known).state {
+                    RecordState::Cancelled => JobStatus::Cancelled,
+                    _ => JobStatus::Queued,
+                };
+                let view = JobView { id: job, state, done: None, running: None, awaits: Vec::new() };
+                self.close(req, Answer::json(201, &view));
             }
             (UserCall::Create { req, job, .. }, Outcome::Answered(StoreAnswer::Refused(_))) => self.look_up(req, job),
             (UserCall::Create { req, .. }, _) => self.close(req, unsure),
             (UserCall::Refuse { req, job, answer }, Outcome::Answered(StoreAnswer::Item(item))) => {
                 match item.map(|item| self.learn_item(&job, item)) {
                     None => self.close(req, answer),
-                    Some(Some(known)) => self.found(&job, Some(known), vec![req]),
+                    Some(Some(known)) if known.awaits.is_empty() => self.found(&job, Some(known), vec![req]),
+                    Some(Some(_)) => self.look_again(job, vec![req]),
                     // It was accepted, whatever its record says.
                     Some(None) => self.close(req, unsure),
                 }
@@ -369,13 +498,20 @@
                 }
                 live.cancelled = true;
                 let tasks = live.spec.tasks;
-                let record = JobRecord { state: RecordState::Cancelled, tasks };
+                let mut value = serde_json::to_value(&live).expect("records always encode");
+                if value.to_string().len() > self.env.facts.value_bytes {
+                    // Written when values could be larger; where it might have run matters no more.
+                    live.spec.types = None;
+                    live.spec.awaits.clear();
+                    value = serde_json::to_value(live).expect("records always encode");
+                }
+                let record = JobRecord::over(RecordState::Cancelled, tasks);
                 // Both keys are always written together, so they share their version.
                 let txn = Txn::default()
                     .when(job_key(&job), item.version)
                     .when(live_key(&job), item.version)
                     .put(job_key(&job), serde_json::to_value(record).expect("records always encode"))
-                    .put(live_key(&job), serde_json::to_value(live).expect("records always encode"));
+                    .put(live_key(&job), value);
                 self.env.store(
                     Purpose::User(UserCall::CancelWrite { req, job, tasks }),
                     Urgency::High,
@@ -386,8 +522,8 @@
             (UserCall::CancelRead { req, job }, Outcome::Answered(StoreAnswer::Item(None))) => self.look_up(req, job),
             (UserCall::CancelRead { req, .. }, _) => self.close(req, unsure),
             (UserCall::CancelWrite { req, job, tasks }, Outcome::Answered(StoreAnswer::Committed(version))) => {
-                let known = Known { state: RecordState::Cancelled, tasks, version };
-                self.users.learn(&job, known, self.env.policy.known_jobs);
+                let known = Known::over(RecordState::Cancelled, tasks, version);
+                self.users.learn(&job, known.clone(), self.env.policy.known_jobs);
                 self.found(&job, Some(known), vec![req]);
             }
             (UserCall::CancelWrite { req, job, .. }, Outcome::Answered(StoreAnswer::Refused(_))) => {
--- a/crates/core/tests/cancellations.rs
+++ b/crates/core/tests/cancellations.rs
@@ -157,3 +157,27 @@
     world.run(Duration::from_millis(100));
     assert!(world.where_runs("wk-000001").is_empty());
 }
+
+#[test]
+fn a_task_that_is_saving_ends_at_once_when_its_job_is_cancelled() {
+    // The direct stop is lost; the answer to the next report must say it again.
+    let mut world = World::new(2);
+    world.run(secs(6));
+    world.workers.values_mut().for_each(|worker| worker.run_s = 200.0);
+    let spec = rushyoke_wire::job::JobSpec { checkpoint_s: 5.0, save_s: 25.0, estimate_s: 200.0, ..job(1, 2) };
+    world.submit(0, spec);
+    world.run(secs(4));
+    let (_, machine) = world.where_runs("wk-000001")[0].clone();
+    let worker = world.workers.get_mut(&machine).expect("it runs there");
+    worker.notice_s = Some(60.0);
+    world.run(secs(4));
+    let saving = |world: &World| {
+        let tasks = &world.workers[&machine].tasks;
+        tasks.iter().filter(|t| t.state == rushyoke_wire::worker::TaskState::Saving).count()
+    };
+    assert!(saving(&world) > 0, "it saves");
+    world.hold_orders.insert(machine.clone(), world.now + secs(60));
+    cancel(&mut world, 1, "wk-000001");
+    world.run(secs(6));
+    assert_eq!(saving(&world), 0);
+}
--- a/crates/rushyoke/src/settings.rs
+++ b/crates/rushyoke/src/settings.rs
@@ -121,6 +121,52 @@
     write_rps: f64,
     value_kb: f64,
     txn_ops: usize,
+    /// Limits that it will have from some moment on.
+    next: Option<StateNext>,
+}
+
+#[derive(Deserialize)]
+struct StateNext {
+    rps: Option<f64>,
+    write_rps: Option<f64>,
+    value_kb: Option<f64>,
+    txn_ops: Option<usize>,
+}
+
+/// The least that a value must hold: a job's description, or a few places.
+const LEAST_VALUE_KB: f64 = 1.0;
+const LEAST_TXN_OPS: usize = 4;
+
+/// What is written is within the lower of the present limits and those to come: they may change at
+/// any moment, and what was written before must be written again after.
+struct Limits {
+    rps: f64,
+    write_rps: f64,
+    value_kb: f64,
+    txn_ops: usize,
+}
+
+impl Limits {
+    fn of(state: &State) -> Result<Limits, String> {
+        let next = state.next.as_ref();
+        let lower = |name: &str, now: f64, next: Option<f64>, least: f64| {
+            for (place, value) in [("facts.state", Some(now)), ("facts.state.next", next)] {
+                if value.is_some_and(|value| !value.is_finite() || value <= 0.0 || value < least) {
+                    let bound = if least > 0.0 { format!("at least {least}") } else { "a number above 0".into() };
+                    return Err(format!("{place}.{name}: must be {bound}"));
+                }
+            }
+            Ok(next.map_or(now, |next| now.min(next)))
+        };
+        let ops = |ops: usize| ops as f64;
+        let next_ops = next.and_then(|n| n.txn_ops).map(ops);
+        Ok(Limits {
+            rps: lower("rps", state.rps, next.and_then(|n| n.rps), 0.0)?,
+            write_rps: lower("write_rps", state.write_rps, next.and_then(|n| n.write_rps), 0.0)?,
+            value_kb: lower("value_kb", state.value_kb, next.and_then(|n| n.value_kb), LEAST_VALUE_KB)?,
+            txn_ops: lower("txn_ops", ops(state.txn_ops), next_ops, ops(LEAST_TXN_OPS))? as usize,
+        })
+    }
 }
 
 #[derive(Deserialize)]
@@ -191,12 +237,7 @@
         false => Err(format!("{name}: must be a number above 0")),
     };
     let count = |name: &str, value: f64| positive(name, value).map(|_| value);
-    if facts.state.value_kb < 8.0 {
-        return Err("facts.state.value_kb: must be at least 8, which a record of places may take".into());
-    }
-    if facts.state.txn_ops < 4 {
-        return Err("facts.state.txn_ops: must be at least 4".into());
-    }
+    let limits = Limits::of(&facts.state)?;
     let mut teams = BTreeMap::new();
     for team in &facts.teams {
         let amounts = [team.cpus, team.cpus_max, team.gpus, team.gpus_max];
@@ -230,8 +271,8 @@
         report: positive("facts.workers.report_s", facts.workers.report_s)?,
         lease: positive("facts.workers.lease_s", facts.workers.lease_s)?,
         cancel: positive("facts.workers.cancel_s", facts.workers.cancel_s)?,
-        txn_ops: facts.state.txn_ops,
-        value_bytes: (count("facts.state.value_kb", facts.state.value_kb)? * 1024.0) as usize,
+        txn_ops: limits.txn_ops,
+        value_bytes: (limits.value_kb.min(1e6) * 1024.0) as usize,
         list_lag: positive("facts.cloud.list_lag_s", facts.cloud.list_lag_s)?,
         cloud_rps: count("facts.cloud.rps", facts.cloud.rps)?,
         orders_at_once: sockets.orders,
@@ -246,8 +287,8 @@
         peers,
         cloud: file.outside.cloud,
         state: file.outside.state,
-        state_rps: count("facts.state.rps", facts.state.rps)?,
-        state_writes: count("facts.state.write_rps", facts.state.write_rps)?,
+        state_rps: limits.rps,
+        state_writes: limits.write_rps,
         cloud_rps: facts.cloud.rps,
         sockets,
         body_bytes: memory / BODIES_PART,
--- a/crates/testkit/src/rules.rs
+++ b/crates/testkit/src/rules.rs
@@ -35,6 +35,11 @@
     done: BTreeMap<String, BTreeSet<u32>>,
     /// Numbers of tasks by job.
     tasks: BTreeMap<String, u32>,
+    awaits: BTreeMap<String, Vec<String>>,
+    /// When a user was told that a job is cancelled.
+    cancelled: BTreeMap<String, Duration>,
+    /// Tasks of jobs that await others which began.
+    pub awaited_starts: u64,
     /// Answers of status 200 and 201.
     pub told: u64,
 }
@@ -46,6 +51,7 @@
             Input::Submit { spec, .. } => {
                 self.submitted.insert(spec.id.clone());
                 self.tasks.entry(spec.id.clone()).or_insert(spec.tasks);
+                self.awaits.entry(spec.id.clone()).or_insert_with(|| spec.awaits.clone());
                 (Kind::Submit, spec.id.clone())
             }
             Input::Status { id, .. } => (Kind::Status, id.clone()),
@@ -59,7 +65,14 @@
     }
 
     /// Checks an answer against all that any node told before its question was asked.
-    pub(crate) fn answered(&mut self, now: Duration, node: usize, question: &Question, answer: &Answer) {
+    pub(crate) fn answered(
+        &mut self,
+        now: Duration,
+        cancel: Duration,
+        node: usize,
+        question: &Question,
+        answer: &Answer,
+    ) {
         let Question { kind, job, accepted, over } = question;
         if *kind == Kind::Other {
             return;
@@ -89,9 +102,47 @@
                 let (done, all) = (self.finished(job), self.tasks[job]);
                 assert_eq!(done, all, "at {now:?} {job} is called done");
             }
-            JobStatus::Cancelled => assert!(self.unwanted.contains(job), "at {now:?} nobody cancelled {job}"),
-            _ => {}
+            JobStatus::Cancelled => {
+                assert!(self.needs(job).any(|id| self.unwanted.contains(&id)), "at {now:?} nobody cancelled {job}");
+                if *kind == Kind::Cancel {
+                    self.cancelled.entry(job.clone()).or_insert(now);
+                }
+            }
+            _ => {
+                let lost = self.needs(job).filter_map(|id| self.cancelled.get(&id)).min();
+                assert!(
+                    lost.is_none_or(|since| now <= *since + cancel),
+                    "at {now:?} node {node}: {job} is {:?}, but what it needs was cancelled at {lost:?}",
+                    view.state
+                );
+            }
+        }
+    }
+
+    /// A job, and all that it needs directly or through others.
+    fn needs(&self, job: &str) -> impl Iterator<Item = String> {
+        let (mut all, mut left) = (BTreeSet::new(), vec![job.to_owned()]);
+        while let Some(id) = left.pop() {
+            if all.insert(id.clone()) {
+                left.extend(self.awaits.get(&id).into_iter().flatten().cloned());
+            }
         }
+        all.into_iter()
+    }
+
+    /// A task of the job begins: all that its job needs must be done.
+    pub(crate) fn starts(&mut self, now: Duration, job: &str) {
+        for dep in self.awaits.get(job).into_iter().flatten() {
+            let (done, all) = (self.finished(dep), self.tasks.get(dep).copied());
+            assert_eq!(Some(done), all, "at {now:?} a task of {job} begins too early, before {dep} is done");
+            self.awaited_starts += 1;
+        }
+    }
+
+    /// Whether a job that it awaits is not done yet.
+    pub(crate) fn waits_for_others(&self, job: &str) -> bool {
+        let awaits = self.awaits.get(job).into_iter().flatten();
+        awaits.into_iter().any(|dep| self.tasks.get(dep).is_none_or(|tasks| self.finished(dep) < *tasks))
     }
 
     pub(crate) fn finish(&mut self, task: &str) {
--- a/crates/testkit/src/store.rs
+++ b/crates/testkit/src/store.rs
@@ -10,6 +10,7 @@
 /// Changes that are kept for watches, unless a test wants fewer.
 const KEPT: usize = 10_000;
 const MAX_OPS: usize = 16;
+const MAX_VALUE: usize = 8 * 1024;
 
 #[derive(Default)]
 pub struct Store {
@@ -20,6 +21,9 @@
     leases: BTreeMap<u64, (Duration, Duration)>,
     next_lease: u64,
     pub outage: bool,
+    /// Limits of a transaction's writes and of a value; what goes beyond fails the test.
+    pub max_ops: usize,
+    pub max_value: usize,
     /// Largest value and page sizes seen, for tests of limits.
     pub largest_value: usize,
     /// Rows per page of a list.
@@ -34,7 +38,7 @@
 
 impl Store {
     pub fn new() -> Store {
-        Store { page: 1000, kept: KEPT, ..Store::default() }
+        Store { page: 1000, kept: KEPT, max_ops: MAX_OPS, max_value: MAX_VALUE, ..Store::default() }
     }
 
     /// Ends leases that were not renewed; returns whether keys changed.
@@ -142,8 +146,8 @@
     }
 
     fn txn(&mut self, txn: &Txn) -> StoreAnswer {
-        assert!(txn.writes.len() <= MAX_OPS, "too many writes in a transaction");
-        assert!(txn.conditions.len() <= 4 * MAX_OPS, "too many conditions in a transaction");
+        assert!(txn.writes.len() <= self.max_ops, "too many writes in a transaction");
+        assert!(txn.conditions.len() <= 4 * self.max_ops, "too many conditions in a transaction");
         let size = serde_json::to_vec(txn).expect("transactions encode").len();
         assert!(size <= 64 * 1024, "a transaction of {size} bytes");
         for write in &txn.writes {
@@ -167,7 +171,7 @@
             match write {
                 Write::Put { key, value, lease } => {
                     let size = serde_json::to_vec(value).expect("values encode").len();
-                    assert!(size <= 8 * 1024, "{key}: a value of {size} bytes");
+                    assert!(size <= self.max_value, "{key}: a value of {size} bytes");
                     self.largest_value = self.largest_value.max(size);
                     self.rows.insert(key.clone(), (value.clone(), self.revision, *lease));
                     let event = Event::Put { key: key.clone(), value: value.clone(), version: self.revision };
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -65,6 +65,7 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: None,
+        awaits: Vec::new(),
     }
 }
 
@@ -367,7 +368,7 @@
         match output {
             Output::Answer { req, answer } => match self.askers.remove(&(node, req)) {
                 Some(Asker::User(id, question)) => {
-                    self.rules.answered(self.now, node, &question, &answer);
+                    self.rules.answered(self.now, self.facts.cancel, node, &question, &answer);
                     self.answers.insert(id, answer);
                 }
                 Some(Asker::Worker { machine, id })
@@ -770,7 +771,7 @@
     /// Whether a task of the job waits that a machine has room for, within its team's limit.
     fn could_start(&self, id: &str) -> bool {
         let spec = &self.specs[id];
-        if self.rules.is_over(id) || self.cancelled.contains_key(id) {
+        if self.rules.is_over(id) || self.cancelled.contains_key(id) || self.rules.waits_for_others(id) {
             return false;
         }
         let of = |task: &str| task.split('/').next().and_then(|id| self.specs.get(id));
@@ -912,6 +913,7 @@
                 self.started += 1;
                 let id = task.split('/').next().expect("a task's name starts with its job");
                 self.late_starts += u64::from(self.cancelled.contains_key(id));
+                self.rules.starts(self.now, id);
             }
         }
         self.running = on;
--- a/crates/wire/src/job.rs
+++ b/crates/wire/src/job.rs
@@ -1,9 +1,11 @@
 //! Users' messages: submitting, querying and cancelling jobs.
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 /// The most tasks that one job may have.
 pub const MAX_TASKS: u32 = 100_000;
+/// The most jobs that one job may await.
+pub const MAX_AWAITS: usize = 32;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
@@ -65,6 +67,13 @@
     pub save_s: f64,
     #[serde(rename = "due_s", default)]
     pub deadline_s: Option<f64>,
+    /// Jobs that must be done before any task of this one starts.
+    #[serde(default, deserialize_with = "null_is_empty", skip_serializing_if = "Vec::is_empty")]
+    pub awaits: Vec<String>,
+}
+
+fn null_is_empty<'de, D: Deserializer<'de>>(value: D) -> Result<Vec<String>, D::Error> {
+    Ok(Option::<Vec<String>>::deserialize(value)?.unwrap_or_default())
 }
 
 /// Whether `id` has the form that job ids always have.
@@ -89,6 +98,12 @@
         if !is_job_id(&self.id) {
             return Err("name_id: must be wk- and digits".into());
         }
+        if self.awaits.len() > MAX_AWAITS {
+            return Err(format!("awaits: must name at most {MAX_AWAITS} jobs"));
+        }
+        if !self.awaits.iter().all(|id| is_job_id(id)) {
+            return Err("awaits: must be a list of job ids".into());
+        }
         if self.tasks == 0 || self.tasks > MAX_TASKS {
             return Err(format!("loads: must be 1 to {MAX_TASKS}"));
         }
@@ -146,4 +161,7 @@
     pub done: Option<u32>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub running: Option<u32>,
+    /// Jobs that it waits for.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub awaits: Vec<String>,
 }
