--- a/crates/core/src/awaits.rs
+++ b/crates/core/src/awaits.rs
@@ -1,6 +1,6 @@
-//! Jobs that await others, as the lead sees them. The durable truth is the end of the job that is
+//! Jobs that await others, as the leader sees them. The durable truth is the end of the job that is
 //! awaited, `job/<id>`, which is written once: a dependent goes on when that says done, and is
-//! over when it says cancelled. What stands here is derived from it, and derived again by a new lead.
+//! over when it says cancelled. What stands here is derived from it, and derived again by a new leader.
 //!
 //! Guards against a task that starts before all that its job awaits is durably done, and against
 //! a job that is left waiting for one that was cancelled. Only accepted jobs can be named, so
@@ -14,7 +14,7 @@
 use crate::io::*;
 use crate::jobs::*;
 use crate::node::{Env, Purpose};
-use crate::recover::Reign;
+use crate::recover::Term;
 
 /// Records of awaited jobs that are read at a time.
 const READING: usize = 8;
@@ -30,7 +30,7 @@
     retry: Option<Instant>,
 }
 
-impl Reign {
+impl Term {
     /// Takes note of what a job awaits. One that has begun has nothing to wait for.
     pub fn link(&mut self, env: &mut Env, name: &Name) {
         let Some(job) = self.jobs.get_mut(name) else { return };
--- a/crates/core/src/lead.rs
+++ b/crates/core/src/election.rs
@@ -1,8 +1,8 @@
 //! Leadership: one key on a short lease of the state service. Its version is the token
-//! (`baton`) under which the lead writes to the store and commands the workers.
+//! (`token`) under which the leader writes to the store and commands the workers.
 //!
-//! Guards against two leads acting at once: every write of a lead names the key's
-//! version, workers drop older tokens, and a lead that the store no longer confirms
+//! Guards against two leads acting at once: every write of a leader names the key's
+//! version, workers drop older tokens, and a leader that the store no longer confirms
 //! stops answering reports after a known time (`silence_allowance`).
 
 use std::time::{Duration, Instant};
@@ -14,7 +14,7 @@
 use crate::io::{Outcome, StoreAnswer, StoreOp, Urgency};
 use crate::node::{Node, Purpose};
 
-pub(crate) const LEAD_KEY: &str = "lead";
+pub(crate) const LEADER_KEY: &str = "lead";
 
 const WATCH_MS: u64 = 20_000;
 const RETRY: Duration = Duration::from_millis(300);
@@ -22,7 +22,7 @@
 const COURTESY: Duration = Duration::from_millis(200);
 const REST: Duration = Duration::from_secs(6);
 
-/// How long a lead goes on answering reports after the older of two moments: the last confirmed
+/// How long a leader goes on answering reports after the older of two moments: the last confirmed
 /// renewal of its lease, and the last up to which it surely knows all cancellations. One
 /// that was told elsewhere must still be over in time once it falls silent.
 pub(crate) fn silence_allowance(facts: &Facts) -> Duration {
@@ -43,7 +43,7 @@
 }
 
 #[derive(Clone, Debug)]
-pub(crate) enum LeadCall {
+pub(crate) enum ElectionCall {
     Read,
     Watch,
     DropOwn,
@@ -96,7 +96,7 @@
         }
     }
 
-    /// Whether a lead may still answer reports.
+    /// Whether a leader may still answer reports.
     pub fn entitled(&self, now: Instant, facts: &Facts) -> bool {
         match &self.phase {
             Some(Phase::Leading { confirmed, .. }) => now.duration_since(*confirmed) <= silence_allowance(facts),
@@ -129,7 +129,7 @@
     pub(crate) fn election_lost(&mut self) {
         let now = self.env.steady();
         if let Some(Phase::Leading { lease, .. }) = self.election.phase {
-            self.env.store(Purpose::Lead(LeadCall::End), Urgency::Lead, StoreOp::EndLease(lease));
+            self.env.store(Purpose::Election(ElectionCall::End), Urgency::Leadership, StoreOp::EndLease(lease));
         }
         self.election.holder = None;
         self.election.read_at(now + RETRY);
@@ -146,7 +146,11 @@
             {
                 *touching = Some(now);
                 let lease = *lease;
-                self.env.store(Purpose::Lead(LeadCall::Touch { sent: now }), Urgency::Lead, StoreOp::Touch(lease));
+                self.env.store(
+                    Purpose::Election(ElectionCall::Touch { sent: now }),
+                    Urgency::Leadership,
+                    StoreOp::Touch(lease),
+                );
             }
             _ => {}
         }
@@ -154,8 +158,8 @@
 
     fn read_holder(&mut self) {
         self.election.phase = Some(Phase::Busy);
-        let op = StoreOp::List { prefix: LEAD_KEY.into(), after: String::new() };
-        self.env.store(Purpose::Lead(LeadCall::Read), Urgency::Lead, op);
+        let op = StoreOp::List { prefix: LEADER_KEY.into(), after: String::new() };
+        self.env.store(Purpose::Election(ElectionCall::Read), Urgency::Leadership, op);
     }
 
     fn watch_holder(&mut self, after: u64) {
@@ -163,22 +167,22 @@
             return;
         }
         self.election.watching = true;
-        let op = StoreOp::Watch { prefix: LEAD_KEY.into(), after, wait_ms: WATCH_MS };
-        self.env.store(Purpose::Lead(LeadCall::Watch), Urgency::Lead, op);
+        let op = StoreOp::Watch { prefix: LEADER_KEY.into(), after, wait_ms: WATCH_MS };
+        self.env.store(Purpose::Election(ElectionCall::Watch), Urgency::Leadership, op);
     }
 
-    pub(crate) fn lead_outcome(&mut self, call: LeadCall, outcome: Outcome<StoreAnswer>) {
+    pub(crate) fn election_outcome(&mut self, call: ElectionCall, outcome: Outcome<StoreAnswer>) {
         let now = self.env.steady();
         match (call, outcome) {
-            (LeadCall::Read, Outcome::Answered(StoreAnswer::Page(page))) => {
+            (ElectionCall::Read, Outcome::Answered(StoreAnswer::Page(page))) => {
                 self.watch_holder(page.revision);
                 if page.revision < self.election.seen {
                     self.election.read_at(now);
                 } else if !matches!(self.election.phase, Some(Phase::Leading { .. })) {
-                    self.holder_found(page.rows.into_iter().find(|row| row.key == LEAD_KEY));
+                    self.holder_found(page.rows.into_iter().find(|row| row.key == LEADER_KEY));
                 }
             }
-            (LeadCall::Watch, Outcome::Answered(StoreAnswer::Changes(changes))) => {
+            (ElectionCall::Watch, Outcome::Answered(StoreAnswer::Changes(changes))) => {
                 self.election.watching = false;
                 self.watch_holder(changes.revision);
                 self.election.seen = self.election.seen.max(changes.revision);
@@ -186,37 +190,44 @@
                     self.holder_event(event);
                 }
             }
-            (LeadCall::Watch, _) => {
+            (ElectionCall::Watch, _) => {
                 self.election.watching = false;
                 if let Some(Phase::Leading { .. }) = self.election.phase {
-                    // Renewals and fenced writes tell a lead all it needs; the next
+                    // Renewals and fenced writes tell a leader all it needs; the next
                     // read after stepping down opens the watch again.
                 } else {
                     self.election.read_at(now + RETRY);
                 }
             }
-            (LeadCall::DropOwn, Outcome::Answered(StoreAnswer::Committed(_))) => self.compete(),
-            (LeadCall::Lease { sent }, Outcome::Answered(StoreAnswer::Lease(lease))) => {
+            (ElectionCall::DropOwn, Outcome::Answered(StoreAnswer::Committed(_))) => self.compete(),
+            (ElectionCall::Lease { sent }, Outcome::Answered(StoreAnswer::Lease(lease))) => {
                 let value = serde_json::to_value(&self.election.me).expect("holders always encode");
-                let txn = Txn::default().when(LEAD_KEY, 0).put_leased(LEAD_KEY, value, lease);
-                self.env.store(Purpose::Lead(LeadCall::Claim { lease, sent }), Urgency::Lead, StoreOp::Txn(txn));
+                let txn = Txn::default().when(LEADER_KEY, 0).put_leased(LEADER_KEY, value, lease);
+                self.env.store(
+                    Purpose::Election(ElectionCall::Claim { lease, sent }),
+                    Urgency::Leadership,
+                    StoreOp::Txn(txn),
+                );
             }
-            (LeadCall::Claim { lease, sent }, Outcome::Answered(StoreAnswer::Committed(baton))) => {
-                self.election.holder = Some(Holder { record: self.election.me.clone(), version: baton });
+            (ElectionCall::Claim { lease, sent }, Outcome::Answered(StoreAnswer::Committed(token))) => {
+                self.election.holder = Some(Holder { record: self.election.me.clone(), version: token });
                 let next_touch = now + self.env.policy.lead_ttl / 3;
                 self.election.phase = Some(Phase::Leading { lease, confirmed: sent, touching: None, next_touch });
-                self.begin_reign(baton);
+                self.begin_term(token);
             }
-            (LeadCall::Claim { lease, .. }, Outcome::Answered(_)) => {
-                self.env.store(Purpose::Lead(LeadCall::End), Urgency::Low, StoreOp::EndLease(lease));
+            (ElectionCall::Claim { lease, .. }, Outcome::Answered(_)) => {
+                self.env.store(Purpose::Election(ElectionCall::End), Urgency::Low, StoreOp::EndLease(lease));
                 self.election.read_at(now);
             }
-            (LeadCall::Touch { sent }, outcome) => self.touched(sent, outcome),
-            (LeadCall::End, _) => {}
+            (ElectionCall::Touch { sent }, outcome) => self.touched(sent, outcome),
+            (ElectionCall::End, _) => {}
             // An unanswered claim may have been carried out, or may be yet: the key, once
             // read, shows our label, and is dropped on its version like that of an
             // earlier incarnation.
-            (LeadCall::Read | LeadCall::DropOwn | LeadCall::Lease { .. } | LeadCall::Claim { .. }, _) => {
+            (
+                ElectionCall::Read | ElectionCall::DropOwn | ElectionCall::Lease { .. } | ElectionCall::Claim { .. },
+                _,
+            ) => {
                 if !matches!(self.election.phase, Some(Phase::Leading { .. })) {
                     self.election.read_at(now + RETRY);
                 }
@@ -238,8 +249,8 @@
             Outcome::Answered(StoreAnswer::LeaseLives) => {
                 *confirmed = sent.max(*confirmed);
                 *next_touch = sent + ttl / 3;
-                if let Some(reign) = &mut self.reign
-                    && reign.lease_renewed(sent, ttl, &self.env.facts)
+                if let Some(term) = &mut self.term
+                    && term.lease_renewed(sent, ttl, &self.env.facts)
                 {
                     self.step_down("the lease is renewed, but what users cancel is not heard");
                     self.election.rest(now);
@@ -253,9 +264,9 @@
 
     fn holder_event(&mut self, event: Event) {
         match event {
-            Event::Put { key, value, version } if key == LEAD_KEY => {
+            Event::Put { key, value, version } if key == LEADER_KEY => {
                 if self.token().is_some_and(|own| version > own) {
-                    self.step_down("the lead key has changed hands");
+                    self.step_down("the leader key has changed hands");
                 } else if self.token().is_some() {
                     return;
                 }
@@ -263,16 +274,16 @@
                     self.holder_found(Some(Item { key, value, version }));
                 }
             }
-            Event::Delete { key, version } if key == LEAD_KEY => {
+            Event::Delete { key, version } if key == LEADER_KEY => {
                 let now = self.env.steady();
                 if self.token().is_some_and(|own| version > own) {
-                    self.step_down("the lead key is gone");
+                    self.step_down("the leader key is gone");
                     return;
                 }
                 if self.token().is_none() {
                     self.election.holder = None;
                     if matches!(self.election.phase, Some(Phase::Following | Phase::Unread { .. })) {
-                        // Workers whose lead is out of reach try the other nodes: one that
+                        // Workers whose leader is out of reach try the other nodes: one that
                         // hears of none may be cut off from them too, and lets others go first.
                         let heard = self.election.worker_seen.is_some_and(|t| now.duration_since(t) < HEARD);
                         if heard { self.compete() } else { self.election.read_at(now + COURTESY) }
@@ -290,13 +301,13 @@
         match &self.election.holder {
             None => self.compete(),
             Some(holder) if holder.record.label == self.election.me.label => {
-                tracing::info!(version = holder.version, "dropping the lead key of an earlier incarnation");
-                let txn = Txn::default().when(LEAD_KEY, holder.version).delete(LEAD_KEY);
+                tracing::info!(version = holder.version, "dropping the leader key of an earlier incarnation");
+                let txn = Txn::default().when(LEADER_KEY, holder.version).delete(LEADER_KEY);
                 self.election.phase = Some(Phase::Busy);
-                self.env.store(Purpose::Lead(LeadCall::DropOwn), Urgency::Lead, StoreOp::Txn(txn));
+                self.env.store(Purpose::Election(ElectionCall::DropOwn), Urgency::Leadership, StoreOp::Txn(txn));
             }
             Some(holder) => {
-                tracing::debug!(lead = holder.record.label, "following");
+                tracing::debug!(leader = holder.record.label, "following");
                 self.election.phase = Some(Phase::Following);
             }
         }
@@ -311,6 +322,10 @@
         self.election.phase = Some(Phase::Busy);
         let ttl_ms = self.env.policy.lead_ttl.as_millis() as u64;
         let sent = self.env.steady();
-        self.env.store(Purpose::Lead(LeadCall::Lease { sent }), Urgency::Lead, StoreOp::NewLease { ttl_ms });
+        self.env.store(
+            Purpose::Election(ElectionCall::Lease { sent }),
+            Urgency::Leadership,
+            StoreOp::NewLease { ttl_ms },
+        );
     }
 }
--- a/crates/core/src/facts.rs
+++ b/crates/core/src/facts.rs
@@ -52,7 +52,7 @@
     /// Levels that the clustering may form.
     pub levels: usize,
     pub speculation: bool,
-    /// Life of the lead's lease in the state service.
+    /// Life of the leader's lease in the state service.
     pub lead_ttl: Duration,
     /// Free capacity kept ready, as a share of what is in use.
     pub headroom_share: f64,
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -20,7 +20,7 @@
 use crate::jobs::*;
 use crate::node::Env;
 use crate::quota::Room;
-use crate::recover::Reign;
+use crate::recover::Term;
 
 mod survey;
 
@@ -50,7 +50,7 @@
 /// A machine whose report is overdue gets this long to answer a direct call.
 const PROBE: Duration = Duration::from_millis(1200);
 /// A worker that reports to a node out of reach tries the next one after this time; a new
-/// lead that only its own calls reach waits until all could have found it.
+/// leader that only its own calls reach waits until all could have found it.
 const SETTLING: Duration = Duration::from_secs(5);
 /// Least time between direct calls that ask whether a copy or a worker came.
 const COPY_PROBE: Duration = Duration::from_secs(2);
@@ -115,7 +115,7 @@
     /// When it first showed that it has seen our token.
     fenced: Option<Instant>,
     pub heard: Instant,
-    /// The last report, or when this lead came to know the machine.
+    /// The last report, or when this leader came to know the machine.
     reported: Instant,
     answered: Option<Instant>,
     pub taken_at: Option<Instant>,
@@ -320,7 +320,7 @@
     /// were filled any worker may have been answered, last at `unnoted`.
     fn lapse_at(&self, old_silent: Instant, unnoted: Option<Instant>, lease: Duration) -> Instant {
         let base = match (self.fenced, self.answered) {
-            // Once it has seen our token no answer of an earlier lead counts.
+            // Once it has seen our token no answer of an earlier leader counts.
             (Some(fenced), answered) => answered.map_or(fenced, |a| a.max(fenced)),
             (None, answered) => answered.map_or(old_silent, |a| a.max(old_silent)),
         };
@@ -338,7 +338,7 @@
     Digest(u64),
 }
 
-/// Most workers find a new lead by themselves, and a report soon after their first shows its
+/// Most workers find a new leader by themselves, and a report soon after their first shows its
 /// token: only machines with services are shown it directly before this time.
 fn fence_by_report(report: Duration) -> Duration {
     report.mul_f64(LATEST_REPORT) + PROMPT
@@ -358,7 +358,7 @@
     Direct,
 }
 
-impl Reign {
+impl Term {
     pub fn types_changed(&mut self, env: &Env) {
         for machine in self.machines.values_mut() {
             let kind = env.type_named(&machine.kind);
@@ -366,7 +366,7 @@
         }
     }
 
-    /// A worker's report that this lead answers; `None` if its tasks must be told.
+    /// A worker's report that this leader answers; `None` if its tasks must be told.
     pub fn report(&mut self, env: &mut Env, report: Report, tasks: Tasks) -> Option<Answer> {
         let now = env.steady();
         let name = Name::from(report.machine.as_str());
@@ -412,7 +412,7 @@
             }
             stops
         };
-        Some(Answer::json(200, &Orders { token: self.baton, session: None, orders }))
+        Some(Answer::json(200, &Orders { token: self.token, session: None, orders }))
     }
 
     /// What an answer must stop that is given while the tables are not filled, since it lets
@@ -517,7 +517,7 @@
             && machine.session == report.session
             && machine.seq < report.seq
             && machine.fenced.is_some()
-            && report.token >= self.baton
+            && report.token >= self.token
             && report.notice_s.is_none()
             && (machine.addr == report.addr || matches!(tasks, Tasks::Digest(_)))
         {
@@ -545,7 +545,7 @@
             tracing::info!(machine = &**name, spot = report.spot, zone = report.zone, "an unexpected machine reports");
             self.machines.insert(name.clone(), Machine { unproven: true, ..Machine::blank(name.clone(), now) });
         }
-        let baton = self.baton;
+        let token = self.token;
         let machine = self.machines.get_mut(name).expect("just inserted");
         if (report.session, report.seq) <= (machine.session, machine.seq) {
             return false;
@@ -575,12 +575,12 @@
         }
         machine.session = report.session;
         machine.seq = report.seq;
-        if report.token < baton {
+        if report.token < token {
             // The answer that shows it our token also renews its lease.
             let condemned = self.cancelled_among(&report.tasks).into_iter();
             let strangers = condemned.map(|attempt| (attempt, false)).collect();
             self.machines.get_mut(name).expect("reported").strangers = strangers;
-            // An earlier lead may still command it: show it the token first. The answer to a
+            // An earlier leader may still command it: show it the token first. The answer to a
             // report does so too, a little later.
             let later = via == Via::Report && now.duration_since(self.since) < fence_by_report(env.facts.report);
             if !later || self.machines[name].hosts_service() {
@@ -935,7 +935,7 @@
         });
         let session = machine.session;
         machine.direct = Some(Direct { session, seen: (session, machine.seq), starts: starts.collect() });
-        let body = Orders { token: self.baton, session: Some(session), orders };
+        let body = Orders { token: self.token, session: Some(session), orders };
         env.order(name.clone(), machine.addr.clone(), body);
     }
 
@@ -992,7 +992,7 @@
             {
                 lapsed.push(machine.name.clone());
             }
-            // One that a new lead never reached has no report that could be overdue.
+            // One that a new leader never reached has no report that could be overdue.
             let waited = if machine.fenced.is_some() { late + PROBE } else { PROBE * 2 };
             let gone = machine.probes_failed >= PROBES && quiet > waited;
             // One that was not called yet, since calls are few, may live.
@@ -1005,7 +1005,7 @@
         for name in lapsed {
             self.lease_lapsed(env, &name);
         }
-        // A lead that the workers cannot reach keeps them from one that they could, until
+        // A leader that the workers cannot reach keeps them from one that they could, until
         // their leases end. After a takeover they take a while to find it.
         let most = |count: usize| up >= 3 && count * 5 >= up * 4;
         let settled = now.duration_since(self.since) > SETTLING * env.facts.others.len() as u32 + late;
@@ -1024,7 +1024,7 @@
         // Most silent at once: more likely the network, or this node, than the machines.
         // Returning them would kill what still runs.
         let most = overdue > 2 && overdue * 2 > up || self.survey.most || self.asking(now);
-        // Without a worker of its own a lead asks some others as soon as one does not answer.
+        // Without a worker of its own a leader asks some others as soon as one does not answer.
         let asked = if failing >= SURVEY_FROM { SURVEYED } else { usize::from(alone && mute) * ASKED_ALONE };
         self.survey(env, asked, quiet_ones, all);
         for name in silent.into_iter().filter(|_| !most) {
--- a/crates/core/src/fleet/survey.rs
+++ b/crates/core/src/fleet/survey.rs
@@ -2,7 +2,7 @@
 //! a sample of the others.
 //!
 //! Guards against giving up, within seconds, a third of a fleet whose work runs on until its
-//! leases end, and against renting by what a lead does not know. Nothing here proves a place
+//! leases end, and against renting by what a leader does not know. Nothing here proves a place
 //! empty: it only says how long to wait before a machine is returned.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -13,9 +13,9 @@
 use super::Machine;
 use crate::jobs::Name;
 use crate::node::Env;
-use crate::recover::Reign;
+use crate::recover::Term;
 
-/// Machines that must fail to answer for a survey, the machines that it asks, those that a lead
+/// Machines that must fail to answer for a survey, the machines that it asks, those that a leader
 /// without workers of its own asks, how often it is made, and when its answers are in.
 pub(super) const SURVEY_FROM: usize = 3;
 pub(super) const SURVEYED: usize = 48;
@@ -55,7 +55,7 @@
     parted_at: Option<Instant>,
 }
 
-impl Reign {
+impl Term {
     /// Some machines fail to answer: asks a sample of the others, to tell the end of a few
     /// machines from a cut of the network, long before most of their reports are overdue.
     pub(super) fn survey(&mut self, env: &mut Env, ask: usize, silent: Silent, up: Silent) {
@@ -125,7 +125,7 @@
         machine.probes_failed > 0 && (self.survey.parted_at.is_some() || self.survey.cut_zones.contains(&machine.zone))
     }
 
-    /// When the lease of a machine that is cut off has likely ended. An earlier lead that is
+    /// When the lease of a machine that is cut off has likely ended. An earlier leader that is
     /// cut off with it may go on answering it; one that is known to be silent fell before its
     /// key did.
     pub(super) fn spared_until(&self, env: &Env, machine: &Machine) -> Instant {
@@ -137,7 +137,7 @@
         }
     }
 
-    /// Whether what is known of the machines is too little to rent by: a new lead learns from
+    /// Whether what is known of the machines is too little to rent by: a new leader learns from
     /// the cloud's list of those without tasks, and the kind of the others; and when many fall
     /// silent it may be this node's network. Each mistake would be a hundred machines.
     pub fn fleet_unclear(&self, env: &Env) -> bool {
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -30,7 +30,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Urgency {
     /// Leadership.
-    Lead,
+    Leadership,
     /// What a start or a job's end waits for.
     Record,
     /// What a user waits for.
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -1,4 +1,4 @@
-//! The lead's table of unfinished jobs: which tasks are done, where the others may be,
+//! The leader's table of unfinished jobs: which tasks are done, where the others may be,
 //! and which wait. Also the form in which this stands in the state service.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -131,7 +131,7 @@
     Planned,
     /// Durable; ordered, but not yet seen on the machine.
     Ordered,
-    /// Read from a record of an earlier lead; it may or may not be there.
+    /// Read from a record of an earlier leader; it may or may not be there.
     Inherited,
     Fetching,
     Running,
@@ -150,7 +150,7 @@
     pub stop: Option<f64>,
     /// When the last stop was sent.
     pub stop_sent: Option<Instant>,
-    /// Whether any start was ever sent by this lead.
+    /// Whether any start was ever sent by this leader.
     pub sent: bool,
 }
 
@@ -186,7 +186,7 @@
     /// Tasks that failed since one last completed or ran for long.
     pub failures: u32,
     pub running: u32,
-    /// When a task of it was last placed, or this lead came to know it.
+    /// When a task of it was last placed, or this leader came to know it.
     pub served: Option<Instant>,
     /// Tasks that may still be placed out of turn, since the job starved.
     pub slice: u32,
@@ -325,7 +325,7 @@
         record
     }
 
-    /// Takes over a page that an earlier lead wrote.
+    /// Takes over a page that an earlier leader wrote.
     pub fn adopt_page(&mut self, page: u32, version: u64, record: &PageRecord, now: Instant) {
         let first = page * PAGE;
         self.pages.insert(page, version);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,11 +3,11 @@
 //! own: the caller passes the steady clock's time, the time of day and a seed.
 
 mod awaits;
+mod election;
 mod facts;
 mod fleet;
 mod io;
 mod jobs;
-mod lead;
 mod node;
 mod place;
 mod preempt;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -11,13 +11,13 @@
 use rushyoke_wire::worker::{Elsewhere, Report};
 use serde_json::value::RawValue;
 
+use crate::election::{Election, ElectionCall, silence_allowance};
 use crate::facts::{Facts, Policy};
 use crate::fleet::Tasks;
 use crate::io::*;
 use crate::jobs::{Job, Name};
-use crate::lead::{Election, LeadCall, silence_allowance};
 use crate::records::RecordCall;
-use crate::recover::{LoadCall, Reign};
+use crate::recover::{LoadCall, Term};
 use crate::relay::{Judged, Relaying, no_tasks};
 use crate::rent::RentCall;
 use crate::users::{UserCall, Users};
@@ -33,7 +33,7 @@
 /// Why a call was made, so that its outcome finds its way.
 #[derive(Clone, Debug)]
 pub(crate) enum Purpose {
-    Lead(LeadCall),
+    Election(ElectionCall),
     User(UserCall),
     Load(LoadCall),
     Record(RecordCall),
@@ -47,8 +47,8 @@
 }
 
 impl Purpose {
-    /// Whether the outcome concerns the present reign only.
-    fn of_reign(&self) -> bool {
+    /// Whether the outcome concerns the present term only.
+    fn of_term(&self) -> bool {
         matches!(self, Purpose::Load(_) | Purpose::Record(_) | Purpose::Rent(_) | Purpose::Order { .. })
     }
 }
@@ -118,7 +118,7 @@
 pub struct Node {
     pub(crate) env: Env,
     pub(crate) election: Election,
-    pub(crate) reign: Option<Reign>,
+    pub(crate) term: Option<Term>,
     pub(crate) users: Users,
     pub(crate) store: StoreHealth,
     incarnation: u64,
@@ -164,7 +164,7 @@
 const TYPES_PERIOD: Duration = Duration::from_secs(30);
 const TYPES_RETRY: Duration = Duration::from_secs(2);
 const TYPES_KEY: &str = "types";
-/// A lead that is busy for more of its time than this sends workers to other nodes.
+/// A leader that is busy for more of its time than this sends workers to other nodes.
 const BUSY: f64 = 0.5;
 /// If these are less busy by so many percent.
 const MUCH_LESS: f64 = 15.0;
@@ -184,7 +184,7 @@
                 calls: HashMap::new(),
                 next_call: 0,
             },
-            reign: None,
+            term: None,
             users: Users::default(),
             store: StoreHealth::default(),
             incarnation: seed,
@@ -200,7 +200,7 @@
 
     /// The token with which this node acts, if it leads.
     pub fn token(&self) -> Option<u64> {
-        self.reign.as_ref().map(|r| r.baton)
+        self.term.as_ref().map(|r| r.token)
     }
 
     /// Takes one input; returns what is to be sent and answered.
@@ -221,14 +221,14 @@
             Input::RelayTold { call, outcome } => self.relay_told(call, outcome),
             Input::Busy { share, late } => {
                 self.busy = share;
-                if let Some(reign) = &mut self.reign {
-                    reign.pace_calls(late, &self.env);
+                if let Some(term) = &mut self.term {
+                    term.pace_calls(late, &self.env);
                 }
             }
             Input::Tick => self.tick(),
         }
-        if let Some(reign) = &mut self.reign {
-            reign.settle(&mut self.env);
+        if let Some(term) = &mut self.term {
+            term.settle(&mut self.env);
         }
         std::mem::take(&mut self.env.out)
     }
@@ -240,11 +240,11 @@
         self.types_tick();
         self.peers_tick();
         self.relay_tick();
-        if let Some(reign) = &mut self.reign {
-            reign.tick(&mut self.env);
+        if let Some(term) = &mut self.term {
+            term.tick(&mut self.env);
             // While the store is silent workers are turned away on purpose, and no other
             // node could take over.
-            if reign.cut_off && !self.store.down(self.env.now.steady) {
+            if term.cut_off && !self.store.down(self.env.now.steady) {
                 self.step_down("hardly any worker reaches this node");
                 self.election.rest(self.env.now.steady);
             }
@@ -256,20 +256,20 @@
         let Some(purpose) = self.env.calls.remove(&call) else {
             return;
         };
-        if !matches!(purpose, Purpose::Lead(LeadCall::Watch) | Purpose::Load(LoadCall::Watch { .. })) || ok {
+        if !matches!(purpose, Purpose::Election(ElectionCall::Watch) | Purpose::Load(LoadCall::Watch { .. })) || ok {
             self.store.note(self.env.steady(), ok);
         }
         match purpose {
-            Purpose::Lead(lead) => self.lead_outcome(lead, outcome),
+            Purpose::Election(leader) => self.election_outcome(leader, outcome),
             Purpose::User(user) => self.user_outcome(user, outcome),
             Purpose::Load(load) => {
-                if let Some(reign) = &mut self.reign {
-                    reign.loaded(&mut self.env, load, outcome);
+                if let Some(term) = &mut self.term {
+                    term.loaded(&mut self.env, load, outcome);
                 }
             }
             Purpose::Record(record) => {
-                if let Some(reign) = &mut self.reign
-                    && reign.recorded(&mut self.env, record, outcome)
+                if let Some(term) = &mut self.term
+                    && term.recorded(&mut self.env, record, outcome)
                 {
                     self.step_down("a write was refused: another node leads");
                 }
@@ -297,7 +297,7 @@
         let now = self.env.steady();
         if self.store.down(now) && self.probed.is_none_or(|t| now.duration_since(t) >= PROBE_PERIOD) {
             self.probed = Some(now);
-            self.env.store(Purpose::Probe, Urgency::Lead, StoreOp::Get(crate::lead::LEAD_KEY.into()));
+            self.env.store(Purpose::Probe, Urgency::Leadership, StoreOp::Get(crate::election::LEADER_KEY.into()));
         }
     }
 
@@ -312,23 +312,23 @@
                 }
             }
             Some(Purpose::Rent(rent)) => {
-                if let Some(reign) = &mut self.reign {
-                    reign.rented(&mut self.env, rent, outcome);
+                if let Some(term) = &mut self.term {
+                    term.rented(&mut self.env, rent, outcome);
                 }
             }
             _ => {}
         }
     }
 
-    /// A new set of machine types: the lead leaves it in the state service, so that a
+    /// A new set of machine types: the leader leaves it in the state service, so that a
     /// node that starts while the cloud is down can still judge submissions.
     fn keep_types(&mut self, types: Vec<MachineType>) {
         let first = self.env.types.is_empty();
         self.env.types = Arc::new(types);
-        if let Some(reign) = &mut self.reign {
-            reign.types_changed(&self.env);
+        if let Some(term) = &mut self.term {
+            term.types_changed(&self.env);
         }
-        if first || self.reign.is_some() {
+        if first || self.term.is_some() {
             let value = serde_json::to_value(&*self.env.types).expect("types always encode");
             if value.to_string().len() > self.env.facts.value_bytes {
                 return;
@@ -340,7 +340,7 @@
 
     fn types_tick(&mut self) {
         let now = self.env.steady();
-        let period = match (self.env.types.is_empty(), self.reign.is_some()) {
+        let period = match (self.env.types.is_empty(), self.term.is_some()) {
             (true, _) => TYPES_RETRY,
             (false, true) => TYPES_PERIOD,
             (false, false) => return,
@@ -364,11 +364,11 @@
             return;
         }
         self.progress_sent = Some(now);
-        let progress = self.reign.as_mut().map(Reign::take_progress).unwrap_or_default();
+        let progress = self.term.as_mut().map(Term::take_progress).unwrap_or_default();
         let token = self.token();
-        let full = self.reign.as_ref().is_some_and(|reign| {
-            let bytes: usize = reign.jobs.values().map(Job::bytes).sum();
-            reign.jobs.len() >= self.env.policy.max_jobs || bytes >= self.env.facts.job_bytes
+        let full = self.term.as_ref().is_some_and(|term| {
+            let bytes: usize = term.jobs.values().map(Job::bytes).sum();
+            term.jobs.len() >= self.env.policy.max_jobs || bytes >= self.env.facts.job_bytes
         });
         if token.is_some() {
             self.users.full = full;
@@ -418,23 +418,23 @@
             return;
         }
         peer.told = Some((asked, tell));
-        self.judge_old_lead();
+        self.judge_old_leader();
     }
 
-    /// Once every other node has answered a question asked in this reign and none acts
-    /// with an older token, no earlier lead can renew any worker's lease again.
-    fn judge_old_lead(&mut self) {
-        let Some(reign) = &mut self.reign else { return };
-        let mut latest = reign.since;
+    /// Once every other node has answered a question asked in this term and none acts
+    /// with an older token, no earlier leader can renew any worker's lease again.
+    fn judge_old_leader(&mut self) {
+        let Some(term) = &mut self.term else { return };
+        let mut latest = term.since;
         for peer in self.peers.values() {
             match &peer.told {
-                Some((asked, tell)) if *asked >= reign.since && tell.token.is_none_or(|t| t >= reign.baton) => {
+                Some((asked, tell)) if *asked >= term.since && tell.token.is_none_or(|t| t >= term.token) => {
                     latest = latest.max(*asked);
                 }
                 _ => return,
             }
         }
-        reign.old_lead_silent(self.env.now.steady.max(latest));
+        term.old_leader_silent(self.env.now.steady.max(latest));
     }
 
     fn ready(&mut self, req: Req) {
@@ -461,8 +461,8 @@
     pub(crate) fn report(&mut self, req: Req, report: Report, unread: Option<Box<RawValue>>) {
         let unread = unread.unwrap_or_else(no_tasks);
         self.election.worker_seen = Some(self.env.steady());
-        if let Some(reign) = &mut self.reign {
-            reign.visited = self.env.now.steady;
+        if let Some(term) = &mut self.term {
+            term.visited = self.env.now.steady;
         }
         if let Some(answer) = self.hand_over() {
             self.env.answer(req, answer);
@@ -480,22 +480,22 @@
         }
     }
 
-    /// The lead's answer to a report, be it the worker's own call or handed on.
+    /// The leader's answer to a report, be it the worker's own call or handed on.
     pub(crate) fn answer_report(&mut self, report: Report, tasks: Tasks) -> Judged {
-        let Some(reign) = &mut self.reign else {
+        let Some(term) = &mut self.term else {
             return Judged::Elsewhere(report);
         };
-        if report.token > reign.baton {
+        if report.token > term.token {
             self.step_down("a worker has seen a higher token");
             return Judged::Elsewhere(report);
         }
         let (now, facts) = (self.env.now.steady, &self.env.facts);
-        if !reign.sees_cancellations(now, facts) || !self.election.entitled(now, facts) {
-            // Silent for too long: a new lead counts on our saying nothing more, and so does
+        if !term.sees_cancellations(now, facts) || !self.election.entitled(now, facts) {
+            // Silent for too long: a new leader counts on our saying nothing more, and so does
             // whoever cancelled a job of which this node cannot have heard.
             return Judged::Answer(Answer::later(503, "the state service does not answer"));
         }
-        reign.report(&mut self.env, report, tasks).map_or(Judged::Untold, Judged::Answer)
+        term.report(&mut self.env, report, tasks).map_or(Judged::Untold, Judged::Answer)
     }
 
     /// The other node that has most time to spare, if it is much less busy than this one.
@@ -515,34 +515,34 @@
         let Some(Purpose::Order { machine }) = self.env.calls.remove(&call) else {
             return;
         };
-        let Some(reign) = &mut self.reign else { return };
+        let Some(term) = &mut self.term else { return };
         if let Outcome::Answered((_, report)) = &outcome
-            && report.token > reign.baton
+            && report.token > term.token
         {
             self.step_down("a worker has seen a higher token");
             return;
         }
-        reign.ordered(&mut self.env, &machine, outcome);
+        term.ordered(&mut self.env, &machine, outcome);
     }
 
     // Reigns.
 
-    pub(crate) fn begin_reign(&mut self, baton: u64) {
+    pub(crate) fn begin_term(&mut self, token: u64) {
         let facts = &self.env.facts;
-        tracing::info!(baton, "leading from now on");
+        tracing::info!(token, "leading from now on");
         let silent = self.env.steady() + silence_allowance(facts);
-        let mut reign = Reign::new(baton, self.env.steady(), silent, facts);
-        reign.begin(&mut self.env);
-        self.reign = Some(reign);
-        // The peers are asked at once whether an earlier lead still acts.
+        let mut term = Term::new(token, self.env.steady(), silent, facts);
+        term.begin(&mut self.env);
+        self.term = Some(term);
+        // The peers are asked at once whether an earlier leader still acts.
         self.progress_sent = None;
     }
 
     pub(crate) fn step_down(&mut self, why: &str) {
-        if let Some(reign) = self.reign.take() {
-            tracing::info!(baton = reign.baton, why, "stepping down");
+        if let Some(term) = self.term.take() {
+            tracing::info!(token = term.token, why, "stepping down");
         }
-        self.env.calls.retain(|_, purpose| !purpose.of_reign());
+        self.env.calls.retain(|_, purpose| !purpose.of_term());
         self.election_lost();
     }
 }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -11,7 +11,7 @@
 use crate::jobs::*;
 use crate::node::Env;
 use crate::quota::Room;
-use crate::recover::Reign;
+use crate::recover::Term;
 
 /// Tasks placed in one pass, or one for each machine if these are more; the rest comes with
 /// the next.
@@ -94,7 +94,7 @@
     waited >= if job.rescued { env.policy.starved / 2 } else { env.policy.starved }
 }
 
-impl Reign {
+impl Term {
     /// Gives each job that starves a slice of its tasks, to be placed before all but services.
     fn mark_starving(&mut self, env: &Env) {
         for job in self.jobs.values_mut().filter(|job| job.slice == 0 && job.waiting() > 0) {
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -12,7 +12,7 @@
 use crate::node::Env;
 use crate::place::{CLAIM_FOR, allowed};
 use crate::quota::Room;
-use crate::recover::Reign;
+use crate::recover::Term;
 
 /// How long room that comes free is kept for a job.
 const HOLD_FOR: Duration = Duration::from_secs(3);
@@ -56,7 +56,7 @@
     victim.rescued && job.spec.priority != Priority::Production
 }
 
-impl Reign {
+impl Term {
     pub fn make_room(&mut self, env: &mut Env, name: &Name, within: &BTreeSet<Name>) {
         let job = &self.jobs[name];
         let need = Room::of(&job.spec);
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -1,4 +1,4 @@
-//! What the lead keeps in the state service: a log of the tasks' states, pages into which
+//! What the leader keeps in the state service: a log of the tasks' states, pages into which
 //! the log's older part is gathered, and the end of jobs. One transaction is under way at
 //! a time.
 //!
@@ -8,7 +8,7 @@
 //! says that was written last; every record is rendered from memory as it is then. A
 //! segment is deleted once all that it names is over or stands in a later page.
 //!
-//! Guards: every transaction names the lead key's version (an old lead writes nothing),
+//! Guards: every transaction names the leader key's version (an old leader writes nothing),
 //! and the job's where it places a task (nothing starts after a cancellation). One that
 //! was not answered may be applied late and bring back an old state: it names the last
 //! segment's version, so the next one writes that same segment, whatever else it does,
@@ -20,12 +20,12 @@
 use rushyoke_wire::job::{JobSpec, Kind, Priority};
 use rushyoke_wire::store::Txn;
 
+use crate::election::LEADER_KEY;
 use crate::fleet::TaskKey;
 use crate::io::*;
 use crate::jobs::*;
-use crate::lead::LEAD_KEY;
 use crate::node::{Env, Purpose};
-use crate::recover::Reign;
+use crate::recover::Term;
 
 const RETRY: Duration = Duration::from_millis(200);
 /// Least time from one transaction to the next: what gathers meanwhile shares a change.
@@ -85,7 +85,7 @@
     tasks: BTreeSet<TaskKey>,
 }
 
-/// A segment that is full, or was left by an earlier lead.
+/// A segment that is full, or was left by an earlier leader.
 struct Sealed {
     number: u64,
     version: u64,
@@ -154,7 +154,7 @@
         self.drops.push_back(key);
     }
 
-    /// Takes over a segment that an earlier lead left; they come in the order of writing.
+    /// Takes over a segment that an earlier leader left; they come in the order of writing.
     pub fn inherit(&mut self, number: u64, version: u64, tasks: BTreeSet<TaskKey>) {
         self.last.number = self.last.number.max(number + 1);
         self.newer(tasks.iter());
@@ -202,7 +202,7 @@
     }
 }
 
-impl Reign {
+impl Term {
     /// Sends the next transaction, if anything is to be written and none is under way.
     pub fn flush(&mut self, env: &mut Env) {
         let now = env.steady();
@@ -214,7 +214,7 @@
             return;
         }
         let ops = env.facts.txn_ops;
-        let mut txn = Txn::default().when(LEAD_KEY, self.baton);
+        let mut txn = Txn::default().when(LEADER_KEY, self.token);
         let mut batch =
             Batch { tasks: Vec::new(), segment: false, pages: Vec::new(), closed: Vec::new(), drops: Vec::new() };
         let mut conditioned: BTreeSet<Name> = BTreeSet::new();
@@ -425,7 +425,7 @@
                 match outcome {
                     Outcome::Answered(StoreAnswer::Committed(version)) => self.committed(env, batch, version),
                     Outcome::Answered(StoreAnswer::Refused(failed)) => {
-                        if failed.iter().any(|key| key == LEAD_KEY) {
+                        if failed.iter().any(|key| key == LEADER_KEY) {
                             return true;
                         }
                         self.refused(batch, &failed);
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -1,4 +1,4 @@
-//! A reign: the tables of a lead, empty at its start, and how they are filled from the
+//! A term: the tables of a leader, empty at its start, and how they are filled from the
 //! state service. Guards a takeover: until the records are read no order is given, and
 //! until a machine has seen our token nothing it says proves a task absent.
 
@@ -9,11 +9,11 @@
 use rushyoke_wire::store::{Event, Item};
 
 use crate::awaits::Awaited;
+use crate::election::silence_allowance;
 use crate::facts::Facts;
 use crate::fleet::{Machine, Survey};
 use crate::io::*;
 use crate::jobs::*;
-use crate::lead::silence_allowance;
 use crate::node::{Env, Purpose};
 use crate::quota::Quotas;
 use crate::records::Records;
@@ -52,10 +52,10 @@
     Ready,
 }
 
-pub(crate) struct Reign {
-    pub baton: u64,
+pub(crate) struct Term {
+    pub token: u64,
     pub since: Instant,
-    /// From then on no earlier lead answers any worker.
+    /// From then on no earlier leader answers any worker.
     pub old_silent: Instant,
     /// Every other node has told that it leads no more.
     pub old_known: bool,
@@ -113,10 +113,10 @@
     pub awaited: Awaited,
 }
 
-impl Reign {
-    pub fn new(baton: u64, now: Instant, old_silent: Instant, facts: &Facts) -> Reign {
-        Reign {
-            baton,
+impl Term {
+    pub fn new(token: u64, now: Instant, old_silent: Instant, facts: &Facts) -> Term {
+        Term {
+            token,
             since: now,
             old_silent,
             old_known: false,
@@ -166,16 +166,16 @@
         self.read_on(env);
     }
 
-    /// An attempt number that no other lead and no other start has.
+    /// An attempt number that no other leader and no other start has.
     pub fn attempt(&mut self) -> u64 {
         self.next_attempt += 1;
-        (self.baton << 24) | self.next_attempt
+        (self.token << 24) | self.next_attempt
     }
 
-    pub fn old_lead_silent(&mut self, from: Instant) {
+    pub fn old_leader_silent(&mut self, from: Instant) {
         self.old_known = true;
         if from < self.old_silent {
-            tracing::debug!("no earlier lead acts any more");
+            tracing::debug!("no earlier leader acts any more");
             self.old_silent = from;
         }
     }
@@ -233,7 +233,7 @@
             }
         };
         // Until the jobs are read no worker is answered.
-        let urgency = if matches!(call, LoadCall::Jobs) { Urgency::Lead } else { Urgency::High };
+        let urgency = if matches!(call, LoadCall::Jobs) { Urgency::Leadership } else { Urgency::High };
         env.store(Purpose::Load(call), urgency, op);
     }
 
@@ -245,7 +245,7 @@
             let sent = env.steady();
             let wait_ms = env.policy.lead_ttl.as_millis() as u64 / 3;
             let op = StoreOp::Watch { prefix: LIVE.into(), after: self.watch_from, wait_ms };
-            env.store(Purpose::Load(LoadCall::Watch { sent }), Urgency::Lead, op);
+            env.store(Purpose::Load(LoadCall::Watch { sent }), Urgency::Leadership, op);
         }
     }
 
@@ -362,7 +362,7 @@
         for (id, page, version, record) in std::mem::take(&mut self.loaded_pages) {
             match self.jobs.get_mut(&id) {
                 Some(job) => job.adopt_page(page, version, &record, now),
-                // Its job is over; the page was left when the lead changed.
+                // Its job is over; the page was left when the leader changed.
                 None => self.records.drop_key(page_key(&id, page)),
             }
             addrs.extend(record.machines);
@@ -400,7 +400,7 @@
             self.link(env, &name);
         }
         for name in self.jobs.keys().cloned().collect::<Vec<_>>() {
-            // A lead that fell between a cancellation and its stops leaves them to us.
+            // A leader that fell between a cancellation and its stops leaves them to us.
             if self.jobs[&name].cancelled {
                 self.job_cancelled(env, &name);
             }
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -1,11 +1,11 @@
-//! Reports that come to a node which does not lead. It hands them to the lead, many at a time,
-//! and passes the lead's answers back, so that a fleet's connections and the reading of its
-//! messages are shared by all controllers, and stay where they are when the lead changes.
+//! Reports that come to a node which does not leader. It hands them to the leader, many at a time,
+//! and passes the leader's answers back, so that a fleet's connections and the reading of its
+//! messages are shared by all controllers, and stay where they are when the leader changes.
 //!
-//! Guards against a lead drowned by its fleet. A node that relays is part of the network and
-//! decides nothing: each answer is the lead's own, made for this one report, and a worker counts
+//! Guards against a leader drowned by its fleet. A node that relays is part of the network and
+//! decides nothing: each answer is the leader's own, made for this one report, and a worker counts
 //! its lease from when it sent the report and drops answers after a few seconds, however late
-//! they are passed on. Nothing is kept for longer than a call to the lead may take; what cannot be
+//! they are passed on. Nothing is kept for longer than a call to the leader may take; what cannot be
 //! handed on is answered at once.
 
 use std::collections::{HashMap, VecDeque};
@@ -25,7 +25,7 @@
 const TASKS: usize = 800;
 /// Reports are gathered for one part of so many of a worker's report interval.
 const GATHER: u32 = 10;
-/// After a call that failed no report is handed to that lead for this time.
+/// After a call that failed no report is handed to that leader for this time.
 const PAUSE: Duration = Duration::from_secs(3);
 /// What was told of a worker is forgotten when it has not reported here for so long.
 const FORGET: Duration = Duration::from_secs(30);
@@ -35,7 +35,7 @@
     Answer(Answer),
     /// Its tasks changed and were not told.
     Untold,
-    /// This node does not lead.
+    /// This node does not leader.
     Elsewhere(Report),
 }
 
@@ -44,17 +44,17 @@
     RawValue::from_string("[]".into()).expect("an empty list")
 }
 
-/// A worker's report that waits to be handed on, or for the lead's answer.
+/// A worker's report that waits to be handed on, or for the leader's answer.
 struct Held {
     req: Req,
     report: Report,
     tasks: Box<RawValue>,
     digest: u64,
-    /// The lead asked for all of it.
+    /// The leader asked for all of it.
     full: bool,
 }
 
-/// What the lead was told of a worker's tasks.
+/// What the leader was told of a worker's tasks.
 struct Told {
     token: u64,
     digest: u64,
@@ -67,7 +67,7 @@
     waiting: VecDeque<Held>,
     under_way: Vec<Held>,
     told: HashMap<String, Told>,
-    /// This lead did not answer; until then workers look for it themselves.
+    /// This leader did not answer; until then workers look for it themselves.
     paused: Option<(u64, Instant)>,
     sent: Option<Instant>,
     swept: Option<Instant>,
@@ -76,14 +76,14 @@
 }
 
 impl Node {
-    /// The token of the lead to which this node hands reports.
+    /// The token of the leader to which this node hands reports.
     pub(crate) fn relays_to(&self) -> Option<u64> {
         let now = self.env.steady();
-        let lead = self.election.other_token().filter(|_| self.token().is_none());
-        lead.filter(|lead| self.relaying.paused.is_none_or(|(token, until)| token != *lead || until <= now))
+        let leader = self.election.other_token().filter(|_| self.token().is_none());
+        leader.filter(|leader| self.relaying.paused.is_none_or(|(token, until)| token != *leader || until <= now))
     }
 
-    /// The node to which workers are sent. A lead that did not answer us may be dead: a worker
+    /// The node to which workers are sent. A leader that did not answer us may be dead: a worker
     /// that is sent there would hang for seconds, while one that looks for itself finds it soon.
     pub(crate) fn where_to(&self) -> Option<String> {
         let paused = self.relaying.paused.is_some_and(|(_, until)| until > self.env.steady());
@@ -109,7 +109,7 @@
             self.relaying.told.retain(|_, told| now.duration_since(told.at) < FORGET);
         }
         let (Some(token), Some(label)) = (self.relays_to(), self.election.other_holder()) else {
-            // The lead changed, perhaps to this node.
+            // The leader changed, perhaps to this node.
             for held in std::mem::take(&mut self.relaying.waiting) {
                 self.report(held.req, held.report, Some(held.tasks));
             }
@@ -188,7 +188,7 @@
         self.env.answer(req, Answer { status: 200, body, retry_after_s: None });
     }
 
-    /// The lead's answers, to be passed back.
+    /// The leader's answers, to be passed back.
     pub(crate) fn relay_told(&mut self, call: Call, outcome: Outcome<RelayTold>) {
         if self.env.calls.remove(&call).is_none() {
             return;
@@ -215,17 +215,17 @@
                     self.relaying.waiting.push_front(Held { full: true, ..held });
                 }
                 _ => {
-                    // The lead may have taken it, so that it cannot be handed on again.
-                    self.env.answer(held.req, Answer::later(503, "the lead does not answer"));
+                    // The leader may have taken it, so that it cannot be handed on again.
+                    self.env.answer(held.req, Answer::later(503, "the leader does not answer"));
                 }
             }
         }
     }
 
-    /// A busy lead sends some of its own workers to a node with more time, a few at a time,
+    /// A busy leader sends some of its own workers to a node with more time, a few at a time,
     /// since a new connection costs as much as several reports.
     pub(crate) fn hand_over(&mut self) -> Option<Answer> {
-        if self.relaying.moves == 0 || !self.reign.as_ref().is_some_and(|reign| reign.ready()) {
+        if self.relaying.moves == 0 || !self.term.as_ref().is_some_and(|term| term.ready()) {
             return None;
         }
         let label = self.idlest_follower()?;
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -13,7 +13,7 @@
 use crate::node::{Env, Purpose};
 use crate::place::{CLAIM_FOR, allowed};
 use crate::quota::Room;
-use crate::recover::Reign;
+use crate::recover::Term;
 
 /// Most machines in one rental, and in one return.
 const MOST_RENTED: u32 = 50;
@@ -129,7 +129,7 @@
     part(room.cpus, kind.cpus).max(part(room.gpus, kind.gpus)).max(part(room.memory_gb, kind.memory_gb))
 }
 
-impl Reign {
+impl Term {
     /// Once a second.
     pub fn rent_tick(&mut self, env: &mut Env) {
         let now = env.steady();
@@ -457,7 +457,7 @@
             let count = (count.ceil() as u32).max(1).div_ceil(zones).min(MOST_RENTED);
             self.renting.calls -= 1;
             self.renting.serial += 1;
-            let request = format!("r-{}-{}", self.baton, self.renting.serial);
+            let request = format!("r-{}-{}", self.token, self.renting.serial);
             tracing::info!(request, kind, zone, spot, count, "renting");
             if let Some(kind) = env.type_named(&kind) {
                 let rented = Room { cpus: kind.cpus, gpus: kind.gpus, memory_gb: kind.memory_gb };
--- a/crates/core/src/speculate.rs
+++ b/crates/core/src/speculate.rs
@@ -15,7 +15,7 @@
 use crate::node::Env;
 use crate::place::allowed;
 use crate::quota::Room;
-use crate::recover::Reign;
+use crate::recover::Term;
 
 /// Finished tasks of a type that a machine's vector needs before it says something.
 const VECTOR_MINIMUM: u32 = 3;
@@ -227,7 +227,7 @@
     (mean - elapsed).abs()
 }
 
-/// The lead's statistics.
+/// The leader's statistics.
 #[derive(Default)]
 pub(crate) struct Speculation {
     /// Per task type and machine; the cells of a level merge its machines'.
@@ -264,7 +264,7 @@
     target: Name,
 }
 
-impl Reign {
+impl Term {
     /// Once per period: levels, stragglers and at most one restart.
     pub fn speculate_tick(&mut self, env: &mut Env) {
         let now = env.steady();
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -97,14 +97,14 @@
 pub(crate) struct Users {
     known: HashMap<String, Known>,
     order: VecDeque<String>,
-    /// From the lead, for display.
+    /// From the leader, for display.
     progress: HashMap<String, (u32, u32)>,
     /// Requests whose job's state is to be looked up, by a transaction that is not sent yet.
     lookups: BTreeMap<String, Vec<Req>>,
     /// Jobs to compare in the next transaction.
     queue: VecDeque<String>,
     checking: bool,
-    /// The lead holds as many unfinished jobs as it can.
+    /// The leader holds as many unfinished jobs as it can.
     pub full: bool,
     /// Requests not yet answered, and when to give up on them.
     open: BTreeMap<Req, Instant>,
@@ -261,7 +261,7 @@
     }
 
     fn view(&self, id: &str, known: &Known) -> Answer {
-        let (done, running) = match (known.state, self.reign.as_ref().and_then(|r| r.jobs.get(id))) {
+        let (done, running) = match (known.state, self.term.as_ref().and_then(|r| r.jobs.get(id))) {
             (RecordState::Done, _) => (known.tasks, 0),
             (_, Some(job)) => (job.done_count, job.running),
             _ => self.users.progress.get(id).copied().unwrap_or_default(),
--- a/crates/core/tests/answers.rs
+++ b/crates/core/tests/answers.rs
@@ -82,7 +82,7 @@
 fn transactions_whose_answers_are_lost_are_told_as_they_are() {
     // Carried out at once, while other nodes already read what was written.
     let mut world = settled(2);
-    let lead = world.lead().expect("a lead");
+    let leader = world.leader().expect("a lead");
     world.lose_answers.extend(0..3);
     for id in 1..6 {
         world.ask_submit(id as usize % 3, if id % 2 == 0 { service(id, 2) } else { job(id, 2) });
@@ -92,10 +92,10 @@
     world.run(secs(2));
     assert!(world.unanswered > 3, "answers were lost");
     world.lose_answers.clear();
-    world.lose_answers.insert(lead);
+    world.lose_answers.insert(leader);
     for id in 1..6 {
         let name = format!("wk-{id:06}");
-        let other = (lead + 1) % 3;
+        let other = (leader + 1) % 3;
         assert_eq!(world.submit(other, if id % 2 == 0 { service(id, 2) } else { job(id, 2) }), Some(200));
         if id % 2 == 0 {
             world.cancel(other, &name);
@@ -103,12 +103,12 @@
         (0..3).for_each(|node| world.ask_status(node, &name));
     }
     world.run(secs(20));
-    assert_eq!(world.lead(), Some(lead), "a lost answer ends no reign");
+    assert_eq!(world.leader(), Some(leader), "a lost answer ends no term");
     world.calm();
     world.run(secs(20));
     for id in 1..6 {
         let end = if id % 2 == 0 { JobStatus::Cancelled } else { JobStatus::Done };
-        assert_eq!(world.state(other_than(lead), &format!("wk-{id:06}")), Some(end));
+        assert_eq!(world.state(other_than(leader), &format!("wk-{id:06}")), Some(end));
     }
     world.check_served();
 }
--- a/crates/core/tests/cancellations.rs
+++ b/crates/core/tests/cancellations.rs
@@ -10,15 +10,15 @@
     Duration::from_secs(s)
 }
 
-/// A service of four replicas at work, and the lead.
+/// A service of four replicas at work, and the leader.
 fn at_work(machines: usize) -> (World, usize) {
     let mut world = World::new(machines);
     world.run(secs(6));
     world.submit(0, service(1, 4));
     world.run(secs(4));
     assert_eq!(world.where_runs("wk-000001").len(), 4);
-    let lead = world.lead().expect("a lead");
-    (world, lead)
+    let leader = world.leader().expect("a lead");
+    (world, leader)
 }
 
 fn cancel(world: &mut World, node: usize, id: &str) {
@@ -26,7 +26,7 @@
     assert_eq!(told, Some(JobStatus::Cancelled));
 }
 
-/// The ways in which a lead may go on renewing its lease without hearing what users cancel.
+/// The ways in which a leader may go on renewing its lease without hearing what users cancel.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Blind {
     /// Its watch hangs while all else passes.
@@ -38,25 +38,25 @@
 }
 
 #[test]
-fn a_blind_lead_keeps_no_cancelled_task_alive_through_an_outage() {
-    // Found by reading: only the last renewal bounded how long reports were answered. The lead
+fn a_blind_leader_keeps_no_cancelled_task_alive_through_an_outage() {
+    // Found by reading: only the last renewal bounded how long reports were answered. The leader
     // did not know of a cancellation, renewed its lease for seconds all the same, and then
     // answered for its whole allowance while the state service was down for all.
     for blind in [Blind::WatchHangs, Blind::RefusedAlone, Blind::Alone] {
-        let (mut world, lead) = at_work(2);
-        let other = (lead + 1) % 3;
-        world.hang_watches.insert(lead);
+        let (mut world, leader) = at_work(2);
+        let other = (leader + 1) % 3;
+        world.hang_watches.insert(leader);
         if blind != Blind::WatchHangs {
-            world.no_store.insert(lead);
+            world.no_store.insert(leader);
         }
         if blind == Blind::Alone {
-            world.no_peers.insert(lead);
+            world.no_peers.insert(leader);
         }
         world.run(secs(1));
         cancel(&mut world, other, "wk-000001");
-        world.no_store.remove(&lead);
+        world.no_store.remove(&leader);
         world.run(secs(6));
-        assert_eq!(world.lead(), Some(lead), "{blind:?}: it renews its lease");
+        assert_eq!(world.leader(), Some(leader), "{blind:?}: it renews its lease");
         assert_eq!(world.where_runs("wk-000001").len(), 4, "{blind:?}: it does not know");
         world.hang_watches.clear();
         world.store.outage = true;
@@ -64,17 +64,17 @@
         assert!(world.where_runs("wk-000001").is_empty(), "{blind:?}");
         world.calm();
         world.run(secs(10));
-        assert_eq!(world.state(lead, "wk-000001"), Some(JobStatus::Cancelled));
+        assert_eq!(world.state(leader, "wk-000001"), Some(JobStatus::Cancelled));
     }
 }
 
 #[test]
-fn a_lead_refused_alone_and_then_all_keeps_no_cancelled_task_alive() {
+fn a_leader_refused_alone_and_then_all_keeps_no_cancelled_task_alive() {
     // The gap as the users tell it: the refusal, then the outage, before its lease has ended.
-    let (mut world, lead) = at_work(2);
-    world.no_store.insert(lead);
+    let (mut world, leader) = at_work(2);
+    world.no_store.insert(leader);
     world.run(Duration::from_millis(400));
-    cancel(&mut world, (lead + 1) % 3, "wk-000001");
+    cancel(&mut world, (leader + 1) % 3, "wk-000001");
     world.run(Duration::from_millis(400));
     world.store.outage = true;
     world.run(secs(10));
@@ -87,38 +87,38 @@
 }
 
 #[test]
-fn a_new_lead_that_has_not_read_the_jobs_keeps_none_alive() {
-    // The old lead fell before it could stop anything; the new one answered reports while it
+fn a_new_leader_that_has_not_read_the_jobs_keeps_none_alive() {
+    // The old leader fell before it could stop anything; the new one answered reports while it
     // read the jobs, which an outage kept it from doing.
-    let (mut world, lead) = at_work(2);
+    let (mut world, leader) = at_work(2);
     world.hold_lists = Some(("live/", world.now + secs(90)));
-    world.hang_watches.insert(lead);
-    cancel(&mut world, (lead + 1) % 3, "wk-000001");
-    world.crash(lead);
+    world.hang_watches.insert(leader);
+    cancel(&mut world, (leader + 1) % 3, "wk-000001");
+    world.crash(leader);
     world.run(secs(8));
-    assert!(world.lead().is_some_and(|new| new != lead), "another leads");
+    assert!(world.leader().is_some_and(|new| new != leader), "another leads");
     world.store.outage = true;
     world.run(secs(70));
     assert!(world.where_runs("wk-000001").is_empty());
     world.calm();
     world.run(secs(15));
-    assert_eq!(world.state(lead, "wk-000001"), None, "its process is gone");
-    assert_eq!(world.state((lead + 1) % 3, "wk-000001"), Some(JobStatus::Cancelled));
+    assert_eq!(world.state(leader, "wk-000001"), None, "its process is gone");
+    assert_eq!(world.state((leader + 1) % 3, "wk-000001"), Some(JobStatus::Cancelled));
 }
 
 #[test]
-fn a_new_lead_that_has_read_the_jobs_stops_cancelled_tasks_before_all_else_is_read() {
+fn a_new_leader_that_has_read_the_jobs_stops_cancelled_tasks_before_all_else_is_read() {
     // An answer that shows the token, or is given while the records are read, renews a lease too:
     // it stops what is known to be cancelled, and leaves the rest alone.
-    let (mut world, lead) = at_work(2);
-    world.submit(lead, service(2, 3));
+    let (mut world, leader) = at_work(2);
+    world.submit(leader, service(2, 3));
     world.run(secs(3));
     world.hold_lists = Some(("log/", world.now + secs(60)));
-    world.hang_watches.insert(lead);
-    cancel(&mut world, (lead + 1) % 3, "wk-000001");
-    world.crash(lead);
+    world.hang_watches.insert(leader);
+    cancel(&mut world, (leader + 1) % 3, "wk-000001");
+    world.crash(leader);
     world.run(secs(9));
-    assert!(world.lead().is_some_and(|new| new != lead), "another leads");
+    assert!(world.leader().is_some_and(|new| new != leader), "another leads");
     assert!(world.where_runs("wk-000001").is_empty());
     world.run(secs(20));
     assert_eq!(world.where_runs("wk-000002").len(), 3);
@@ -126,16 +126,16 @@
 }
 
 #[test]
-fn a_lead_that_never_hears_of_cancellations_gives_way() {
-    let (mut world, lead) = at_work(2);
-    world.hang_watches.insert(lead);
-    cancel(&mut world, (lead + 1) % 3, "wk-000001");
+fn a_leader_that_never_hears_of_cancellations_gives_way() {
+    let (mut world, leader) = at_work(2);
+    world.hang_watches.insert(leader);
+    cancel(&mut world, (leader + 1) % 3, "wk-000001");
     world.run(secs(7));
-    assert_eq!(world.lead(), Some(lead));
+    assert_eq!(world.leader(), Some(leader));
     world.run(secs(8));
-    assert!(world.lead().is_some_and(|new| new != lead), "another leads");
+    assert!(world.leader().is_some_and(|new| new != leader), "another leads");
     assert!(world.where_runs("wk-000001").is_empty());
-    world.submit((lead + 1) % 3, job(2, 4));
+    world.submit((leader + 1) % 3, job(2, 4));
     world.run(secs(5));
     assert_eq!(world.where_runs("wk-000002").len(), 4);
 }
@@ -143,12 +143,12 @@
 #[test]
 fn the_answer_that_shows_a_worker_the_new_token_stops_its_cancelled_tasks() {
     // That answer renews the worker's lease like any other, and may be the last that reaches it.
-    let (mut world, lead) = at_work(2);
+    let (mut world, leader) = at_work(2);
     let (_, machine) = world.where_runs("wk-000001")[0].clone();
     world.hold_orders.insert(machine.clone(), world.now + secs(90));
-    world.hang_watches.insert(lead);
-    cancel(&mut world, (lead + 1) % 3, "wk-000001");
-    world.crash(lead);
+    world.hang_watches.insert(leader);
+    cancel(&mut world, (leader + 1) % 3, "wk-000001");
+    world.crash(leader);
     let old = world.workers[&machine].token;
     while world.workers[&machine].token == old {
         world.run(Duration::from_millis(10));
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -83,10 +83,10 @@
         let cut: Vec<String> = hosts.iter().step_by(2).cloned().collect();
         world.cut.extend(cut.iter().cloned());
         if crash {
-            let lead = world.lead().expect("a lead");
-            world.crash(lead);
+            let leader = world.leader().expect("a lead");
+            world.crash(leader);
             world.run(secs(1));
-            world.start_node(lead);
+            world.start_node(leader);
         }
         // All that was lost runs elsewhere, on machines that were made ready meanwhile.
         world.run(secs(24));
@@ -147,7 +147,7 @@
     let count = |world: &World, ids: &[String]| ids.iter().map(|id| world.where_runs(id).len()).sum::<usize>();
     let (services, arrays) = submitted.split_at(60);
     assert_eq!((count(&world, services), count(&world, arrays)), (960, 22_500));
-    // One zone is cut off from everything; the lead and the others fall and are back.
+    // One zone is cut off from everything; the leader and the others fall and are back.
     let zone = ZONES[0];
     let cut: Vec<String> = world.workers.iter().filter(|(_, w)| w.zone == zone).map(|(n, _)| n.clone()).collect();
     world.cut.extend(cut);
@@ -155,7 +155,7 @@
     world.run(secs(1));
     (0..3).for_each(|n| world.start_node(n));
     world.run(secs(8));
-    assert!(world.lead().is_some(), "no lead");
+    assert!(world.leader().is_some(), "no lead");
     assert_eq!(world.started, 23_460, "what runs until its lease ends was given up");
     for (n, id) in submitted.iter().enumerate().step_by(7) {
         assert_eq!(world.status(n % 3, id).map(|s| s.0), Some(200), "{id}");
@@ -179,20 +179,20 @@
 }
 
 #[test]
-fn a_lead_that_does_not_know_the_fleet_yet_or_lost_it_rents_nothing() {
-    // Found on a day with controllers cut off: each new lead rented a hundred machines at once
+fn a_leader_that_does_not_know_the_fleet_yet_or_lost_it_rents_nothing() {
+    // Found on a day with controllers cut off: each new leader rented a hundred machines at once
     // for work that ran well, and so did one that the workers could not reach.
     let mut world = at_work(60, 60);
     let rentals = world.cloud.rentals;
-    let lead = world.lead().expect("a lead");
-    world.crash(lead);
+    let leader = world.leader().expect("a lead");
+    world.crash(leader);
     world.run(secs(8));
-    assert_eq!(world.cloud.rentals, rentals, "the new lead rented");
-    world.start_node(lead);
-    let lead = world.lead().expect("a lead");
-    world.no_workers.insert(lead);
+    assert_eq!(world.cloud.rentals, rentals, "the new leader rented");
+    world.start_node(leader);
+    let leader = world.leader().expect("a lead");
+    world.no_workers.insert(leader);
     world.run(secs(12));
-    assert!(world.lead().is_some_and(|new| new != lead));
-    assert_eq!(world.cloud.rentals, rentals, "a lead without its workers rented");
+    assert!(world.leader().is_some_and(|new| new != leader));
+    assert_eq!(world.cloud.rentals, rentals, "a leader without its workers rented");
     assert_eq!((at_work_on(&world, 60).1, world.started), (480, 480));
 }
--- a/crates/core/tests/meetings.rs
+++ b/crates/core/tests/meetings.rs
@@ -31,8 +31,8 @@
         assert_eq!(world.where_runs(id).len(), 4);
     }
     assert_eq!(world.where_runs("wk-000003").len(), 8);
-    let lead = world.lead().expect("a lead");
-    (world, lead)
+    let leader = world.leader().expect("a lead");
+    (world, leader)
 }
 
 fn other_than(node: usize) -> usize {
@@ -72,30 +72,30 @@
 
 #[test]
 fn work_changes_hands_while_its_jobs_are_cancelled() {
-    // Cancelled before, while and after the lead's lease ends, on either of the nodes that stay.
+    // Cancelled before, while and after the leader's lease ends, on either of the nodes that stay.
     for moment in [0, 400, 900, 1500, 2100, 2300, 2600, 3500] {
-        let (mut world, lead) = at_work(4);
-        let reigns = world.reigns.len();
-        world.crash(lead);
+        let (mut world, leader) = at_work(4);
+        let terms = world.terms.len();
+        world.crash(leader);
         world.run(millis(moment));
-        cancel(&mut world, other_than(lead), "wk-000001");
-        cancel(&mut world, (lead + 2) % 3, "wk-000003");
+        cancel(&mut world, other_than(leader), "wk-000001");
+        cancel(&mut world, (leader + 2) % 3, "wk-000003");
         world.run(secs(10));
-        assert!(world.reigns.len() > reigns, "{moment}: another lead");
+        assert!(world.terms.len() > terms, "{moment}: another lead");
         assert!(world.where_runs("wk-000001").is_empty() && world.where_runs("wk-000003").is_empty(), "{moment}");
-        world.start_node(lead);
+        world.start_node(leader);
         assert_eq!(world.late_starts, 0);
         ends_well(&mut world);
     }
 }
 
 #[test]
-fn a_lead_without_store_and_peers_serves_its_workers_while_another_cancels() {
+fn a_leader_without_store_and_peers_serves_its_workers_while_another_cancels() {
     let (mut world, old) = at_work(4);
     world.no_store.insert(old);
     world.no_peers.insert(old);
     world.run(secs(5));
-    let new = world.lead().expect("a lead");
+    let new = world.leader().expect("a lead");
     assert!(new != old && world.two_led, "two lead");
     cancel(&mut world, new, "wk-000001");
     for node in 0..3 {
@@ -108,24 +108,24 @@
 }
 
 #[test]
-fn reports_kept_for_the_next_lead_prove_nothing_there() {
+fn reports_kept_for_the_next_leader_prove_nothing_there() {
     // They come as it begins, or once it has acted, and do not list what began since.
     for after in [0, 300, 900, 3000] {
-        let (mut world, lead) = at_work(3);
+        let (mut world, leader) = at_work(3);
         world.keep_for_next = Some(millis(after));
         world.run(secs(3));
-        world.submit(lead, service(4, 12));
+        world.submit(leader, service(4, 12));
         world.run(secs(3));
         let before = (world.where_runs("wk-000001"), world.where_runs("wk-000004"));
         world.cloud.outage = true;
         let silent = hosts(&world, "wk-000004").into_iter().next().expect("a host");
         world.cut.insert(silent);
-        world.crash(lead);
+        world.crash(leader);
         world.run(secs(9));
         assert!(world.came_to_next > 5, "old reports came to the new lead");
-        assert!(world.lead().is_some_and(|new| new != lead));
+        assert!(world.leader().is_some_and(|new| new != leader));
         assert_eq!((world.where_runs("wk-000001"), world.where_runs("wk-000004")), before);
-        world.start_node(lead);
+        world.start_node(leader);
         world.run(secs(30));
         ends_well(&mut world);
     }
@@ -146,15 +146,15 @@
     }
     for _ in 0..3 {
         world.run(secs(3));
-        let lead = world.lead().expect("a lead");
-        world.crash(lead);
+        let leader = world.leader().expect("a lead");
+        world.crash(leader);
         world.run(secs(6));
-        world.start_node(lead);
+        world.start_node(leader);
         for id in 4..8 {
             (0..3).for_each(|node| world.ask_status(node, &format!("wk-{id:06}")));
         }
     }
-    assert!(world.reigns.len() > 3, "the lead changed");
+    assert!(world.terms.len() > 3, "the leader changed");
     ends_well(&mut world);
     for id in 4..8 {
         assert_eq!(world.state(1, &format!("wk-{id:06}")), Some(JobStatus::Done));
@@ -164,7 +164,7 @@
 #[test]
 fn a_team_at_its_limit_waits_for_cancelled_tasks_on_machines_out_of_reach() {
     // 64 CPUs of 64; what a cancelled job may still hold counts until it is proven gone, for the
-    // lead that cancelled and for the next one.
+    // leader that cancelled and for the next one.
     for trouble in ["cut", "hang", "deaf"] {
         for takeover in [false, true] {
             let mut world = World::with(6, Policy { idle: secs(300), ..Policy::default() }, &["a"]);
@@ -173,7 +173,7 @@
             world.run(secs(8));
             let used: usize = (1..5).map(|id| world.where_runs(&format!("wk-{id:06}")).len()).sum();
             assert_eq!(used, 64, "the team is at its limit");
-            let lead = world.lead().expect("a lead");
+            let leader = world.leader().expect("a lead");
             world.cloud.outage = true;
             let out_of_reach: Vec<String> = hosts(&world, "wk-000001").into_iter().take(2).collect();
             for machine in out_of_reach {
@@ -184,18 +184,18 @@
                 }
             }
             world.run(millis(100));
-            cancel(&mut world, other_than(lead), "wk-000001");
+            cancel(&mut world, other_than(leader), "wk-000001");
             // It fits on no machine but an empty one.
-            world.submit(other_than(lead), JobSpec { cpus: 16.0, ..service(5, 1) });
+            world.submit(other_than(leader), JobSpec { cpus: 16.0, ..service(5, 1) });
             world.run(millis(200));
             if takeover {
-                world.crash(lead);
+                world.crash(leader);
             }
             world.run(secs(8));
             assert!(!world.where_runs("wk-000001").is_empty(), "{trouble}: still there, as far as anybody can tell");
             assert!(world.where_runs("wk-000005").is_empty(), "{trouble}: it waits");
             if takeover {
-                world.start_node(lead);
+                world.start_node(leader);
             }
             world.run(secs(40));
             ends_well(&mut world);
@@ -205,56 +205,56 @@
 }
 
 #[test]
-fn new_machines_get_work_at_once_while_writes_lag_and_the_lead_ends() {
+fn new_machines_get_work_at_once_while_writes_lag_and_the_leader_ends() {
     let mut world = World::with(1, Policy::default(), &["a"]);
     world.boot = secs(1);
     world.run(secs(6));
-    let lead = world.lead().expect("a lead");
-    world.hold_txns.insert(lead, world.now + secs(9));
-    (1..5).for_each(|id| world.ask_submit(other_than(lead), service(id, 12)));
+    let leader = world.leader().expect("a lead");
+    world.hold_txns.insert(leader, world.now + secs(9));
+    (1..5).for_each(|id| world.ask_submit(other_than(leader), service(id, 12)));
     world.run(secs(4));
     assert!(world.workers.len() > 1, "machines came up at once");
-    world.crash(lead);
+    world.crash(leader);
     world.run(millis(700));
-    world.start_node(lead);
+    world.start_node(leader);
     world.run(secs(15));
-    assert!(world.reigns.len() > 1, "another reign");
+    assert!(world.terms.len() > 1, "another term");
     ends_well(&mut world);
     assert_eq!(world.started, 48, "each replica began once");
 }
 
 #[test]
 fn all_controllers_are_away_for_longer_than_a_lease() {
-    let (mut world, lead) = at_work(4);
+    let (mut world, leader) = at_work(4);
     (0..3).for_each(|node| world.crash(node));
     world.run(secs(16));
     assert!(world.where_runs("wk-000001").is_empty(), "the leases have ended");
-    world.start_node(other_than(lead));
+    world.start_node(other_than(leader));
     world.run(secs(1));
-    cancel(&mut world, other_than(lead), "wk-000002");
-    world.start_node(lead);
-    world.start_node((lead + 2) % 3);
+    cancel(&mut world, other_than(leader), "wk-000002");
+    world.start_node(leader);
+    world.start_node((leader + 2) % 3);
     ends_well(&mut world);
     assert_eq!(world.where_runs("wk-000001").len(), 4);
 }
 
 #[test]
-fn a_zone_with_its_workers_and_the_lead_is_cut_off_for_longer_than_a_lease() {
-    let (mut world, lead) = at_work(4);
-    world.no_store.insert(lead);
-    world.no_peers.insert(lead);
+fn a_zone_with_its_workers_and_the_leader_is_cut_off_for_longer_than_a_lease() {
+    let (mut world, leader) = at_work(4);
+    world.no_store.insert(leader);
+    world.no_peers.insert(leader);
     let inside: Vec<String> = world.workers.values().filter(|w| w.zone == "a").map(|w| w.name.clone()).collect();
     for machine in world.workers.keys().cloned().collect::<Vec<_>>() {
-        // Inside only the old lead is reached, outside only the others.
+        // Inside only the old leader is reached, outside only the others.
         for node in 0..3 {
-            if inside.contains(&machine) != (node == lead) {
+            if inside.contains(&machine) != (node == leader) {
                 world.cut_links.insert((node, machine.clone()));
             }
         }
     }
     world.run(secs(6));
-    assert!(world.two_led, "the old lead leads on inside");
-    let new = world.lead().expect("a lead");
+    assert!(world.two_led, "the old leader leads on inside");
+    let new = world.leader().expect("a lead");
     cancel(&mut world, new, "wk-000002");
     world.run(secs(18));
     cancel(&mut world, new, "wk-000003");
@@ -273,10 +273,10 @@
             world.store.outage = true;
         }
         world.run(secs(1));
-        let lead = world.lead().unwrap_or(round as usize % 3);
-        world.crash(lead);
+        let leader = world.leader().unwrap_or(round as usize % 3);
+        world.crash(leader);
         world.run(millis(if round % 2 == 0 { 300 } else { 4000 }));
-        world.start_node(lead);
+        world.start_node(leader);
         world.run(secs(3));
         if world.store.outage {
             let now = world.now;
@@ -284,10 +284,10 @@
         }
         world.run(secs(5));
         if round % 3 == 1 {
-            world.cancel(lead, &format!("wk-{id:06}"));
+            world.cancel(leader, &format!("wk-{id:06}"));
         }
     }
-    assert!(world.reigns.len() > 8, "{} reigns", world.reigns.len());
+    assert!(world.terms.len() > 8, "{} terms", world.terms.len());
     ends_well(&mut world);
 }
 
@@ -310,28 +310,28 @@
 #[test]
 fn a_cancelled_task_does_not_go_on_after_its_machine_hung() {
     for takeover in [false, true] {
-        let (mut world, lead) = at_work(4);
+        let (mut world, leader) = at_work(4);
         let machines = hosts(&world, "wk-000001");
         world.cloud.outage = true;
         for machine in &machines {
             world.hang.insert(machine.clone(), world.now + secs(10));
         }
-        cancel(&mut world, other_than(lead), "wk-000001");
+        cancel(&mut world, other_than(leader), "wk-000001");
         if takeover {
-            world.crash(lead);
+            world.crash(leader);
         }
         world.run(secs(9));
         assert!(!world.where_runs("wk-000001").is_empty(), "within their leases");
         world.run(millis(3500));
         assert!(world.where_runs("wk-000001").is_empty(), "stopped as soon as they went on");
-        world.start_node(lead);
+        world.start_node(leader);
         ends_well(&mut world);
     }
 }
 
 #[test]
 fn arrays_bound_to_one_zone_lose_its_machines() {
-    let (mut world, lead) = at_work(4);
+    let (mut world, leader) = at_work(4);
     let mut bound = job(4, 8);
     bound.zone = Some("a".into());
     world.submit(0, bound);
@@ -344,9 +344,9 @@
         world.workers.remove(machine);
         world.cloud.machines.remove(machine);
     }
-    world.crash(lead);
+    world.crash(leader);
     world.run(secs(2));
-    world.start_node(lead);
+    world.start_node(leader);
     world.run(secs(60));
     ends_well(&mut world);
     assert_eq!(world.state(0, "wk-000004"), Some(JobStatus::Done));
--- a/crates/core/tests/mixes.rs
+++ b/crates/core/tests/mixes.rs
@@ -27,7 +27,7 @@
     let drawn = rng.random_range(0..=machines.len());
     let machine = machines.get(drawn).cloned().unwrap_or_default();
     let node = rng.random_range(0..3);
-    let lead = world.lead().unwrap_or(node);
+    let leader = world.leader().unwrap_or(node);
     let until = world.now + secs(rng.random_range(2..22));
     match rng.random_range(0..23) {
         0 => drop(world.workers.remove(&machine)),
@@ -48,11 +48,11 @@
         12 => drop(world.busy.insert(node, (0.9, Duration::from_millis(50 * rng.random_range(0..9))))),
         13 => drop(world.mute.insert(machine)),
         14 => drop(world.hang.insert(machine, until)),
-        15 => drop(world.hang_watches.insert(lead)),
+        15 => drop(world.hang_watches.insert(leader)),
         16 => drop(world.lose_answers.insert(node)),
         17 => world.keep_for_next = Some(Duration::from_millis(rng.random_range(0..4000))),
         18 => drop(world.hold_answers.insert(node, world.now + Duration::from_millis(rng.random_range(200..1400)))),
-        19 => drop(world.no_store.insert(lead)),
+        19 => drop(world.no_store.insert(leader)),
         20 => world.hold_lists = Some((["live/", "log/"][rng.random_range(0..2)], until)),
         21 => drop(world.hold_reports.insert(machine, until)),
         _ => {}
@@ -104,7 +104,7 @@
         trouble(&mut world, &mut rng);
         // A process falls, and is back in a moment, often amid an election.
         let node = rng.random_range(0..3);
-        let falls = if rng.random_range(0..2) == 0 { world.lead().unwrap_or(node) } else { node };
+        let falls = if rng.random_range(0..2) == 0 { world.leader().unwrap_or(node) } else { node };
         if rng.random_range(0..3) > 0 {
             world.crash(falls);
             world.run(Duration::from_millis(rng.random_range(50..2550)));
--- a/crates/core/tests/pipelines.rs
+++ b/crates/core/tests/pipelines.rs
@@ -25,14 +25,14 @@
     JobSpec { awaits: awaits.iter().map(|id| name(*id)).collect(), ..job(id, tasks) }
 }
 
-/// A world whose tasks take four seconds, and its lead.
+/// A world whose tasks take four seconds, and its leader.
 fn settled() -> (World, usize) {
     let mut world = World::new(3);
     world.task_s = 4.0;
     world.workers.values_mut().for_each(|worker| worker.run_s = 4.0);
     world.run(secs(6));
-    let lead = world.lead().expect("a lead");
-    (world, lead)
+    let leader = world.leader().expect("a lead");
+    (world, leader)
 }
 
 /// Jobs 1 to 4: 2 and 3 await 1, and 4 awaits both; 5 awaits 4.
@@ -71,22 +71,22 @@
 }
 
 #[test]
-fn a_pipeline_lives_through_changes_of_lead_at_any_moment() {
+fn a_pipeline_lives_through_changes_of_leader_at_any_moment() {
     for moment in [500, 4200, 4700, 5200, 6000, 9500, 10_500] {
-        let (mut world, lead) = settled();
+        let (mut world, leader) = settled();
         diamond(&mut world);
         world.run(millis(moment));
-        world.crash(lead);
+        world.crash(leader);
         world.run(secs(5));
-        world.start_node(lead);
+        world.start_node(leader);
         world.run(secs(4));
-        let next = world.lead().expect("a lead");
+        let next = world.leader().expect("a lead");
         world.crash(next);
         world.run(millis(300));
         world.start_node(next);
         world.run(secs(35));
-        assert!(world.reigns.len() > 2, "{moment}: leads changed");
-        assert_eq!(states(&mut world, lead, 1..=5), all(JobStatus::Done, 5), "{moment}");
+        assert!(world.terms.len() > 2, "{moment}: leads changed");
+        assert_eq!(states(&mut world, leader, 1..=5), all(JobStatus::Done, 5), "{moment}");
         world.check_served();
     }
 }
@@ -96,27 +96,27 @@
     // Directly and through others, whichever is cancelled, and whoever leads.
     for (cancelled, lost) in [(1, 1..=5), (2, 4..=5), (4, 4..=5)] {
         for moment in [0, 1000, 3000] {
-            let (mut world, lead) = settled();
+            let (mut world, leader) = settled();
             diamond(&mut world);
             world.run(millis(moment));
             if moment == 1000 {
-                world.crash(lead);
+                world.crash(leader);
             }
-            let node = (lead + 1) % 3;
+            let node = (leader + 1) % 3;
             let told = world.cancel(node, &name(cancelled)).and_then(|(_, view)| view);
             assert_eq!(told.map(|view| view.state), Some(JobStatus::Cancelled));
             if moment == 3000 {
-                world.crash(lead);
+                world.crash(leader);
             }
             // The node that confirmed it never tells anything else; the others follow at once.
-            (1..=5).for_each(|id| world.ask_status((lead + 2) % 3, &name(id)));
+            (1..=5).for_each(|id| world.ask_status((leader + 2) % 3, &name(id)));
             assert_eq!(states(&mut world, node, lost.clone()), all(JobStatus::Cancelled, lost.clone().count()));
             assert_eq!(world.submit(node, after(6, 2, &[*lost.end()])), Some(201), "accepted all the same");
             assert_eq!(states(&mut world, node, 6..=6), all(JobStatus::Cancelled, 1));
             world.run(secs(30));
-            world.start_node(lead);
+            world.start_node(leader);
             world.run(secs(8));
-            let ends = states(&mut world, lead, 1..=6);
+            let ends = states(&mut world, leader, 1..=6);
             for id in 1..=6 {
                 let gone = id == cancelled || lost.contains(&id) || id == 6;
                 let end = if gone { JobStatus::Cancelled } else { JobStatus::Done };
@@ -130,16 +130,16 @@
 }
 
 #[test]
-fn dependencies_that_end_or_are_cancelled_while_the_lead_changes() {
+fn dependencies_that_end_or_are_cancelled_while_the_leader_changes() {
     for moment in [0, 300, 700, 1100, 1600, 2200] {
-        let (mut world, lead) = settled();
+        let (mut world, leader) = settled();
         diamond(&mut world);
         while world.rules.finished(&name(1)) < 3 {
             world.run(millis(10));
         }
         world.run(millis(moment));
-        world.crash(lead);
-        let node = (lead + 1) % 3;
+        world.crash(leader);
+        let node = (leader + 1) % 3;
         // It may be done already: then the jobs after it go on.
         let mut told = None;
         while told.is_none_or(|state: JobStatus| !state.is_final()) {
@@ -147,7 +147,7 @@
             world.run(millis(200));
         }
         world.run(secs(3));
-        world.start_node(lead);
+        world.start_node(leader);
         world.run(secs(45));
         let end = told.expect("an end");
         assert_eq!(states(&mut world, node, 1..=5), all(end, 5), "{moment}");
@@ -156,26 +156,26 @@
 
 #[test]
 fn an_orphan_is_never_called_alive_while_nobody_leads() {
-    // Without a lead nothing is written down; what is told is derived from the job that was cancelled.
-    let (mut world, lead) = settled();
+    // Without a leader nothing is written down; what is told is derived from the job that was cancelled.
+    let (mut world, leader) = settled();
     diamond(&mut world);
-    let node = (lead + 1) % 3;
-    world.crash(lead);
-    world.crash((lead + 2) % 3);
+    let node = (leader + 1) % 3;
+    world.crash(leader);
+    world.crash((leader + 2) % 3);
     world.cancel(node, &name(1));
     world.run(secs(1));
     let record = &world.store.rows["job/wk-000005"].0;
     assert_eq!(record["state"], "open", "nobody has written it down");
     assert_eq!(states(&mut world, node, 2..=5), all(JobStatus::Cancelled, 4));
-    world.start_node(lead);
-    world.start_node((lead + 2) % 3);
+    world.start_node(leader);
+    world.start_node((leader + 2) % 3);
     world.run(secs(10));
     (0..3).for_each(|node| assert_eq!(states(&mut world, node, 2..=5), all(JobStatus::Cancelled, 4)));
 }
 
 #[test]
 fn only_accepted_jobs_can_be_awaited_and_a_retry_stays_accepted() {
-    let (mut world, lead) = settled();
+    let (mut world, leader) = settled();
     assert_eq!(world.submit(0, after(2, 2, &[1])), Some(422), "never accepted");
     assert_eq!(world.submit(0, after(3, 2, &[3])), Some(422), "itself");
     assert_eq!(world.submit(1, after(1, 2, &[])), Some(201));
@@ -188,7 +188,7 @@
     world.run(secs(1));
     (0..3).for_each(|node| world.start_node(node));
     world.run(secs(6));
-    assert_eq!(world.submit(lead, after(4, 2, &[1, 2])), Some(201));
+    assert_eq!(world.submit(leader, after(4, 2, &[1, 2])), Some(201));
     assert_eq!(world.submit(0, after(2, 2, &[1])), Some(200));
     world.run(secs(12));
     assert_eq!(states(&mut world, 1, 4..=4), all(JobStatus::Done, 1));
@@ -226,7 +226,7 @@
 
 #[test]
 fn a_long_chain_ends_as_a_whole() {
-    let (mut world, lead) = settled();
+    let (mut world, leader) = settled();
     world.workers.values_mut().for_each(|worker| worker.run_s = 200.0);
     world.submit(0, service(901, 2));
     world.submit(0, after(1, 1, &[]));
@@ -238,10 +238,10 @@
     let accepted = world.rules.accepted();
     let missing: Vec<u32> = (1..=300).filter(|id| !accepted.contains(&name(*id))).collect();
     assert!(missing.is_empty(), "{missing:?} are not accepted");
-    world.cancel((lead + 1) % 3, &name(2));
+    world.cancel((leader + 1) % 3, &name(2));
     world.run(secs(25));
-    assert_eq!(world.state(lead, &name(300)), Some(JobStatus::Cancelled));
-    assert_eq!(world.state((lead + 2) % 3, &name(150)), Some(JobStatus::Cancelled));
+    assert_eq!(world.state(leader, &name(300)), Some(JobStatus::Cancelled));
+    assert_eq!(world.state((leader + 2) % 3, &name(150)), Some(JobStatus::Cancelled));
     assert!(world.store.rows.keys().filter(|key| key.starts_with("live/")).count() == 2, "all else is closed");
 }
 
@@ -274,10 +274,10 @@
     (1..5).for_each(|id| world.ask_status(0, &name(id)));
     assert!(world.cancel(1, &name(4)).is_some());
     for _ in 0..4 {
-        let lead = world.lead().expect("a lead");
-        world.crash(lead);
+        let leader = world.leader().expect("a lead");
+        world.crash(leader);
         world.run(secs(6));
-        world.start_node(lead);
+        world.start_node(leader);
         world.run(secs(25));
     }
     world.run(secs(60));
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -35,7 +35,7 @@
 
 #[test]
 fn workers_stay_with_the_node_they_came_to() {
-    // Found on the first day on smaller machines: a lead with all reports had no processor left
+    // Found on the first day on smaller machines: a leader with all reports had no processor left
     // and lost its lease.
     let mut world = at_work();
     assert!((0..3).all(|node| reporting_to(&world, node) == 4));
@@ -48,20 +48,20 @@
 }
 
 #[test]
-fn a_new_lead_is_told_all_by_the_nodes_that_workers_report_to() {
+fn a_new_leader_is_told_all_by_the_nodes_that_workers_report_to() {
     let mut world = at_work();
-    let lead = world.lead().expect("a lead");
+    let leader = world.leader().expect("a lead");
     let full = world.relayed_full;
     // It goes on answering what the others hand on, until one of them leads.
-    world.no_store.insert(lead);
+    world.no_store.insert(leader);
     world.run(secs(10));
-    let new = world.lead().expect("a lead");
-    assert_ne!(new, lead);
-    let third = (0..3).find(|node| *node != lead && *node != new).expect("three nodes");
+    let new = world.leader().expect("a lead");
+    assert_ne!(new, leader);
+    let third = (0..3).find(|node| *node != leader && *node != new).expect("three nodes");
     assert!(reporting_to(&world, third) >= 4, "its workers went away");
-    assert!(world.relayed_full > full, "the new lead knows no list");
+    assert!(world.relayed_full > full, "the new leader knows no list");
     undisturbed(&world);
-    assert_eq!(world.submit((lead + 1) % 3, service(2, 4)), Some(201));
+    assert_eq!(world.submit((leader + 1) % 3, service(2, 4)), Some(201));
     world.run(secs(5));
     assert_eq!(world.where_runs("wk-000002").len(), 4);
 }
@@ -73,50 +73,50 @@
     let mut world = at_work();
     world.hold_relays = Some(world.now + secs(30));
     world.run(secs(24));
-    let lead = world.lead().expect("a lead");
-    assert_eq!(reporting_to(&world, lead), 12);
+    let leader = world.leader().expect("a lead");
+    assert_eq!(reporting_to(&world, leader), 12);
     undisturbed(&world);
     world.run(secs(20));
     undisturbed(&world);
 }
 
 #[test]
-fn a_node_that_cannot_hand_reports_on_sends_workers_to_the_lead() {
+fn a_node_that_cannot_hand_reports_on_sends_workers_to_the_leader() {
     let mut world = at_work();
-    let lead = world.lead().expect("a lead");
-    world.no_peers.insert(lead);
+    let leader = world.leader().expect("a lead");
+    world.no_peers.insert(leader);
     world.run(secs(20));
-    assert_eq!(world.lead(), Some(lead));
-    assert_eq!(reporting_to(&world, lead), 12);
+    assert_eq!(world.leader(), Some(leader));
+    assert_eq!(reporting_to(&world, leader), 12);
     undisturbed(&world);
 }
 
 #[test]
-fn a_busy_lead_sends_its_own_workers_to_nodes_with_more_time() {
+fn a_busy_leader_sends_its_own_workers_to_nodes_with_more_time() {
     let mut world = at_work();
-    let lead = world.lead().expect("a lead");
-    world.workers.values_mut().for_each(|worker| worker.node = lead);
+    let leader = world.leader().expect("a lead");
+    world.workers.values_mut().for_each(|worker| worker.node = leader);
     world.run(secs(5));
-    assert_eq!(reporting_to(&world, lead), 12, "it is not busy");
-    world.busy.insert(lead, (0.9, Duration::ZERO));
+    assert_eq!(reporting_to(&world, leader), 12, "it is not busy");
+    world.busy.insert(leader, (0.9, Duration::ZERO));
     world.run(secs(30));
-    assert_eq!(reporting_to(&world, lead), 0);
+    assert_eq!(reporting_to(&world, leader), 0);
     undisturbed(&world);
     // Nobody has more time: none is sent away.
     (0..3).for_each(|node| {
         world.busy.insert(node, (0.9, Duration::ZERO));
     });
     world.run(secs(5));
-    world.workers.values_mut().for_each(|worker| worker.node = lead);
+    world.workers.values_mut().for_each(|worker| worker.node = leader);
     world.run(secs(10));
-    assert_eq!(reporting_to(&world, lead), 12);
+    assert_eq!(reporting_to(&world, leader), 12);
     undisturbed(&world);
 }
 
 #[test]
-fn a_lead_short_of_processor_takes_over_a_few_machines_at_a_time() {
+fn a_leader_short_of_processor_takes_over_a_few_machines_at_a_time() {
     // Found on a quiet day with half of the share: 75 calls at once to machines with services held
-    // the processor for so long that the lease ended, and so did that of the next lead.
+    // the processor for so long that the lease ended, and so did that of the next leader.
     let mut most = Vec::new();
     for late in [Duration::from_millis(200), Duration::ZERO] {
         let team = Team { cpus: 2_000.0, cpus_max: 4_000.0, gpus: 0.0, gpus_max: 0.0 };
@@ -130,8 +130,8 @@
         (0..3).for_each(|node| {
             world.busy.insert(node, (0.9, late));
         });
-        let lead = world.lead().expect("a lead");
-        world.crash(lead);
+        let leader = world.leader().expect("a lead");
+        world.crash(leader);
         world.most_orders = 0;
         world.run(secs(20));
         most.push(world.most_orders);
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -11,7 +11,7 @@
     Duration::from_secs(s)
 }
 
-/// A world whose lead is settled and knows its machines.
+/// A world whose leader is settled and knows its machines.
 fn settled(machines: usize) -> World {
     let mut world = World::new(machines);
     world.run(secs(6));
@@ -36,16 +36,16 @@
 }
 
 #[test]
-fn a_cancellation_is_carried_out_by_a_new_lead() {
-    // Found on a day with crashes: the lead fell between a cancellation and its stops,
+fn a_cancellation_is_carried_out_by_a_new_leader() {
+    // Found on a day with crashes: the leader fell between a cancellation and its stops,
     // and the next one read the job as cancelled but left its tasks running.
     let mut world = settled(2);
     world.submit(0, service(1, 3));
     world.run(secs(4));
     assert_eq!(world.where_runs("wk-000001").len(), 3);
-    let lead = world.lead().expect("a lead");
-    world.crash(lead);
-    let cancelled = world.cancel(other_than(lead), "wk-000001").expect("an answer");
+    let leader = world.leader().expect("a lead");
+    world.crash(leader);
+    let cancelled = world.cancel(other_than(leader), "wk-000001").expect("an answer");
     assert_eq!(cancelled.1.map(|v| v.state), Some(JobStatus::Cancelled));
     world.run(secs(12));
     assert!(world.where_runs("wk-000001").is_empty());
@@ -53,19 +53,19 @@
 }
 
 #[test]
-fn a_new_lead_takes_over_and_starts_nothing_twice() {
+fn a_new_leader_takes_over_and_starts_nothing_twice() {
     let mut world = settled(2);
     world.submit(0, service(1, 4));
     world.submit(0, job(2, 10));
     world.run(secs(4));
     let before = world.where_runs("wk-000001");
-    let lead = world.lead().expect("a lead");
-    world.crash(lead);
+    let leader = world.leader().expect("a lead");
+    world.crash(leader);
     world.run(secs(6));
-    assert!(world.lead().is_some_and(|new| new != lead));
+    assert!(world.leader().is_some_and(|new| new != leader));
     assert_eq!(world.where_runs("wk-000001"), before);
     world.run(secs(10));
-    assert_eq!(world.state(other_than(lead), "wk-000002"), Some(JobStatus::Done));
+    assert_eq!(world.state(other_than(leader), "wk-000002"), Some(JobStatus::Done));
     assert_eq!(world.started, 14);
 }
 
@@ -75,11 +75,11 @@
     world.submit(0, service(1, 4));
     world.run(secs(4));
     let (_, machine) = world.where_runs("wk-000001")[0].clone();
-    let lead = world.lead().expect("a lead");
+    let leader = world.leader().expect("a lead");
     // Cut off, its worker goes on until its lease ends; the cloud does not help.
     world.cloud.outage = true;
     world.cut.insert(machine.clone());
-    world.crash(lead);
+    world.crash(leader);
     world.run(secs(9));
     assert!(world.where_runs("wk-000001").iter().any(|(_, m)| *m == machine), "its lease still runs");
     world.run(secs(40));
@@ -88,14 +88,14 @@
 }
 
 #[test]
-fn an_old_lead_without_the_store_is_fenced() {
+fn an_old_leader_without_the_store_is_fenced() {
     let mut world = settled(2);
     world.submit(0, service(1, 4));
     world.run(secs(4));
-    let old = world.lead().expect("a lead");
+    let old = world.leader().expect("a lead");
     world.no_store.insert(old);
     world.run(secs(6));
-    let new = world.lead().expect("a lead");
+    let new = world.leader().expect("a lead");
     assert_ne!(new, old);
     assert_eq!(world.token_of(old), None, "it saw the higher token and stepped down");
     assert_eq!(world.submit(new, service(2, 2)), Some(201));
@@ -109,17 +109,17 @@
 }
 
 #[test]
-fn a_lead_cut_off_from_the_workers_gives_way_before_their_leases_end() {
+fn a_leader_cut_off_from_the_workers_gives_way_before_their_leases_end() {
     let mut world = settled(4);
     world.submit(0, service(1, 8));
     world.run(secs(4));
-    let old = world.lead().expect("a lead");
+    let old = world.leader().expect("a lead");
     world.no_workers.insert(old);
     // The others hand its workers' reports on, so that it learns of it when it calls them.
     world.run(secs(25));
     world.submit(old, service(2, 4));
     world.run(secs(14));
-    assert!(world.lead().is_some_and(|new| new != old));
+    assert!(world.leader().is_some_and(|new| new != old));
     assert_eq!(world.where_runs("wk-000001").len(), 8);
     assert_eq!(world.where_runs("wk-000002").len(), 4);
     assert_eq!(world.started, 12, "no lease ended, no machine was returned");
@@ -132,27 +132,27 @@
         let mut world = settled(4);
         world.submit(0, service(1, 8));
         world.run(secs(4));
-        let old = world.lead().expect("a lead");
+        let old = world.leader().expect("a lead");
         world.no_workers.insert(old);
         world.no_workers.insert((old + 1 + cut % 2) % 3);
         world.run(secs(2));
         world.submit(old, service(2, 4));
         world.run(secs(14));
-        assert!(world.lead().is_some_and(|new| !world.no_workers.contains(&new)));
+        assert!(world.leader().is_some_and(|new| !world.no_workers.contains(&new)));
         world.run(secs(20));
         assert_eq!(world.where_runs("wk-000001").len(), 8);
     }
 }
 
 #[test]
-fn a_lead_back_within_a_moment_drops_its_own_key() {
+fn a_leader_back_within_a_moment_drops_its_own_key() {
     let mut world = settled(1);
-    let lead = world.lead().expect("a lead");
-    let token = world.token_of(lead).expect("it leads");
-    world.crash(lead);
-    world.start_node(lead);
+    let leader = world.leader().expect("a lead");
+    let token = world.token_of(leader).expect("it leads");
+    world.crash(leader);
+    world.start_node(leader);
     world.run(secs(1));
-    let new = world.lead().expect("a lead again at once");
+    let new = world.leader().expect("a leader again at once");
     assert!(world.token_of(new).expect("it leads") > token);
 }
 
@@ -183,14 +183,14 @@
     let mut world = settled(2);
     world.submit(0, service(1, 4));
     world.run(secs(4));
-    let before = (world.where_runs("wk-000001"), world.lead());
+    let before = (world.where_runs("wk-000001"), world.leader());
     world.store.outage = true;
     world.run(secs(14));
     assert_eq!(world.status(0, "wk-000001").map(|s| s.0), Some(503));
     let now = world.now;
     world.store.end_outage(now);
     world.run(secs(5));
-    assert_eq!((world.where_runs("wk-000001"), world.lead()), before);
+    assert_eq!((world.where_runs("wk-000001"), world.leader()), before);
     assert_eq!(world.started, 4);
     assert_eq!(world.submit(0, job(2, 2)), Some(201));
 }
@@ -202,7 +202,7 @@
     world.run(secs(4));
     world.store.outage = true;
     world.run(secs(40));
-    assert!(world.where_runs("wk-000001").is_empty(), "the lead had to fall silent");
+    assert!(world.where_runs("wk-000001").is_empty(), "the leader had to fall silent");
     let now = world.now;
     world.store.end_outage(now);
     world.run(secs(20));
@@ -253,13 +253,13 @@
 fn a_renewal_that_hangs_does_not_end_the_reign() {
     // Found on a day with much to do: one call to the state service hung for most of the lease.
     let mut world = settled(1);
-    let lead = world.lead().expect("a lead");
-    let token = world.token_of(lead);
+    let leader = world.leader().expect("a lead");
+    let token = world.token_of(leader);
     for _ in 0..3 {
         world.lose_touches = 1;
         world.run(secs(4));
         assert_eq!(world.lose_touches, 0);
-        assert_eq!(world.token_of(lead), token);
+        assert_eq!(world.token_of(leader), token);
     }
 }
 
@@ -305,11 +305,11 @@
 }
 
 #[test]
-fn of_two_leads_at_once_only_one_starts_tasks() {
+fn of_two_leaders_at_once_only_one_starts_tasks() {
     let mut world = settled(2);
-    let old = world.lead().expect("a lead");
+    let old = world.leader().expect("a lead");
     let others = [(old + 1) % 3, (old + 2) % 3];
-    // The old lead hears nothing of its end, and what it writes takes five seconds; the
+    // The old leader hears nothing of its end, and what it writes takes five seconds; the
     // new one cannot reach the machines yet, while the old one can.
     world.slow_txns.insert(old, world.now + secs(5));
     for machine in ["n-000000", "n-000001"] {
@@ -320,8 +320,8 @@
     world.adrift.insert(old);
     world.run(secs(8));
     world.slow_txns.clear();
-    assert!(world.lead().is_some_and(|new| new != old));
-    assert!(world.where_runs("wk-000001").is_empty(), "the old lead's placement was refused");
+    assert!(world.leader().is_some_and(|new| new != old));
+    assert!(world.where_runs("wk-000001").is_empty(), "the old leader's placement was refused");
     world.cut_links.retain(|(_, machine)| machine != "n-000001");
     world.run(secs(12));
     assert_eq!(world.where_runs("wk-000001").len(), 1);
@@ -329,13 +329,13 @@
 }
 
 #[test]
-fn an_old_page_applied_late_does_not_mislead_the_next_lead() {
+fn an_old_page_applied_late_does_not_mislead_the_next_leader() {
     let mut world = settled(3);
-    let lead = world.lead().expect("a lead");
+    let leader = world.leader().expect("a lead");
     let mut spec = service(1, 2);
     spec.cpus = 16.0;
-    world.hold_txns.insert(lead, world.now + secs(30));
-    world.submit(other_than(lead), spec);
+    world.hold_txns.insert(leader, world.now + secs(30));
+    world.submit(other_than(leader), spec);
     world.run(secs(1));
     world.hold_txns.clear();
     world.run(secs(6));
@@ -345,7 +345,7 @@
     // By now the first page, which names the dead machine, has been tried again.
     let before = world.where_runs("wk-000001");
     assert_eq!((before.len(), world.started), (2, 3));
-    world.crash(lead);
+    world.crash(leader);
     world.run(secs(25));
     assert_eq!((world.where_runs("wk-000001"), world.started), (before, 3));
 }
@@ -355,9 +355,9 @@
     let mut world = settled(2);
     world.submit(0, job(1, 6));
     world.run(secs(3));
-    let lead = world.lead().expect("a lead");
-    // What the lead writes for the next seconds is applied 30 s late, if at all.
-    world.hold_txns.insert(lead, world.now + secs(30));
+    let leader = world.leader().expect("a lead");
+    // What the leader writes for the next seconds is applied 30 s late, if at all.
+    world.hold_txns.insert(leader, world.now + secs(30));
     world.run(secs(2));
     world.hold_txns.clear();
     world.run(secs(45));
@@ -377,13 +377,13 @@
     };
     world.submit(0, small(1, 150));
     world.run(secs(2));
-    let lead = world.lead().expect("a lead");
-    world.hold_txns.insert(lead, world.now + secs(8));
-    world.submit(other_than(lead), small(2, 10));
+    let leader = world.leader().expect("a lead");
+    world.hold_txns.insert(leader, world.now + secs(8));
+    world.submit(other_than(leader), small(2, 10));
     world.run(secs(1));
     world.hold_txns.clear();
     // With these the segment is more than full.
-    world.submit(other_than(lead), small(3, 60));
+    world.submit(other_than(leader), small(3, 60));
     world.run(secs(20));
     assert_eq!(world.late_commits, 0, "a late transaction was applied");
     assert_eq!(world.started, 220);
@@ -436,11 +436,11 @@
     world.submit(0, service(1, 60));
     world.run(secs(5));
     assert_eq!(world.where_runs("wk-000001").len(), 60);
-    let lead = world.lead().expect("a lead");
+    let leader = world.leader().expect("a lead");
     world.cloud.outage = true;
     world.cut.insert("n-000000".into());
-    world.crash(lead);
-    world.submit(other_than(lead), job(2, 40));
+    world.crash(leader);
+    world.submit(other_than(leader), job(2, 40));
     world.run(secs(60));
     assert_eq!(world.where_runs("wk-000001").len(), 60);
 }
@@ -585,11 +585,11 @@
     assert_eq!(world.submit(0, spec), Some(201));
     world.run(secs(15));
     assert!(world.where_runs("wk-000001").len() > 100);
-    let lead = world.lead().expect("a lead");
-    world.crash(lead);
+    let leader = world.leader().expect("a lead");
+    world.crash(leader);
     world.run(secs(15));
     assert!(world.where_runs("wk-000001").len() > 100);
-    let view = world.status(other_than(lead), "wk-000001").and_then(|s| s.1).expect("an answer");
+    let view = world.status(other_than(leader), "wk-000001").and_then(|s| s.1).expect("an answer");
     assert!(view.done.is_some_and(|done| done > 100), "{view:?}");
 }
 
@@ -708,19 +708,19 @@
     let mut world = settled(4);
     world.copy_reports.extend((0..4).map(|n| (format!("n-{n:06}"), secs(10))));
     world.run(secs(12));
-    // Three machines are gone when the lead falls; their copies come to one that never knew them.
-    let lead = world.lead().expect("a lead");
-    world.crash(lead);
+    // Three machines are gone when the leader falls; their copies come to one that never knew them.
+    let leader = world.leader().expect("a lead");
+    world.crash(leader);
     for gone in ["n-000001", "n-000002", "n-000003"] {
         world.workers.remove(gone);
         world.cloud.machines.remove(gone);
     }
     world.run(secs(6));
-    world.submit(other_than(lead), job(1, 40));
+    world.submit(other_than(leader), job(1, 40));
     world.run(secs(3));
     assert!(world.cloud.machines.len() >= 3, "it counts on machines that are gone");
     world.run(secs(35));
-    assert_eq!(world.state(other_than(lead), "wk-000001"), Some(JobStatus::Done));
+    assert_eq!(world.state(other_than(leader), "wk-000001"), Some(JobStatus::Done));
     assert_eq!(world.started, 40);
 }
 
@@ -745,9 +745,9 @@
     wide.cpus = 9.0;
     world.submit(0, wide);
     world.run(secs(100));
-    // They report to the lead itself, which is not taken for cut off.
-    let lead = world.lead().expect("a lead");
-    world.workers.values_mut().for_each(|worker| worker.node = lead);
+    // They report to the leader itself, which is not taken for cut off.
+    let leader = world.leader().expect("a lead");
+    world.workers.values_mut().for_each(|worker| worker.node = leader);
     for name in ["n-000000", "n-000001", "n-000002"] {
         world.hold_orders.insert(name.into(), world.now + secs(22));
     }
@@ -768,24 +768,24 @@
 }
 
 #[test]
-fn a_lead_without_store_and_peers_but_with_its_workers_leaves_them_in_time() {
+fn a_leader_without_store_and_peers_but_with_its_workers_leaves_them_in_time() {
     let mut world = settled(4);
     world.cloud.capacity = 4;
     world.submit(0, service(1, 6));
     world.run(secs(4));
-    let old = world.lead().expect("a lead");
+    let old = world.leader().expect("a lead");
     world.no_store.insert(old);
     world.no_peers.insert(old);
-    // The new lead does not reach the machines at work, nor does the cloud help it. It has
-    // others with room, once the old lead has surely fallen silent and leases have ended.
+    // The new leader does not reach the machines at work, nor does the cloud help it. It has
+    // others with room, once the old leader has surely fallen silent and leases have ended.
     world.cloud.outage = true;
     for (_, machine) in world.where_runs("wk-000001") {
         world.cut_links.extend([(other_than(old), machine.clone()), ((old + 2) % 3, machine)]);
     }
     world.run(secs(5));
-    let new = world.lead().expect("a new lead");
+    let new = world.leader().expect("a new lead");
     assert_ne!(new, old);
-    assert_eq!(world.where_runs("wk-000001").len(), 6, "the old lead answers within its allowance");
+    assert_eq!(world.where_runs("wk-000001").len(), 6, "the old leader answers within its allowance");
     world.run(secs(45));
     assert_eq!(world.where_runs("wk-000001").len(), 6);
     assert_eq!(world.started, 12, "they moved once the old ones had ended");
@@ -806,16 +806,16 @@
         world.submit(0, service(1, 4));
         world.submit(1, job(2, 12));
         world.run(secs(2));
-        let lead = world.lead().expect("a lead");
-        // What the lead had sent is applied late; all machines' reports come again.
-        world.hold_txns.insert(lead, world.now + secs(6));
+        let leader = world.leader().expect("a lead");
+        // What the leader had sent is applied late; all machines' reports come again.
+        world.hold_txns.insert(leader, world.now + secs(6));
         world.copy_reports.extend(["n-000000", "n-000001"].map(|m| (m.to_owned(), secs(5))));
         world.run(Duration::from_millis(300));
-        world.crash(lead);
+        world.crash(leader);
         world.run(Duration::from_millis(delay));
-        let next = other_than(lead);
+        let next = other_than(leader);
         world.crash(next);
-        world.start_node(lead);
+        world.start_node(leader);
         world.run(Duration::from_millis(200));
         world.start_node(next);
         world.hold_txns.clear();
@@ -833,7 +833,7 @@
     // A node that follows makes no calls while it turns users away, and did not notice.
     let mut world = settled(1);
     world.submit(0, job(1, 2));
-    let follower = other_than(world.lead().expect("a lead"));
+    let follower = other_than(world.leader().expect("a lead"));
     world.no_store.insert(follower);
     world.status(follower, "wk-000001");
     world.run(secs(3));
@@ -886,7 +886,7 @@
 fn a_flood_of_questions_for_unknown_jobs_leaves_calls_for_others() {
     let mut world = settled(1);
     world.submit(0, service(1, 2));
-    let node = other_than(world.lead().expect("a lead"));
+    let node = other_than(world.leader().expect("a lead"));
     let mut asked: Vec<String> = (1000..1400).map(|id| format!("wk-{id:06}")).collect();
     asked.push("wk-000001".into());
     let before = world.store.requests;
--- a/crates/rushyoke/src/budget.rs
+++ b/crates/rushyoke/src/budget.rs
@@ -89,7 +89,7 @@
         for queue in &mut self.queues {
             let passes = |q: &Queued<T>| {
                 let may_write = q.writes == 0.0 || (!blocked && self.writes.has(q.writes));
-                q.urgency == Urgency::Lead || (!full && self.requests.has(1.0) && may_write)
+                q.urgency == Urgency::Leadership || (!full && self.requests.has(1.0) && may_write)
             };
             let Some(first) = queue.front() else { continue };
             let at = if passes(first) { Some(0) } else { queue.iter().position(|q| q.writes == 0.0 && passes(q)) };
@@ -132,7 +132,7 @@
             (budget.next(start, false), budget.next(start, false), budget.next(start, false)),
             (Some(0), Some(1), None)
         );
-        assert!(budget.push(9, Urgency::Lead, 0, start).is_none());
+        assert!(budget.push(9, Urgency::Leadership, 0, start).is_none());
         assert_eq!(budget.next(start, true), Some(9));
         assert_eq!(budget.next(start + Duration::from_millis(600), false), None);
         assert_eq!(budget.next(start + Duration::from_millis(1100), false), Some(2));
--- a/crates/rushyoke/src/drive.rs
+++ b/crates/rushyoke/src/drive.rs
@@ -25,9 +25,9 @@
 const GAUGE: f64 = 0.05;
 /// Health checks and controllers' questions that wait for the core.
 const FIRST: usize = 64;
-/// The lead's share of the state service's budget; the others share the rest.
+/// The leader's share of the state service's budget; the others share the rest.
 const LEAD_SHARE: f64 = 0.55;
-/// The lead alone uses the cloud, apart from the others' first look at the types.
+/// The leader alone uses the cloud, apart from the others' first look at the types.
 const CLOUD_SHARE: f64 = 0.8;
 
 struct Waiting {
@@ -74,7 +74,7 @@
 async fn serve(settings: Settings, waits: Arc<AtomicU64>) -> Result<(), String> {
     let sockets = settings.sockets;
     // A connection carries one request at a time, so that none is ever turned away for want of
-    // room here: when all workers turn to a new lead at once, each of them would come again.
+    // room here: when all workers turn to a new leader at once, each of them would come again.
     let (core, mut inbox) = mpsc::channel::<Asked>(sockets.served);
     let (first, mut inbox_first) = mpsc::channel::<Asked>(FIRST);
     // Outcomes of our own calls, whose number is bounded by the core and the budgets.
--- a/crates/rushyoke/src/outside.rs
+++ b/crates/rushyoke/src/outside.rs
@@ -18,14 +18,14 @@
 use crate::http::{Ask, Http};
 
 /// What a watch may take beyond the time it waits: one that hangs is soon opened again, since
-/// the lead may answer no worker for long without it.
+/// the leader may answer no worker for long without it.
 const WATCH_SLACK: Duration = Duration::from_millis(1500);
 const STORE_WAIT: Duration = Duration::from_millis(1500);
 const CLOUD_WAIT: Duration = Duration::from_secs(5);
 const WORKER_WAIT: Duration = Duration::from_secs(3);
 const PROBE_WAIT: Duration = Duration::from_millis(800);
 const PEER_WAIT: Duration = Duration::from_secs(1);
-/// Workers wait for four seconds for what a busy lead is asked to answer.
+/// Workers wait for four seconds for what a busy leader is asked to answer.
 const RELAY_WAIT: Duration = Duration::from_millis(2500);
 const CONNECT: Duration = Duration::from_secs(1);
 const MOST: usize = 4 * 1024 * 1024;
--- a/crates/rushyoke/src/pace.rs
+++ b/crates/rushyoke/src/pace.rs
@@ -1,7 +1,7 @@
 //! Bounded slices of what others send: after a few reads from their connections the process looks
 //! for its own answers before it goes on.
 //!
-//! Guards the lead's lease against a crowd. When all workers come at once, on a small machine,
+//! Guards the leader's lease against a crowd. When all workers come at once, on a small machine,
 //! what is ready to be read takes seconds to serve; an answer of the state service that came
 //! meanwhile would wait behind all of it.
 
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -182,11 +182,11 @@
     /// A copy of each report is kept, and comes to every node so long after another one leads.
     pub keep_for_next: Option<Duration>,
     kept: Vec<(String, Report)>,
-    /// Reports that came to a new lead from before its time.
+    /// Reports that came to a new leader from before its time.
     pub came_to_next: u64,
-    seen_lead: Option<(usize, u64)>,
+    seen_leader: Option<(usize, u64)>,
     /// Tokens under which any node ever led, and whether two did at a time.
-    pub reigns: BTreeSet<u64>,
+    pub terms: BTreeSet<u64>,
     pub two_led: bool,
     pub rules: Rules,
     /// Tasks that began after their job's cancellation was confirmed.
@@ -269,8 +269,8 @@
             keep_for_next: None,
             kept: Vec::new(),
             came_to_next: 0,
-            seen_lead: None,
-            reigns: BTreeSet::new(),
+            seen_leader: None,
+            terms: BTreeSet::new(),
             two_led: false,
             rules: Rules::default(),
             late_starts: 0,
@@ -333,7 +333,7 @@
         Now { steady: self.start + self.now, wall_ms: 1_700_000_000_000 + self.now.as_millis() as u64 }
     }
 
-    pub fn lead(&self) -> Option<usize> {
+    pub fn leader(&self) -> Option<usize> {
         let leads = (0..self.slots.len()).filter_map(|n| Some((self.slots[n].node.as_ref()?.token()?, n)));
         leads.max().map(|(_, n)| n)
     }
@@ -672,18 +672,18 @@
         }
     }
 
-    /// Notes who leads, and gives a new lead the reports that were kept for it.
+    /// Notes who leads, and gives a new leader the reports that were kept for it.
     fn leads_pass(&mut self) {
         let tokens: Vec<u64> = (0..self.slots.len()).filter_map(|n| self.token_of(n)).collect();
         self.two_led |= tokens.len() > 1;
-        self.reigns.extend(tokens);
-        let lead = self.lead().and_then(|n| Some((n, self.token_of(n)?)));
-        if lead.is_none() || lead == self.seen_lead {
+        self.terms.extend(tokens);
+        let leader = self.leader().and_then(|n| Some((n, self.token_of(n)?)));
+        if leader.is_none() || leader == self.seen_leader {
             return;
         }
-        let first = self.seen_lead.is_none();
+        let first = self.seen_leader.is_none();
         let at = self.now + HOP + self.keep_for_next.unwrap_or_default();
-        self.seen_lead = lead;
+        self.seen_leader = leader;
         for (machine, report) in std::mem::take(&mut self.kept).into_iter().filter(|_| !first) {
             self.came_to_next += 1;
             for node in 0..self.slots.len() {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -18,9 +18,9 @@
     pub label: String,
     /// The asker's token while it leads.
     pub token: Option<u64>,
-    /// The lead takes no more jobs.
+    /// The leader takes no more jobs.
     pub full: bool,
-    /// For display, from the lead only.
+    /// For display, from the leader only.
     pub progress: Vec<Progress>,
 }
 
@@ -32,16 +32,16 @@
     pub store_ok: bool,
     /// The token with which this incarnation still acts, if any.
     pub token: Option<u64>,
-    /// The token of the lead to which it hands workers' reports, if it does.
+    /// The token of the leader to which it hands workers' reports, if it does.
     pub relays_to: Option<u64>,
     /// How much of its time its processor is busy, in percent.
     pub busy: u8,
 }
 
-/// Workers' reports that a node hands to the lead, to pass its answers back.
+/// Workers' reports that a node hands to the leader, to pass its answers back.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Relay {
-    /// The token of the lead that they are for.
+    /// The token of the leader that they are for.
     pub token: u64,
     pub reports: Vec<Relayed>,
 }
@@ -76,7 +76,7 @@
     pub why: Option<Cause>,
 }
 
-/// The lead's answers to relayed reports, in their order; `None`: send it in full.
+/// The leader's answers to relayed reports, in their order; `None`: send it in full.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RelayTold {
     pub answers: Vec<Option<RelayAnswer>>,
