--- a/crates/testkit/src/rules.rs
+++ b/crates/testkit/src/rules.rs
@@ -153,6 +153,21 @@
         }
     }
 
+    /// A user asked a node that is not part of the story to cancel a job.
+    pub fn unwanted(&mut self, job: &str) {
+        self.unwanted.insert(job.to_owned());
+    }
+
+    /// A job that was accepted, and perhaps ended, before the story began.
+    pub fn earlier(&mut self, job: &str, tasks: u32, done: bool) {
+        self.submitted.insert(job.to_owned());
+        self.accepted.insert(job.to_owned());
+        self.tasks.insert(job.to_owned(), tasks);
+        if done {
+            self.done.insert(job.to_owned(), (0..tasks).collect());
+        }
+    }
+
     /// How many tasks of a job completed somewhere.
     pub fn finished(&self, job: &str) -> u32 {
         self.done.get(job).map_or(0, |tasks| tasks.len() as u32)
