Rates of the coming limits from the first 429 on; the log keeps its bytes, not its segments

Ruled out: the restarts themselves (the followers accepted in 10 to 30 ms throughout), requests a second (none refused). With values of 2 KB the twelve segments kept held a quarter of the log, so that pages were written all the time, and 28 changes a second held before the limit did.

Now segments are kept by bytes, the log takes at most two fifths of the changes a second, rates are lowered at the first 429, and tasks whose page does not fit are written again from segments that are half empty. Before, two conditions of the limits had no story that failed without them.

--- a/crates/core/src/facts.rs
+++ b/crates/core/src/facts.rs
@@ -31,6 +31,8 @@
     pub cancel: Duration,
     pub txn_ops: usize,
     pub value_bytes: usize,
+    /// Puts and deletes that the store takes a second.
+    pub write_rps: f64,
     pub list_lag: Duration,
     /// Calls that the cloud takes a second.
     pub cloud_rps: f64,
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -62,8 +62,10 @@
     Changes(Changes),
     /// The watch asked for changes that are no longer kept.
     TooOld,
-    /// 429 or 503: not carried out.
+    /// 503: not carried out.
     Unavailable,
+    /// 429: beyond a limit, not carried out.
+    Limited,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -252,7 +252,10 @@
     }
 
     fn store_outcome(&mut self, call: Call, outcome: Outcome<StoreAnswer>) {
-        let ok = !matches!(outcome, Outcome::NotDone | Outcome::Unknown | Outcome::Answered(StoreAnswer::Unavailable));
+        let ok = !matches!(
+            outcome,
+            Outcome::NotDone | Outcome::Unknown | Outcome::Answered(StoreAnswer::Unavailable | StoreAnswer::Limited)
+        );
         let Some(purpose) = self.env.calls.remove(&call) else {
             return;
         };
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -32,8 +32,12 @@
 const GAP: Duration = Duration::from_millis(60);
 /// The same where nobody waits for it: places that came free, tasks that are done.
 const LAZY_GAP: Duration = Duration::from_millis(500);
-/// Segments kept before the oldest is gathered into pages.
+/// The log takes no more than this part of the store's changes a second, or users would wait.
+const LOG_SHARE: f64 = 0.4;
+/// Segments kept before the oldest is gathered into pages, and more of them where they are small:
+/// most jobs end before.
 const SEGMENTS: usize = 12;
+const SEGMENTS_BYTES: usize = 96 * 1024;
 /// Bytes of a value and of a transaction that stay unused.
 const SPARE: usize = 256;
 const TXN_BYTES: usize = 40 * 1024;
@@ -169,13 +173,10 @@
             }
         }
     }
+}
 
-    /// How many segments may be kept before tasks are written again to free the oldest: with more
-    /// tasks at work than a dozen segments hold, that must not write the same ones round and round.
-    fn most_sealed(&self, value_bytes: usize) -> usize {
-        let tasks: usize = self.sealed.iter().map(|sealed| sealed.tasks.len()).sum();
-        SEGMENTS + 2 * tasks * TASK_BYTES / value_bytes.max(1)
-    }
+fn segments_kept(value_bytes: usize) -> usize {
+    SEGMENTS.max(SEGMENTS_BYTES / value_bytes.max(1))
 }
 
 /// Counts what a segment's value may take at the most.
@@ -210,7 +211,7 @@
             return;
         }
         self.read_back(env);
-        if self.records.in_flight || self.records.reading > 0 || !self.write_due(now) {
+        if self.records.in_flight || self.records.reading > 0 || !self.write_due(now, env.facts.write_rps) {
             return;
         }
         let ops = env.facts.txn_ops;
@@ -239,12 +240,13 @@
         env.store(Purpose::Record(RecordCall::Write(batch)), urgency, StoreOp::Txn(txn));
     }
 
-    fn write_due(&self, now: Instant) -> bool {
+    fn write_due(&self, now: Instant, write_rps: f64) -> bool {
         let records = &self.records;
         let since = |gap: Duration| records.sent.is_none_or(|t| now.duration_since(t) >= gap);
         let awaited = !records.placed.is_empty() || !records.closing.is_empty();
         let any = awaited || records.doubt || !records.changed.is_empty() || !records.drops.is_empty();
-        any && since(if awaited { GAP } else { LAZY_GAP })
+        let gap = GAP.max(Duration::from_secs_f64(1.0 / (write_rps * LOG_SHARE).max(0.1)));
+        any && since(if awaited { gap } else { LAZY_GAP })
     }
 
     fn close_jobs(&mut self, txn: &mut Txn, batch: &mut Batch, conditioned: &mut BTreeSet<Name>, ops: usize) {
@@ -351,7 +353,7 @@
     /// Writes pages of the oldest segment while there are many, and deletes it once all
     /// that it names stands elsewhere. Only beside a write of the last segment, which
     /// keeps a late copy of this transaction from being applied. What does not fit into a page
-    /// is written into the log once more.
+    /// is written into the log once more, from segments that are half empty or more.
     fn gather(&mut self, env: &Env, txn: &mut Txn, batch: &mut Batch) {
         while let Some(mut oldest) = self.records.sealed.pop_front() {
             let version = oldest.version;
@@ -362,14 +364,16 @@
             }
             self.records.drop_key(segment_key(oldest.number));
         }
-        if !batch.segment || self.records.sealed.len() <= SEGMENTS {
+        let kept = segments_kept(env.facts.value_bytes);
+        if !batch.segment || self.records.sealed.len() <= kept {
             return;
         }
         let room = env.facts.value_bytes.saturating_sub(SPARE);
-        let crowded = self.records.sealed.len() > self.records.most_sealed(room);
         let Some(oldest) = self.records.sealed.front() else { return };
+        // Else the same tasks would be written round and round.
+        let sparse = oldest.tasks.len() * TASK_BYTES < env.facts.value_bytes / 2;
         // The further behind, the more in one transaction.
-        let behind = self.records.sealed.len() - SEGMENTS;
+        let behind = self.records.sealed.len() - kept;
         let most = (txn.writes.len() + 1 + behind).min(env.facts.txn_ops);
         let mut bytes = env.facts.value_bytes;
         let mut pages: Vec<(Name, u32)> = oldest.tasks.iter().map(|(name, task)| (name.clone(), task / PAGE)).collect();
@@ -395,7 +399,7 @@
         }
         // Nothing else is to be done for this segment.
         let Some(oldest) = self.records.sealed.pop_front() else { return };
-        if crowded {
+        if sparse {
             for key in oldest.tasks.iter().filter(|(name, task)| unfit.contains(&(name.clone(), task / PAGE))) {
                 self.records.changed(key.clone(), None);
             }
--- /dev/null
+++ b/crates/core/tests/limits.rs
@@ -0,0 +1,102 @@
+//! Limits of the state service that become lower. The stand-in fails a story that goes beyond them.
+
+use std::time::Duration;
+
+use rushyoke_core::{Facts, Policy};
+use rushyoke_testkit::{World, facts, job, service};
+use rushyoke_wire::job::{JobSpec, JobStatus};
+
+fn secs(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
+fn name(id: u32) -> String {
+    format!("wk-{id:06}")
+}
+
+fn states(world: &mut World, node: usize, ids: std::ops::RangeInclusive<u32>) -> Vec<Option<JobStatus>> {
+    ids.map(|id| world.state(node, &name(id))).collect()
+}
+
+fn all(state: JobStatus, count: usize) -> Vec<Option<JobStatus>> {
+    vec![Some(state); count]
+}
+
+#[test]
+fn lower_limits_of_the_state_service_wedge_nothing() {
+    // The version in production wrote large values; from a moment on they must be small.
+    let mut world = World::deployed(facts(0, 3), 5, Policy::default(), &["a", "b"]);
+    world.task_s = 20.0;
+    world.run(secs(6));
+    (1..5).for_each(|id| assert_eq!(world.submit(0, service(id, 14)), Some(201)));
+    let wide = |id| JobSpec { team: "blue".into(), cpus: 0.02, memory_gb: 0.1, ..job(id, 200) };
+    (5..8).for_each(|id| assert_eq!(world.submit(0, wide(id)), Some(201)));
+    world.run(secs(8));
+    let (rows, rules) = (std::mem::take(&mut world.store.rows), std::mem::take(&mut world.rules));
+    let largest = rows.values().map(|(value, ..)| value.to_string().len()).max();
+    assert!(largest > Some(2048), "there are large values: {largest:?}");
+    let lower = Facts { value_bytes: 2048, txn_ops: 5, ..facts(0, 3) };
+    let mut world = World::deployed(lower, 5, Policy::default(), &["a", "b"]);
+    world.task_s = 20.0;
+    world.check_every = 3;
+    world.workers.values_mut().for_each(|worker| worker.run_s = 20.0);
+    (1..5).for_each(|id| drop(world.specs.insert(name(id), service(id, 14))));
+    (5..8).for_each(|id| drop(world.specs.insert(name(id), wide(id))));
+    world.rules = rules;
+    world.store.rows = rows.into_iter().filter(|(key, _)| key != "lead").collect();
+    world.store.revision = world.store.rows.values().map(|row| row.1).max().unwrap_or_default();
+    (world.store.max_ops, world.store.max_value) = (5, 2048);
+    world.run(secs(50));
+    assert_eq!(world.submit(1, JobSpec { awaits: vec![name(5), name(6)], ..job(10, 5) }), Some(201));
+    let questions: Vec<String> = (1..40).map(name).collect();
+    assert_eq!(world.ask_all(0, &questions).len(), 39, "more than one comparison takes");
+    assert!(world.cancel(1, &name(4)).is_some());
+    for _ in 0..4 {
+        let leader = world.leader().expect("a lead");
+        world.crash(leader);
+        world.run(secs(6));
+        world.start_node(leader);
+        world.run(secs(25));
+    }
+    world.run(secs(60));
+    assert_eq!(states(&mut world, 1, 5..=7), all(JobStatus::Done, 3));
+    assert_eq!(states(&mut world, 2, 10..=10), all(JobStatus::Done, 1));
+    (1..4).for_each(|id| assert_eq!(world.where_runs(&name(id)).len(), 14));
+    assert!(world.where_runs(&name(4)).is_empty());
+}
+
+#[test]
+fn segments_whose_pages_do_not_fit_are_written_again_and_deleted() {
+    // Half of each page's tasks run on, so that no page fits, and every segment is half empty.
+    let lower = Facts { value_bytes: 1024, txn_ops: 5, ..facts(0, 3) };
+    let policy = Policy { speculation: false, ..Policy::default() };
+    let mut world = World::deployed(lower, 4, policy, &["a"]);
+    (world.store.max_ops, world.store.max_value) = (5, 1024);
+    world.check_every = 5;
+    world.workers.values_mut().for_each(|worker| worker.run_s = 900.0);
+    world.run(secs(6));
+    let small = |id| JobSpec { cpus: 0.02, memory_gb: 0.02, ..job(id, 80) };
+    (1..25).for_each(|id| assert_eq!(world.submit(0, small(id)), Some(201)));
+    world.run(secs(60));
+    let segments = |world: &World| world.store.rows.keys().filter(|key| key.starts_with("log/")).count();
+    let before = segments(&world);
+    assert!(before > 110, "{before} segments");
+    for worker in world.workers.values_mut() {
+        for task in &mut worker.tasks {
+            let (_, number) = task.name.rsplit_once('/').expect("a task's name");
+            if number.parse::<u32>().is_ok_and(|number| number % 2 == 1) {
+                task.until = world.now;
+            }
+        }
+    }
+    world.run(secs(90));
+    assert_eq!(world.rules.finished(&name(1)), 40);
+    let after = segments(&world);
+    assert!(after < 105, "{before} segments, then {after}");
+    // A new leader finds every task where it is.
+    let leader = world.leader().expect("a leader");
+    world.crash(leader);
+    world.run(secs(20));
+    assert_eq!(world.started, 24 * 80, "nothing began twice");
+    assert_eq!(world.where_runs(&name(7)).len(), 40);
+}
--- a/crates/rushyoke/src/budget.rs
+++ b/crates/rushyoke/src/budget.rs
@@ -63,6 +63,13 @@
         }
     }
 
+    /// Changes what is allowed a second.
+    pub fn limit(&mut self, rps: f64, write_rps: f64, seconds: f64) {
+        (self.rps, self.write_rps) = (rps, write_rps);
+        self.requests.burst = (rps * seconds).max(1.0);
+        self.writes.burst = (write_rps * seconds).max(1.0);
+    }
+
     /// Sets this node's share of the whole.
     pub fn share(&mut self, share: f64) {
         self.requests.rate = self.rps * share;
@@ -170,6 +177,20 @@
         );
     }
 
+    #[test]
+    fn a_lower_limit_holds_from_the_moment_it_is_set() {
+        let start = Instant::now();
+        let mut budget = Budget::new(100.0, 40.0, 1.0, start);
+        assert!((0..40).all(|n| budget.push(n, Urgency::High, 1, start).is_none()));
+        budget.limit(100.0, 4.0, 1.0);
+        budget.share(0.5);
+        let later = start + Duration::from_millis(10);
+        let passed = (0..40).filter(|_| budget.next(later, false).is_some()).count();
+        assert_eq!(passed, 4, "the burst");
+        let passed = (0..40).filter(|_| budget.next(later + Duration::from_secs(1), false).is_some()).count();
+        assert_eq!(passed, 2, "this node's share");
+    }
+
     #[test]
     fn a_full_queue_gives_the_call_back() {
         let start = Instant::now();
--- a/crates/rushyoke/src/drive.rs
+++ b/crates/rushyoke/src/drive.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use rushyoke_core::{Answer, Call, CloudOp, Input, Node, Now, Outcome, Output, Req, StoreOp, Urgency};
+use rushyoke_core::{Answer, Call, CloudOp, Input, Node, Now, Outcome, Output, Req, StoreAnswer, StoreOp, Urgency};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::LocalSet;
 
@@ -25,6 +25,8 @@
 const GAUGE: f64 = 0.05;
 /// Health checks and controllers' questions that wait for the core.
 const FIRST: usize = 64;
+/// Calls to the state service may come in bursts of so many seconds' worth.
+const STORE_BURST: f64 = 0.4;
 /// The leader's share of the state service's budget; the others share the rest.
 const LEAD_SHARE: f64 = 0.55;
 /// The leader alone uses the cloud, apart from the others' first look at the types.
@@ -40,6 +42,10 @@
     node: Node,
     http: Http,
     store: Budget<(Call, StoreOp)>,
+    /// Requests and changes a second that the state service will allow from some moment on, which its
+    /// first 429 may show.
+    next_limits: Option<(f64, f64)>,
+    limited: Rc<Cell<bool>>,
     /// Calls to the state service under way, and the most: while it is slow or silent they
     /// must not use up the sockets. Leadership passes, and watches do not count.
     store_calls: Rc<Cell<usize>>,
@@ -98,7 +104,9 @@
     drop((core, first));
     tracing::info!(label = settings.facts.label, public = %settings.public_addr, "started");
     let mut driver = Driver {
-        store: Budget::new(settings.state_rps, settings.state_writes, 0.4, start.steady),
+        store: Budget::new(settings.state_rps, settings.state_writes, STORE_BURST, start.steady),
+        next_limits: settings.state_next,
+        limited: Rc::default(),
         cloud: Budget::new(settings.cloud_rps, settings.cloud_rps, 1.0, start.steady),
         node: Node::new(settings.facts, settings.policy, rand::random(), start),
         http,
@@ -144,6 +152,12 @@
             (Some(_), _) => LEAD_SHARE,
             (None, others) => (1.0 - LEAD_SHARE) / others as f64,
         };
+        if self.limited.get()
+            && let Some((rps, write_rps)) = self.next_limits.take()
+        {
+            tracing::info!(rps, write_rps, "the state service's coming limits hold from now on");
+            self.store.limit(rps, write_rps, STORE_BURST);
+        }
         self.store.share(share);
         for (call, _) in self.store.expired(now) {
             self.input(Input::Store { call, outcome: Outcome::NotDone });
@@ -249,11 +263,12 @@
         let now = Instant::now();
         while let Some((call, op)) = self.store.next(now, self.store_calls.get() >= self.most_store_calls) {
             let (http, back, stats, addr) = (self.http.clone(), self.back.clone(), self.stats.clone(), self.store_addr);
-            let calls = self.store_calls.clone();
+            let (calls, limited) = (self.store_calls.clone(), self.limited.clone());
             let watch = matches!(op, StoreOp::Watch { .. });
             calls.set(calls.get() + usize::from(!watch));
             tokio::task::spawn_local(async move {
                 let outcome = outside::store(&http, addr, op).await;
+                limited.set(limited.get() || matches!(outcome, Outcome::Answered(StoreAnswer::Limited)));
                 if !watch {
                     calls.set(calls.get() - 1);
                     stats.borrow_mut().note(Delay::State, now.elapsed());
--- a/crates/rushyoke/src/outside.rs
+++ b/crates/rushyoke/src/outside.rs
@@ -85,7 +85,8 @@
     };
     if matches!(status, 429 | 503) {
         tracing::debug!(status, ?op, "the state service declines");
-        return Outcome::Answered(StoreAnswer::Unavailable);
+        let answer = if status == 429 { StoreAnswer::Limited } else { StoreAnswer::Unavailable };
+        return Outcome::Answered(answer);
     }
     match (&op, status) {
         (StoreOp::Get(_), 200) => known(parse::<Item>("state", &body).map(|item| StoreAnswer::Item(Some(item)))),
--- a/crates/rushyoke/src/settings.rs
+++ b/crates/rushyoke/src/settings.rs
@@ -19,6 +19,8 @@
     pub state: SocketAddr,
     pub state_rps: f64,
     pub state_writes: f64,
+    /// Both where they will be lower, from some moment on.
+    pub state_next: Option<(f64, f64)>,
     pub cloud_rps: f64,
     pub nodes: usize,
     pub sockets: Sockets,
@@ -137,8 +139,9 @@
 const LEAST_VALUE_KB: f64 = 1.0;
 const LEAST_TXN_OPS: usize = 4;
 
-/// What is written is within the lower of the present limits and those to come: they may change at
-/// any moment, and what was written before must be written again after.
+/// The lower of the present limits and those to come, which may come at any moment. Values and
+/// transactions keep within them from the start, since what was written before must be written again
+/// after; rates do from the first 429 on, since each lost change a second is felt.
 struct Limits {
     rps: f64,
     write_rps: f64,
@@ -272,6 +275,7 @@
         lease: positive("facts.workers.lease_s", facts.workers.lease_s)?,
         cancel: positive("facts.workers.cancel_s", facts.workers.cancel_s)?,
         txn_ops: limits.txn_ops,
+        write_rps: limits.write_rps,
         value_bytes: (limits.value_kb.min(1e6) * 1024.0) as usize,
         list_lag: positive("facts.cloud.list_lag_s", facts.cloud.list_lag_s)?,
         cloud_rps: count("facts.cloud.rps", facts.cloud.rps)?,
@@ -287,8 +291,9 @@
         peers,
         cloud: file.outside.cloud,
         state: file.outside.state,
-        state_rps: limits.rps,
-        state_writes: limits.write_rps,
+        state_rps: facts.state.rps,
+        state_writes: facts.state.write_rps,
+        state_next: facts.state.next.as_ref().map(|_| (limits.rps, limits.write_rps)),
         cloud_rps: facts.cloud.rps,
         sockets,
         body_bytes: memory / BODIES_PART,
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -35,6 +35,7 @@
         cancel: Duration::from_secs(30),
         txn_ops: 16,
         value_bytes: 8192,
+        write_rps: 150.0,
         list_lag: Duration::from_secs(4),
         cloud_rps: 4.0,
         orders_at_once: 64,
