--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -32,6 +32,8 @@
 const GAP: Duration = Duration::from_millis(60);
 /// The same where nobody waits for it: places that came free, tasks that are done.
 const LAZY_GAP: Duration = Duration::from_millis(500);
+/// Segments that one transaction gathers at the most.
+const GATHERED: usize = 4;
 /// The log takes no more than this part of the store's changes a second, or users would wait.
 const LOG_SHARE: f64 = 0.4;
 /// Segments kept before the oldest is gathered into pages, and more of them where they are small:
@@ -364,25 +366,41 @@
             }
             self.records.drop_key(segment_key(oldest.number));
         }
-        let kept = segments_kept(env.facts.value_bytes);
-        if !batch.segment || self.records.sealed.len() <= kept {
+        let records = &mut self.records;
+        records.sealed.retain(|sealed| {
+            if sealed.tasks.is_empty() {
+                records.drops.push_back(segment_key(sealed.number));
+            }
+            !sealed.tasks.is_empty()
+        });
+        if !batch.segment {
             return;
         }
+        let kept = segments_kept(env.facts.value_bytes);
+        for _ in 0..self.records.sealed.len().saturating_sub(kept).min(GATHERED) {
+            if !self.gather_oldest(env, txn, batch) {
+                return;
+            }
+            // What is left of it cannot be gathered now; the next may be.
+            self.records.sealed.rotate_left(1);
+        }
+    }
+
+    /// Writes the pages of the oldest segment; true if some are too large.
+    fn gather_oldest(&mut self, env: &Env, txn: &mut Txn, batch: &mut Batch) -> bool {
         let room = env.facts.value_bytes.saturating_sub(SPARE);
-        let Some(oldest) = self.records.sealed.front() else { return };
+        let Some(oldest) = self.records.sealed.front() else { return false };
         // Else the same tasks would be written round and round.
         let sparse = oldest.tasks.len() * TASK_BYTES < env.facts.value_bytes / 2;
         // The further behind, the more in one transaction.
-        let behind = self.records.sealed.len() - kept;
+        let behind = self.records.sealed.len().saturating_sub(segments_kept(env.facts.value_bytes));
         let most = (txn.writes.len() + 1 + behind).min(env.facts.txn_ops);
-        let mut bytes = env.facts.value_bytes;
+        let mut bytes = env.facts.value_bytes * txn.writes.len();
         let mut pages: Vec<(Name, u32)> = oldest.tasks.iter().map(|(name, task)| (name.clone(), task / PAGE)).collect();
         pages.dedup();
+        pages.retain(|page| !batch.pages.contains(page));
         let mut unfit: BTreeSet<(Name, u32)> = BTreeSet::new();
         for (name, page) in pages {
-            if txn.writes.len() >= most || bytes + env.facts.value_bytes > TXN_BYTES {
-                return;
-            }
             let Some(job) = self.jobs.get(&name).filter(|job| !job.closing) else {
                 continue;
             };
@@ -393,18 +411,18 @@
                 unfit.insert((name, page));
                 continue;
             }
+            if txn.writes.len() >= most || bytes + env.facts.value_bytes > TXN_BYTES {
+                return false;
+            }
             bytes += 200 + size;
             *txn = std::mem::take(txn).put(page_key(&name, page), value);
             batch.pages.push((name, page));
         }
-        // Nothing else is to be done for this segment.
-        let Some(oldest) = self.records.sealed.pop_front() else { return };
-        if sparse {
-            for key in oldest.tasks.iter().filter(|(name, task)| unfit.contains(&(name.clone(), task / PAGE))) {
-                self.records.changed(key.clone(), None);
-            }
+        let again = oldest.tasks.iter().filter(|(name, task)| sparse && unfit.contains(&(name.clone(), task / PAGE)));
+        for key in again.cloned().collect::<Vec<_>>() {
+            self.records.changed(key, None);
         }
-        self.records.sealed.push_back(oldest);
+        !unfit.is_empty()
     }
 
     fn read_back(&mut self, env: &mut Env) {
