--- /dev/null
+++ b/crates/rushyoke/tests/check.rs
@@ -0,0 +1,61 @@
+//! What `check` says of the limits of the state service.
+
+use std::path::PathBuf;
+use std::process::Command;
+
+const SETTINGS: &str = r#"
+label = "node-0"
+public_addr = "127.0.0.1:8080"
+peer_bind = "127.0.0.1:8081"
+[outside]
+cloud = "127.0.0.1:8443"
+state = "127.0.0.1:2379"
+[facts.workers]
+report_s = 2.0
+lease_s = 12.0
+cancel_s = 30.0
+[facts.cloud]
+rps = 2.0
+list_lag_s = 5.0
+[facts.quota]
+max_sockets = 900
+[facts.state]
+rps = 100.0
+write_rps = 40.0
+value_kb = 8.0
+txn_ops = 16
+"#;
+
+/// The exit code, and what is printed on standard error.
+fn check(name: &str, next: &str) -> (Option<i32>, String) {
+    let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.toml"));
+    std::fs::write(&file, format!("{SETTINGS}{next}")).expect("the folder for tests can be written to");
+    let out = Command::new(env!("CARGO_BIN_EXE_rushyoke")).arg("--config").arg(&file).arg("check").output();
+    let out = out.expect("the program starts");
+    (out.status.code(), String::from_utf8_lossy(&out.stderr).into_owned())
+}
+
+#[test]
+fn limits_to_come_are_checked_and_may_be_left_out() {
+    assert_eq!(check("none", "").0, Some(0));
+    assert_eq!(check("some", "[facts.state.next]\nwrite_rps = 28.0\nvalue_kb = 2.0\ntxn_ops = 5\n").0, Some(0));
+    assert_eq!(check("empty", "[facts.state.next]\n").0, Some(0));
+}
+
+#[test]
+fn nonsense_in_the_limits_to_come_is_one_clear_line() {
+    for (name, line) in [
+        ("rps", "rps = -1.0"),
+        ("write_rps", "write_rps = 0.0"),
+        ("value_kb", "value_kb = 0.1"),
+        ("txn_ops", "txn_ops = 1"),
+        ("value_kb", "value_kb = nan"),
+    ] {
+        let (code, said) = check(&format!("bad-{name}"), &format!("[facts.state.next]\n{line}\n"));
+        assert_eq!(code, Some(2), "{line}: {said}");
+        assert_eq!(said.trim().lines().count(), 1, "{said}");
+        assert!(said.contains(&format!("facts.state.next.{name}")), "{said}");
+    }
+    let (code, said) = check("bad-type", "[facts.state.next]\nvalue_kb = \"two\"\n");
+    assert_eq!((code, said.contains("value_kb")), (Some(2), true), "{said}");
+}
