--- a/crates/core/tests/meetings.rs
+++ b/crates/core/tests/meetings.rs
@@ -243,7 +243,10 @@
     let (mut world, leader) = at_work(4);
     world.no_store.insert(leader);
     world.no_peers.insert(leader);
-    let inside: Vec<String> = world.workers.values().filter(|w| w.zone == "a").map(|w| w.name.clone()).collect();
+    let host = hosts(&world, "wk-000001").into_iter().next().expect("a host");
+    let zone = world.workers[&host].zone.clone();
+    let inside: Vec<String> = world.workers.values().filter(|w| w.zone == zone).map(|w| w.name.clone()).collect();
+    world.cloud.outage = true;
     for machine in world.workers.keys().cloned().collect::<Vec<_>>() {
         // Inside only the old leader is reached, outside only the others.
         for node in 0..3 {
