--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -33,7 +33,7 @@
 /// The same where nobody waits for it: places that came free, tasks that are done.
 const LAZY_GAP: Duration = Duration::from_millis(500);
 /// Segments that one transaction gathers at the most.
-const GATHERED: usize = 4;
+const GATHERED: usize = 2;
 /// The log takes no more than this part of the store's changes a second, or users would wait.
 const LOG_SHARE: f64 = 0.4;
 /// Segments kept before the oldest is gathered into pages, and more of them where they are small:
@@ -65,12 +65,13 @@
     }
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Batch {
     /// Tasks, and the attempt of those that have a place.
     tasks: Vec<(TaskKey, Option<u64>)>,
-    /// Whether the last segment is written.
+    /// Whether the last segment is written, and whether with new places.
     segment: bool,
+    placed: bool,
     pages: Vec<(Name, u32)>,
     closed: Vec<Name>,
     drops: Vec<String>,
@@ -218,8 +219,7 @@
         }
         let ops = env.facts.txn_ops;
         let mut txn = Txn::default().when(LEADER_KEY, self.token);
-        let mut batch =
-            Batch { tasks: Vec::new(), segment: false, pages: Vec::new(), closed: Vec::new(), drops: Vec::new() };
+        let mut batch = Batch::default();
         let mut conditioned: BTreeSet<Name> = BTreeSet::new();
         self.close_jobs(&mut txn, &mut batch, &mut conditioned, ops.saturating_sub(2).max(2));
         self.write_segment(env, &mut txn, &mut batch, &mut conditioned);
@@ -326,6 +326,7 @@
                 continue;
             }
             size.add(key, place, addr_len);
+            batch.placed |= planned;
             if planned && conditioned.insert(key.0.clone()) {
                 *txn = std::mem::take(txn).when(job_key(&key.0), jobs[&key.0].version);
             }
@@ -390,8 +391,10 @@
     fn gather_oldest(&mut self, env: &Env, txn: &mut Txn, batch: &mut Batch) -> bool {
         let room = env.facts.value_bytes.saturating_sub(SPARE);
         let Some(oldest) = self.records.sealed.front() else { return false };
-        // Else the same tasks would be written round and round.
-        let sparse = oldest.tasks.len() * TASK_BYTES < env.facts.value_bytes / 2;
+        // Else the same tasks would be written round and round; and only where nobody waits for
+        // this transaction, since what is written again takes changes from those who do.
+        let idle = batch.closed.is_empty() && !batch.placed;
+        let sparse = idle && oldest.tasks.len() * TASK_BYTES < env.facts.value_bytes / 2;
         // The further behind, the more in one transaction.
         let behind = self.records.sealed.len().saturating_sub(segments_kept(env.facts.value_bytes));
         let most = (txn.writes.len() + 1 + behind).min(env.facts.txn_ops);
