--- a/crates/core/tests/answers.rs
+++ b/crates/core/tests/answers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use rushyoke_testkit::{World, job, service};
-use rushyoke_wire::job::JobStatus;
+use rushyoke_wire::job::{JobSpec, JobStatus};
 
 fn secs(s: u64) -> Duration {
     Duration::from_secs(s)
@@ -171,3 +171,32 @@
         );
     }
 }
+
+#[test]
+fn what_can_never_run_is_refused_by_every_node_again_and_again() {
+    // Also while the state service answers late, and beside repeats of what was accepted.
+    let mut world = settled(1);
+    world.submit(0, job(1, 2));
+    let bad = [
+        JobSpec { team: "green".into(), ..job(2, 1) },
+        JobSpec { cpus: 17.0, ..job(3, 1) },
+        JobSpec { zone: Some("z".into()), ..job(4, 1) },
+        service(5, 65),
+        JobSpec { spread: true, one_zone: true, ..job(6, 4) },
+    ];
+    for round in 0..3 {
+        for (n, spec) in bad.iter().enumerate() {
+            assert_eq!(world.submit((n + round) % 3, spec.clone()), Some(422), "{}", spec.id);
+        }
+        assert_eq!(world.submit(round, job(1, 2)), Some(200));
+        world.hold_answers.insert(round, world.now + millis(600));
+        let lead = world.leader().expect("a leader");
+        world.crash(lead);
+        world.run(millis(500));
+        world.start_node(lead);
+        world.run(secs(6));
+    }
+    world.run(secs(10));
+    assert_eq!(world.state(1, "wk-000001"), Some(JobStatus::Done));
+    assert_eq!(world.rules.accepted(), ["wk-000001"]);
+}
--- a/crates/testkit/src/rules.rs
+++ b/crates/testkit/src/rules.rs
@@ -28,6 +28,8 @@
 pub struct Rules {
     submitted: BTreeSet<String>,
     accepted: BTreeSet<String>,
+    /// Submissions that were refused for good; one that awaits others may be accepted later.
+    refused: BTreeSet<String>,
     over: BTreeMap<String, JobStatus>,
     /// Jobs that a user asked to cancel.
     unwanted: BTreeSet<String>,
@@ -79,6 +81,9 @@
         }
         if matches!(answer.status, 400 | 404 | 422) {
             assert!(!accepted, "at {now:?} node {node} answers {} about {job}, which was accepted", answer.status);
+            if *kind == Kind::Submit && self.awaits.get(job).is_none_or(Vec::is_empty) {
+                self.refused.insert(job.clone());
+            }
             return;
         }
         if !matches!(answer.status, 200 | 201) {
@@ -88,6 +93,7 @@
         }
         self.told += 1;
         let view: JobView = serde_json::from_slice(&answer.body).expect("a job's state is well formed");
+        assert!(!self.refused.contains(job), "at {now:?} node {node} takes {job}, which was refused");
         assert!(self.submitted.contains(job), "at {now:?} {job}, which nobody submitted, is {:?}", view.state);
         if let Some(over) = over {
             assert_eq!(view.state, *over, "at {now:?} node {node}: {job} went back");
