--- a/crates/core/tests/dependencies.rs
+++ b/crates/core/tests/dependencies.rs
@@ -392,7 +392,7 @@
     world.cloud.capacity = 3;
     world.workers.values_mut().for_each(|worker| worker.run_s = 15.0);
     let blue = |spec: JobSpec| JobSpec { team: "blue".into(), ..spec };
-    (1..=2).for_each(|number| drop(world.submit(0, blue(dependent(number, 48, &[])))));
+    (1..=2).for_each(|number| assert_eq!(world.submit(0, blue(dependent(number, 48, &[]))), Some(201)));
     world.run(secs(1));
     for spec in [dependent(3, 16, &[]), dependent(4, 16, &[]), dependent(5, 16, &[])] {
         assert_eq!(world.submit(0, blue(spec)), Some(201));
