--- a/crates/core/tests/upgrade.rs
+++ b/crates/core/tests/upgrade.rs
@@ -1,74 +1,103 @@
-//! What the version in production wrote, and what it must be able to read. The fixture was made by
-//! that version: its records in the midst of its work, just after its leader fell, and one of each
-//! message between controllers.
+//! What earlier versions wrote, and what they must be able to read. Each fixture was made by a version
+//! that was in production: its records in the midst of its work, just after its leader fell, and one of
+//! each message between controllers. `before-awaits` is by 8c26a25, which knows no `awaits`;
+//! `with-awaits` by 99b8f1d, the first that does.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use rushyoke_testkit::{Task, World, job, job_id, secs, service};
-use rushyoke_wire::job::{JobSpec, JobStatus};
+use rushyoke_testkit::{Task, World, all, dependent, job, job_id, secs, service};
+use rushyoke_wire::job::{JobSpec, JobStatus, Kind};
 use rushyoke_wire::peer::{PeerAsk, PeerTell, Relay, RelayTold, decode, encode};
 use rushyoke_wire::worker::TaskState;
 use serde_json::Value;
 
-const FIXTURE: &str = include_str!("fixtures/production.json");
+/// What a version left.
+struct Fixture(Value);
 
-fn fixture() -> Value {
-    serde_json::from_str(FIXTURE).expect("the fixture is JSON")
-}
+impl Fixture {
+    fn before_awaits() -> Fixture {
+        Fixture::parse(include_str!("fixtures/before-awaits.json"))
+    }
 
-fn rows() -> BTreeMap<String, (Value, u64)> {
-    serde_json::from_value(fixture()["rows"].clone()).expect("rows are values with versions")
-}
+    fn with_awaits() -> Fixture {
+        Fixture::parse(include_str!("fixtures/with-awaits.json"))
+    }
 
-/// A world that holds the records of the version in production, with the tasks that they place on
-/// its machines at work.
-fn taken_over() -> World {
-    let mut world = World::new(8);
-    for (key, (value, version)) in rows().into_iter().filter(|(key, _)| key != "lead") {
-        world.store.revision = world.store.revision.max(version);
-        if let Some(id) = key.strip_prefix("job/") {
-            let tasks = value["tasks"].as_u64().expect("a number") as u32;
-            world.rules.earlier(id, tasks, value["state"] == "done");
-        }
-        if let Some(id) = key.strip_prefix("live/") {
-            let spec: JobSpec = serde_json::from_value(value["spec"].clone()).expect("a description");
-            world.specs.insert(id.into(), spec);
-        }
-        if key.starts_with("log/") {
-            for changed in value["jobs"].as_array().expect("jobs") {
-                for place in changed["places"].as_array().into_iter().flatten() {
-                    let machine = &value["machines"][place[1].as_u64().expect("an index") as usize][0];
-                    let worker = world.workers.get_mut(machine.as_str().expect("a name")).expect("it is up");
-                    worker.tasks.push(Task {
-                        name: format!("{}/{}", changed["job"].as_str().expect("an id"), place[0]),
-                        attempt: place[2].as_u64().expect("an attempt"),
-                        state: TaskState::Running,
-                        why: None,
-                        until: world.now + secs(9),
-                    });
+    fn parse(text: &str) -> Fixture {
+        Fixture(serde_json::from_str(text).expect("the fixture is JSON"))
+    }
+
+    /// Values and versions by key.
+    fn rows(&self) -> BTreeMap<String, (Value, u64)> {
+        serde_json::from_value(self.0["rows"].clone()).expect("rows are values with versions")
+    }
+
+    /// A message between controllers.
+    fn message(&self, name: &str) -> Vec<u8> {
+        let text = self.0[name].as_str().expect("hexadecimal digits");
+        (0..text.len()).step_by(2).map(|i| u8::from_str_radix(&text[i..i + 2], 16).expect("a byte")).collect()
+    }
+
+    /// A world that holds these records, with the tasks that they place on its machines at work.
+    fn taken_over(&self) -> World {
+        let mut world = World::new(8);
+        for (key, (value, version)) in self.rows().into_iter().filter(|(key, _)| key != "lead") {
+            world.store.revision = world.store.revision.max(version);
+            if let Some(id) = key.strip_prefix("job/") {
+                let tasks = value["tasks"].as_u64().expect("a number") as u32;
+                world.rules.earlier(id, tasks, value["state"] == "done");
+                if value["state"] == "cancelled" {
+                    world.rules.earlier_cancelled(id, world.now);
+                    world.cancelled.insert(id.into(), world.now);
                 }
             }
+            if let Some(id) = key.strip_prefix("live/") {
+                let spec: JobSpec = serde_json::from_value(value["spec"].clone()).expect("a description");
+                world.rules.earlier_awaits(id, &spec.awaits);
+                world.specs.insert(id.into(), spec);
+            }
+            if key.starts_with("log/") {
+                place_tasks(&mut world, &value);
+            }
+            world.store.rows.insert(key, (value, version, None));
         }
-        world.store.rows.insert(key, (value, version, None));
-    }
-    // What ended since it was placed is not there any more.
-    let open: BTreeSet<String> = world.specs.keys().cloned().collect();
-    for worker in world.workers.values_mut() {
-        worker.tasks.retain(|task| open.iter().any(|id| task.name.split('/').next() == Some(id)));
-        for task in &mut worker.tasks {
-            if task.name.starts_with("wk-000001/") || task.name.starts_with("wk-000007/") {
+        let specs = &world.specs;
+        for worker in world.workers.values_mut() {
+            // What ended since it was placed is not there any more.
+            worker.tasks.retain(|task| specs.contains_key(job_of(task)));
+            for task in worker.tasks.iter_mut().filter(|task| specs[job_of(task)].kind == Kind::Service) {
                 task.until = Duration::MAX;
             }
         }
+        world
+    }
+}
+
+fn job_of(task: &Task) -> &str {
+    task.name.split('/').next().expect("a task's name starts with its job")
+}
+
+/// Puts the tasks to work that a segment of the log places.
+fn place_tasks(world: &mut World, segment: &Value) {
+    for changed in segment["jobs"].as_array().expect("jobs") {
+        for place in changed["places"].as_array().into_iter().flatten() {
+            let machine = &segment["machines"][place[1].as_u64().expect("an index") as usize][0];
+            let worker = world.workers.get_mut(machine.as_str().expect("a name")).expect("it is up");
+            worker.tasks.push(Task {
+                name: format!("{}/{}", changed["job"].as_str().expect("an id"), place[0]),
+                attempt: place[2].as_u64().expect("an attempt"),
+                state: TaskState::Running,
+                why: None,
+                until: world.now + secs(9),
+            });
+        }
     }
-    world
 }
 
 #[test]
-fn records_of_the_version_in_production_are_taken_over() {
-    let mut world = taken_over();
-    world.cancelled.insert(job_id(4), world.now);
+fn records_of_a_version_before_awaits_are_taken_over() {
+    let mut world = Fixture::before_awaits().taken_over();
     world.run(secs(8));
     let begun = world.started;
     assert!(begun >= 10, "its tasks are at work");
@@ -80,30 +109,49 @@
     for id in [2, 3, 5, 6, 29, 40] {
         assert_eq!(world.state(id as usize % 3, &job_id(id)), Some(JobStatus::Done), "job {id}");
     }
-    world.rules.unwanted(&job_id(4));
     assert_eq!(world.state(0, &job_id(4)), Some(JobStatus::Cancelled));
     assert_eq!(world.started, begun + 2, "nothing began twice");
 }
 
 #[test]
-fn messages_between_controllers_have_the_layout_of_the_version_in_production() {
-    let fixture = fixture();
-    let bytes = |name: &str| -> Vec<u8> {
-        let text = fixture[name].as_str().expect("hexadecimal digits");
-        (0..text.len()).step_by(2).map(|i| u8::from_str_radix(&text[i..i + 2], 16).expect("a byte")).collect()
-    };
-    let ask: PeerAsk = decode(&bytes("peer_ask")).expect("a question");
-    assert_eq!((ask.token, ask.full, ask.progress[0].running), (Some(41), true, 13));
-    assert_eq!(encode(&ask), bytes("peer_ask"));
-    let tell: PeerTell = decode(&bytes("peer_tell")).expect("an answer");
-    assert_eq!((tell.incarnation, tell.relays_to, tell.busy), (99, Some(41), 35));
-    assert_eq!(encode(&tell), bytes("peer_tell"));
-    let relay: Relay = decode(&bytes("relay")).expect("reports");
-    assert_eq!(relay.reports[0].full.as_ref().map(|full| full.tasks.len()), Some(2));
-    assert_eq!(encode(&relay), bytes("relay"));
-    let told: RelayTold = decode(&bytes("relay_told")).expect("answers");
-    assert_eq!(told.answers.len(), 3);
-    assert_eq!(encode(&told), bytes("relay_told"));
+fn records_of_the_first_version_with_awaits_are_taken_over() {
+    // Job 3, whose dependency is done, runs; 4 awaits it, and 9 awaits 4. Job 5 was cancelled when
+    // nobody led, so 6 and 8 are still open in their records.
+    let mut world = Fixture::with_awaits().taken_over();
+    world.run(secs(7));
+    assert_eq!(world.where_runs(&job_id(3)).len(), 4, "it runs on");
+    assert_eq!(world.where_runs(&job_id(1)).len(), 3);
+    assert_eq!(world.started, 3 + 4 + 4 + 2, "what ran is found, and nothing else begins");
+    for node in 0..3 {
+        assert_eq!(world.states(node, 5..=8), all(JobStatus::Cancelled, 4));
+    }
+    assert_eq!(world.submit(1, dependent(4, 3, &[3, 2])), Some(200));
+    assert_eq!(world.submit(2, dependent(10, 2, &[9, 2])), Some(201));
+    world.run(secs(60));
+    for number in [2, 3, 4, 9, 10] {
+        assert_eq!(world.state(number as usize % 3, &job_id(number)), Some(JobStatus::Done), "job {number}");
+    }
+    assert_eq!(world.rules.awaited_starts, 4 + 3 * 2 + 2 + 2 * 2, "the order was checked");
+    let live = |id: u32| world.store.rows.contains_key(&format!("live/{}", job_id(id)));
+    assert!((2..=10).all(|id| !live(id)), "all else is closed");
+}
+
+#[test]
+fn messages_between_controllers_have_the_layout_of_earlier_versions() {
+    for fixture in [Fixture::before_awaits(), Fixture::with_awaits()] {
+        let ask: PeerAsk = decode(&fixture.message("peer_ask")).expect("a question");
+        assert_eq!((ask.token, ask.full, ask.progress[0].running), (Some(41), true, 13));
+        assert_eq!(encode(&ask), fixture.message("peer_ask"));
+        let tell: PeerTell = decode(&fixture.message("peer_tell")).expect("an answer");
+        assert_eq!((tell.incarnation, tell.relays_to, tell.busy), (99, Some(41), 35));
+        assert_eq!(encode(&tell), fixture.message("peer_tell"));
+        let relay: Relay = decode(&fixture.message("relay")).expect("reports");
+        assert_eq!(relay.reports[0].full.as_ref().map(|full| full.tasks.len()), Some(2));
+        assert_eq!(encode(&relay), fixture.message("relay"));
+        let told: RelayTold = decode(&fixture.message("relay_told")).expect("answers");
+        assert_eq!(told.answers.len(), 3);
+        assert_eq!(encode(&told), fixture.message("relay_told"));
+    }
 }
 
 /// The names of a record's fields, and of those within.
@@ -121,7 +169,7 @@
 }
 
 #[test]
-fn records_have_the_fields_that_the_version_in_production_reads() {
+fn records_have_the_fields_that_earlier_versions_read() {
     let mut world = World::new(3);
     world.run(secs(6));
     world.submit(0, service(1, 3));
@@ -131,22 +179,26 @@
     world.submit(0, service(4, 2));
     world.run(secs(3));
     world.cancel(1, &job_id(4));
-    let (mut ours, mut theirs) = (BTreeSet::new(), BTreeSet::new());
     let kind = |key: &str| key.split('/').next().unwrap_or_default().to_owned();
+    let mut ours = BTreeSet::new();
     for (key, (value, ..)) in &world.store.rows {
         fields(value, &kind(key), &mut ours);
     }
-    for (key, (value, _)) in rows() {
-        fields(&value, &kind(&key), &mut theirs);
+    // What is new is what a version ignores, or what no task happened to be in; all that it needs is there.
+    let awaits: &[&str] = &["job.awaits", "live.spec.awaits", "log.jobs.open"];
+    for (fixture, new_fields) in
+        [(Fixture::before_awaits(), awaits), (Fixture::with_awaits(), &["log.jobs.done", "log.jobs.open"])]
+    {
+        let mut theirs = BTreeSet::new();
+        for (key, (value, _)) in fixture.rows() {
+            fields(&value, &kind(&key), &mut theirs);
+        }
+        let new: Vec<&String> = ours.difference(&theirs).collect();
+        assert!(new.iter().all(|field| new_fields.contains(&field.as_str())), "{new:?}");
+        let needed = theirs.iter().filter(|field| !field.ends_with(".done") && !field.ends_with(".open"));
+        let missing: Vec<&String> = needed.filter(|field| !ours.contains(*field)).collect();
+        assert!(missing.is_empty(), "{missing:?}");
     }
-    // What is new is what earlier versions ignore; all that they need is there.
-    let new: Vec<&String> = ours.difference(&theirs).collect();
-    assert!(
-        new.iter().all(|field| ["job.awaits", "live.spec.awaits", "log.jobs.open"].contains(&field.as_str())),
-        "{new:?}"
-    );
-    let needed = theirs.iter().filter(|field| !field.ends_with(".done") && !field.ends_with(".open"));
-    assert!(needed.clone().all(|field| ours.contains(field)), "{:?}", needed.collect::<Vec<_>>());
 }
 
 #[test]
--- a/crates/testkit/src/rules.rs
+++ b/crates/testkit/src/rules.rs
@@ -164,6 +164,18 @@
         self.unwanted.insert(job.to_owned());
     }
 
+    /// What a job that was accepted before the story began awaits.
+    pub fn earlier_awaits(&mut self, job: &str, awaits: &[String]) {
+        self.awaits.insert(job.to_owned(), awaits.to_vec());
+    }
+
+    /// A user was told just before the story began that the job is cancelled.
+    pub fn earlier_cancelled(&mut self, job: &str, now: Duration) {
+        self.unwanted.insert(job.to_owned());
+        self.over.insert(job.to_owned(), JobStatus::Cancelled);
+        self.cancelled.insert(job.to_owned(), now);
+    }
+
     /// A job that was accepted, and perhaps ended, before the story began.
     pub fn earlier(&mut self, job: &str, tasks: u32, done: bool) {
         self.submitted.insert(job.to_owned());
