Submissions take turns with the leader's records when they are overdue

Records pass users' changes always, and with 28 changes a second of which the leader has 55%, its transactions of up to five changes use them up for minutes after a takeover. Change: a user's change that has waited for 0.3 s and a record take turns. A flood still cannot hold records up.

--- a/crates/rushyoke/src/budget.rs
+++ b/crates/rushyoke/src/budget.rs
@@ -10,6 +10,11 @@
 const QUEUE: usize = 200;
 /// A call that waited for so long is refused.
 const PATIENCE: Duration = Duration::from_millis(1500);
+/// A user's change that waited for so long takes turns with the records, which pass it before.
+const OVERDUE: Duration = Duration::from_millis(300);
+/// Queues in the order in which they are served.
+const BY_URGENCY: [Urgency; 4] = [Urgency::Leadership, Urgency::Record, Urgency::High, Urgency::Low];
+const USERS_FIRST: [Urgency; 4] = [Urgency::Leadership, Urgency::High, Urgency::Record, Urgency::Low];
 
 /// A bucket of tokens that fills steadily.
 struct Bucket {
@@ -47,6 +52,8 @@
     requests: Bucket,
     writes: Bucket,
     queues: [VecDeque<Queued<T>>; 4],
+    /// The last change was a user's that was overdue: a record's is next.
+    records_turn: bool,
     rps: f64,
     write_rps: f64,
 }
@@ -58,6 +65,7 @@
             requests: Bucket::new(rps, (rps * seconds).max(1.0), now),
             writes: Bucket::new(write_rps, (write_rps * seconds).max(1.0), now),
             queues: std::array::from_fn(|_| VecDeque::new()),
+            records_turn: false,
             rps,
             write_rps,
         }
@@ -93,7 +101,9 @@
         // Leadership never waits; what it uses is paid back by the others. What reads only does
         // not wait behind changes, be they more urgent.
         let mut blocked = false;
-        for queue in &mut self.queues {
+        let users_turn = !self.records_turn && self.users_overdue(now);
+        for urgency in if users_turn { USERS_FIRST } else { BY_URGENCY } {
+            let queue = &mut self.queues[urgency as usize];
             let passes = |q: &Queued<T>| {
                 let may_write = q.writes == 0.0 || (!blocked && self.writes.has(q.writes));
                 q.urgency == Urgency::Leadership || (!full && self.requests.has(1.0) && may_write)
@@ -107,11 +117,21 @@
             let next = queue.remove(at).expect("just found");
             self.requests.level -= 1.0;
             self.writes.level -= next.writes;
+            if next.writes > 0.0 {
+                self.records_turn = users_turn && urgency == Urgency::High;
+            }
             return Some(next.item);
         }
         None
     }
 
+    /// Whether a user's change has waited too long while the leader writes all the time: with few
+    /// changes a second its records alone would use them up, and submissions would be refused.
+    fn users_overdue(&self, now: Instant) -> bool {
+        let first = self.queues[Urgency::High as usize].iter().find(|queued| queued.writes > 0.0);
+        first.is_some_and(|queued| now.duration_since(queued.since) >= OVERDUE)
+    }
+
     /// Calls that waited too long.
     pub fn expired(&mut self, now: Instant) -> Vec<T> {
         let mut expired = Vec::new();
@@ -177,6 +197,28 @@
         );
     }
 
+    #[test]
+    fn a_submission_gets_its_turn_among_records_that_never_end() {
+        let start = Instant::now();
+        let mut budget = Budget::new(100.0, 10.0, 1.0, start);
+        let mut passed = Vec::new();
+        for step in 0..150 {
+            let now = start + Duration::from_millis(10 * step);
+            if step % 5 == 0 {
+                budget.push("record", Urgency::Record, 5, now);
+            }
+            if step % 25 == 0 {
+                budget.push("submission", Urgency::High, 2, now);
+            }
+            passed.extend(std::iter::from_fn(|| budget.next(now, false)));
+            assert!(!budget.expired(now).contains(&"submission"), "at {now:?}");
+        }
+        let submissions = passed.iter().filter(|item| **item == "submission").count();
+        let records = passed.len() - submissions;
+        assert!(submissions >= 2 && records >= 2, "{submissions} submissions, {records} records");
+        assert!(submissions <= records, "records are not held up by a flood");
+    }
+
     #[test]
     fn a_lower_limit_holds_from_the_moment_it_is_set() {
         let start = Instant::now();
