--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -3,6 +3,7 @@
 //! They follow the published protocol and check the users' rules as they go.
 
 mod cloud;
+mod deployment;
 mod rules;
 mod store;
 mod story;
@@ -10,8 +11,9 @@
 mod world;
 
 pub use cloud::{Cloud, Rented};
+pub use deployment::{facts, job, service};
 pub use rules::Rules;
 pub use store::Store;
 pub use story::{all, dependent, job_id, millis, secs};
 pub use worker::{Task, Worker};
-pub use world::{World, facts, job, service};
+pub use world::World;
--- a/crates/testkit/src/story.rs
+++ b/crates/testkit/src/story.rs
@@ -5,7 +5,8 @@
 
 use rushyoke_wire::job::{JobSpec, JobStatus};
 
-use crate::world::{World, job};
+use crate::deployment::job;
+use crate::world::World;
 
 /// A duration in seconds.
 pub fn secs(seconds: u64) -> Duration {
--- /dev/null
+++ b/crates/testkit/src/world/users.rs
@@ -0,0 +1,83 @@
+//! Users of the stand-ins: they submit, ask and cancel at the node that a story names.
+
+use std::time::Duration;
+
+use rushyoke_core::{Answer, Input, Req};
+use rushyoke_wire::job::{JobSpec, JobStatus, JobView};
+
+use super::{Asker, STEP, World};
+
+impl World {
+    pub(super) fn ask(&mut self, node: usize, input: impl FnOnce(Req) -> Input) -> u64 {
+        self.serial += 1;
+        let id = self.serial;
+        let req = Req(id);
+        let input = input(req);
+        let question = self.rules.question(&input);
+        self.askers.insert((node, req), Asker::User(id, question));
+        self.give(node, input);
+        id
+    }
+
+    fn wait(&mut self, id: u64) -> Option<Answer> {
+        for _ in 0..500 {
+            if let Some(answer) = self.answers.remove(&id) {
+                return Some(answer);
+            }
+            self.run(STEP);
+        }
+        None
+    }
+
+    /// Submits at a node; the status of the answer, if one came.
+    pub fn submit(&mut self, node: usize, spec: JobSpec) -> Option<u16> {
+        self.specs.insert(spec.id.clone(), spec.clone());
+        let id = self.ask(node, |req| Input::Submit { req, spec: Box::new(spec) });
+        Some(self.wait(id)?.status)
+    }
+
+    /// Asks a node for a job's state: the status and, with 200, the state.
+    pub fn status(&mut self, node: usize, job: &str) -> Option<(u16, Option<JobView>)> {
+        let id = self.ask(node, |req| Input::Status { req, id: job.into() });
+        let answer = self.wait(id)?;
+        Some((answer.status, serde_json::from_slice(&answer.body).ok()))
+    }
+
+    /// Asks a node for a job's state without waiting for the answer, which is checked when it comes.
+    pub fn ask_status(&mut self, node: usize, job: &str) {
+        self.ask(node, |req| Input::Status { req, id: job.into() });
+    }
+
+    /// Submits at a node without waiting for the answer.
+    pub fn ask_submit(&mut self, node: usize, spec: JobSpec) {
+        self.specs.insert(spec.id.clone(), spec.clone());
+        self.ask(node, |req| Input::Submit { req, spec: Box::new(spec) });
+    }
+
+    /// Asks a node for many jobs at once; the statuses of the answers within a second.
+    pub fn ask_all(&mut self, node: usize, jobs: &[String]) -> Vec<u16> {
+        let asked = jobs.iter().map(|job| self.ask(node, |req| Input::Status { req, id: job.clone() }));
+        let asked: Vec<u64> = asked.collect();
+        self.run(Duration::from_secs(1));
+        asked.iter().filter_map(|id| Some(self.answers.remove(id)?.status)).collect()
+    }
+
+    pub fn state(&mut self, node: usize, job: &str) -> Option<JobStatus> {
+        self.status(node, job)?.1.map(|view| view.state)
+    }
+
+    pub fn cancel(&mut self, node: usize, job: &str) -> Option<(u16, Option<JobView>)> {
+        let id = self.ask(node, |req| Input::Cancel { req, id: job.into() });
+        let answer = self.wait(id)?;
+        let view: Option<JobView> = serde_json::from_slice(&answer.body).ok();
+        if view.as_ref().is_some_and(|v| v.state == JobStatus::Cancelled) {
+            self.cancelled.entry(job.into()).or_insert(self.now);
+        }
+        Some((answer.status, view))
+    }
+
+    pub fn ready(&mut self, node: usize) -> Option<u16> {
+        let id = self.ask(node, |req| Input::Ready { req });
+        Some(self.wait(id)?.status)
+    }
+}
