--- a/crates/rushyoke/tests/check.rs
+++ b/crates/rushyoke/tests/check.rs
@@ -1,4 +1,4 @@
-//! What `check` says of the limits of the state service.
+//! What `check`, and the start, say of the limits of the state service.
 
 use std::path::PathBuf;
 use std::process::Command;
@@ -28,9 +28,13 @@
 
 /// The exit code, and what is printed on standard error.
 fn check(name: &str, next: &str) -> (Option<i32>, String) {
+    run(name, next, &["check"])
+}
+
+fn run(name: &str, next: &str, arguments: &[&str]) -> (Option<i32>, String) {
     let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.toml"));
     std::fs::write(&file, format!("{SETTINGS}{next}")).expect("the folder for tests can be written to");
-    let out = Command::new(env!("CARGO_BIN_EXE_rushyoke")).arg("--config").arg(&file).arg("check").output();
+    let out = Command::new(env!("CARGO_BIN_EXE_rushyoke")).arg("--config").arg(&file).args(arguments).output();
     let out = out.expect("the program starts");
     (out.status.code(), String::from_utf8_lossy(&out.stderr).into_owned())
 }
@@ -51,10 +55,12 @@
         ("txn_ops", "txn_ops = 1"),
         ("value_kb", "value_kb = nan"),
     ] {
-        let (code, said) = check(&format!("bad-{name}"), &format!("[facts.state.next]\n{line}\n"));
-        assert_eq!(code, Some(2), "{line}: {said}");
-        assert_eq!(said.trim().lines().count(), 1, "{said}");
-        assert!(said.contains(&format!("facts.state.next.{name}")), "{said}");
+        for arguments in [&["check"][..], &[]] {
+            let (code, said) = run(&format!("bad-{name}"), &format!("[facts.state.next]\n{line}\n"), arguments);
+            assert_eq!(code, Some(2), "{line}: {said}");
+            assert_eq!(said.trim().lines().count(), 1, "{said}");
+            assert!(said.contains(&format!("facts.state.next.{name}")), "{said}");
+        }
     }
     let (code, said) = check("bad-type", "[facts.state.next]\nvalue_kb = \"two\"\n");
     assert_eq!((code, said.contains("value_kb")), (Some(2), true), "{said}");
