--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -1,5 +1,8 @@
 //! A node: routes inputs to its concerns and owns what they share.
 
+mod machine_types;
+mod peers;
+
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -7,7 +10,6 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rushyoke_wire::cloud::MachineType;
-use rushyoke_wire::peer::{PeerRequest, PeerResponse};
 use rushyoke_wire::worker::{Elsewhere, Report};
 use serde_json::value::RawValue;
 
@@ -15,12 +17,13 @@
 use crate::facts::{Facts, Policy};
 use crate::fleet::Tasks;
 use crate::io::*;
-use crate::jobs::{Job, Name};
+use crate::jobs::Name;
 use crate::records::RecordCall;
 use crate::recover::{LoadCall, Term};
 use crate::relay::{Relaying, ReportOutcome, no_tasks};
 use crate::rent::RentCall;
 use crate::users::{UserCall, Users};
+use peers::Peer;
 
 /// The caller's clocks.
 #[derive(Clone, Copy, Debug)]
@@ -106,15 +109,6 @@
     }
 }
 
-/// What is known of another controller.
-#[derive(Clone, Debug, Default)]
-struct Peer {
-    asked: Option<Instant>,
-    waiting: bool,
-    /// The last fresh answer: when its question was asked, and what it said.
-    told: Option<(Instant, PeerResponse)>,
-}
-
 pub struct Node {
     pub(crate) env: Env,
     pub(crate) election: Election,
@@ -323,123 +317,8 @@
         }
     }
 
-    /// A new set of machine types: the leader leaves it in the state service, so that a
-    /// node that starts while the cloud is down can still judge submissions.
-    fn keep_types(&mut self, types: Vec<MachineType>) {
-        let first = self.env.types.is_empty();
-        self.env.types = Arc::new(types);
-        if let Some(term) = &mut self.term {
-            term.types_changed(&self.env);
-        }
-        if first || self.term.is_some() {
-            let value = serde_json::to_value(&*self.env.types).expect("types always encode");
-            if value.to_string().len() > self.env.facts.value_bytes {
-                return;
-            }
-            let txn = rushyoke_wire::store::Txn::default().put(TYPES_KEY, value);
-            self.env.store(Purpose::KeepTypes, Urgency::Low, StoreOp::Txn(txn));
-        }
-    }
-
-    fn types_tick(&mut self) {
-        let now = self.env.steady();
-        let period = match (self.env.types.is_empty(), self.term.is_some()) {
-            (true, _) => TYPES_RETRY,
-            (false, true) => TYPES_PERIOD,
-            (false, false) => return,
-        };
-        if self.types_wait || self.types_asked.is_some_and(|t| now.duration_since(t) < period) {
-            return;
-        }
-        self.types_asked = Some(now);
-        self.types_wait = true;
-        self.env.cloud(Purpose::Types, CloudOp::Types);
-        if self.env.types.is_empty() {
-            self.env.store(Purpose::ReadTypes, Urgency::High, StoreOp::Get(TYPES_KEY.into()));
-        }
-    }
-
     // Peers.
 
-    fn peers_tick(&mut self) {
-        let now = self.env.steady();
-        if self.progress_sent.is_some_and(|t| now.duration_since(t) < PEER_PERIOD) {
-            return;
-        }
-        self.progress_sent = Some(now);
-        let progress = self.term.as_mut().map(Term::take_progress).unwrap_or_default();
-        let token = self.token();
-        let full = self.term.as_ref().is_some_and(|term| {
-            let bytes: usize = term.jobs.values().map(Job::bytes).sum();
-            term.jobs.len() >= self.env.policy.max_jobs || bytes >= self.env.facts.job_bytes
-        });
-        if token.is_some() {
-            self.users.full = full;
-        }
-        for (label, peer) in &mut self.peers {
-            if peer.waiting {
-                continue;
-            }
-            peer.asked = Some(now);
-            peer.waiting = true;
-            let request = PeerRequest { label: self.env.facts.label.clone(), token, full, progress: progress.clone() };
-            self.env.out.push(Output::Peer { label: label.clone(), request });
-        }
-    }
-
-    fn peer_requested(&mut self, req: Req, request: PeerRequest) {
-        if request.token.is_some() {
-            self.users.take_progress(request.progress, self.env.policy.known_jobs);
-            self.users.full = request.full;
-        }
-        let response = PeerResponse {
-            label: self.env.facts.label.clone(),
-            incarnation: self.incarnation,
-            store_ok: self.store.last_ok.is_some() && !self.store.down(self.env.steady()),
-            token: self.token(),
-            relays_to: self.relays_to(),
-            busy: (self.busy * 100.0) as u8,
-        };
-        let body = rushyoke_wire::peer::encode(&response);
-        self.env.answer(req, Answer { status: 200, body, retry_after_s: None });
-        if let (Some(own), Some(theirs)) = (self.token(), request.token)
-            && theirs > own
-        {
-            self.step_down("a peer leads with a higher token");
-        }
-    }
-
-    fn peer_responded(&mut self, label: &str, outcome: Outcome<PeerResponse>) {
-        let Some(peer) = self.peers.get_mut(label) else {
-            return;
-        };
-        peer.waiting = false;
-        let (Outcome::Answered(response), Some(asked)) = (outcome, peer.asked) else {
-            return;
-        };
-        if response.label != label {
-            return;
-        }
-        peer.told = Some((asked, response));
-        self.judge_old_leader();
-    }
-
-    /// Once every other node has answered a question asked in this term and none acts
-    /// with an older token, no earlier leader can renew any worker's lease again.
-    fn judge_old_leader(&mut self) {
-        let Some(term) = &mut self.term else { return };
-        let mut latest = term.since;
-        for peer in self.peers.values() {
-            match &peer.told {
-                Some((asked, response)) if *asked >= term.since && response.token.is_none_or(|t| t >= term.token) => {
-                    latest = latest.max(*asked);
-                }
-                _ => return,
-            }
-        }
-        term.old_leader_silent(self.env.now.steady.max(latest));
-    }
-
     fn ready(&mut self, req: Req) {
         let now = self.env.steady();
         // A node that alone has lost the state service sends its users elsewhere. While
@@ -501,19 +380,6 @@
         term.report(&mut self.env, report, tasks).map_or(ReportOutcome::TasksNeeded, ReportOutcome::Answer)
     }
 
-    /// The other node that has most time to spare, if it is much less busy than this one.
-    pub(crate) fn idlest_follower(&self) -> Option<String> {
-        let now = self.env.steady();
-        let token = self.token();
-        let followers = self.peers.iter().filter_map(|(label, peer)| {
-            let (asked, response) = peer.told.as_ref()?;
-            let fresh = now.duration_since(*asked) < PEER_PERIOD * 2;
-            (fresh && response.relays_to.is_some() && response.relays_to == token).then_some((response.busy, label))
-        });
-        let (busy, label) = followers.min()?;
-        (self.busy >= BUSY && self.busy * 100.0 >= f64::from(busy) + MUCH_LESS).then(|| label.clone())
-    }
-
     fn ordered(&mut self, call: Call, outcome: Outcome<(u16, Report)>) {
         let Some(Purpose::Order { machine }) = self.env.calls.remove(&call) else {
             return;
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -1,19 +1,22 @@
 //! Renting and returning machines: capacity for what waits, some ahead of need, and
 //! back when it stands idle. Request names never repeat, since each holds the token.
 
-use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
+mod demand;
+mod returns;
+
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
-use rushyoke_wire::cloud::{MachineType, Rental};
+use rushyoke_wire::cloud::{Listing, MachineType, Rental};
 use rushyoke_wire::job::{JobSpec, Kind, Priority};
 
-use crate::fleet::{Claim, Machine, TaskKey};
+use crate::fleet::Machine;
 use crate::io::*;
-use crate::jobs::{Job, Name};
+use crate::jobs::Name;
 use crate::node::{Env, Purpose};
-use crate::place::{CLAIM_FOR, allowed};
 use crate::quota::Room;
 use crate::recover::Term;
+use demand::missing;
 
 /// Most machines in one rental, and in one return.
 const MOST_RENTED: u32 = 50;
@@ -155,268 +158,6 @@
         }
     }
 
-    /// Tasks of a job that wait and that its team's limit would let run.
-    fn startable(&self, job: &Job, team_left: &mut BTreeMap<String, f64>) -> f64 {
-        let waiting = job.waiting();
-        if waiting == 0 {
-            return 0.0;
-        }
-        let left = team_left
-            .entry(job.spec.team.clone())
-            .or_insert_with(|| self.quotas.usage(&job.spec.team).map_or(0.0, |u| u.team.cpus_max - u.cpus));
-        let cpus = job.spec.cpus;
-        let fit = if cpus > 0.0 { (*left / cpus).max(0.0) as u32 } else { waiting };
-        let tasks = f64::from(waiting.min(fit));
-        *left -= tasks * cpus;
-        tasks
-    }
-
-    /// Demand that has no room yet, and what must be kept free, by kind of machine.
-    fn rent_what_is_missing(&mut self, env: &mut Env) {
-        let now = env.steady();
-        self.renting.calls = (env.facts.cloud_rps * RENTAL_SHARE).max(LEAST_RENTALS) as usize;
-        let mut team_left = BTreeMap::new();
-        let mut spot_need = Room::default();
-        let mut firm_need = Room::default();
-        let mut bound: BTreeMap<(Vec<String>, bool), Room> = BTreeMap::new();
-        for job in self.jobs.values() {
-            let tasks = self.startable(job, &mut team_left);
-            if tasks == 0.0 {
-                continue;
-            }
-            let need = Room::of(&job.spec).scaled(tasks);
-            if let Some(zones) = self.bound_to(job) {
-                bound.entry((zones, job.spec.spot)).or_default().add(need);
-            } else if job.spec.spot {
-                spot_need.add(need);
-            } else {
-                firm_need.add(need);
-            }
-        }
-        let mut spot_free = Room::default();
-        let mut firm_free = Room::default();
-        let mut zone_free: BTreeMap<(String, bool), Room> = BTreeMap::new();
-        let mut in_use = 0.0;
-        let mut add_free = |zone: &str, spot: bool, free: Room| {
-            if spot {
-                spot_free.add(free)
-            } else {
-                firm_free.add(free)
-            }
-            zone_free.entry((zone.to_owned(), spot)).or_default().add(free);
-        };
-        for machine in self.machines.values().filter(|m| m.counts()) {
-            let boot = env.type_named(&machine.kind).map_or(60.0, |k| k.boot_s);
-            let late = !machine.up && now.duration_since(machine.known).as_secs_f64() > boot * LATE_BOOT;
-            // One that is known from a record only has room, but how much?
-            if late || machine.kind.is_empty() {
-                continue;
-            }
-            in_use += machine.used.cpus;
-            add_free(&machine.zone, machine.spot, machine.total.minus(machine.used));
-        }
-        // What runs on machines that are cut off will want room elsewhere when their leases end.
-        for machine in self.machines.values().filter(|m| m.suspect && !m.leaving && self.parted(m)) {
-            for (job, _) in &machine.places {
-                let spec = &self.jobs[job].spec;
-                if spec.spot { spot_need.add(Room::of(spec)) } else { firm_need.add(Room::of(spec)) }
-            }
-        }
-        for (rental, _) in &self.renting.open {
-            if let Some(kind) = env.type_named(&rental.kind) {
-                let room = Room { cpus: kind.cpus, gpus: kind.gpus, memory_gb: kind.memory_gb };
-                add_free(&rental.zone, rental.spot, room.scaled(f64::from(rental.count)));
-            }
-        }
-        for ((zones, spot), need) in bound {
-            let mut free = Room::default();
-            for ((zone, kind), room) in &zone_free {
-                if zones.contains(zone) && (spot || !kind) {
-                    free.add(*room);
-                }
-            }
-            let gap = missing(need, free);
-            if !gap.is_nothing() {
-                self.rent_kind(env, gap, spot, Some(&zones));
-            }
-            // It takes its part of what is free, wherever that is.
-            if spot { spot_need.add(need.minus(gap)) } else { firm_need.add(need.minus(gap)) }
-        }
-        let policy = env.policy.clone();
-        let largest = env.types.iter().map(|t| t.cpus).fold(0.0, f64::max);
-        let headroom = (in_use * policy.headroom_share).max(policy.headroom_machines * largest);
-        firm_need.cpus += self.renting.service_reserve(env);
-        if !self.jobs.is_empty() {
-            spot_need.cpus += headroom;
-        }
-        // What ordinary machines have left over serves spot work too.
-        let firm_over = (firm_free.cpus - firm_need.cpus).max(0.0);
-        self.retire(env, in_use + spot_need.cpus + firm_need.cpus);
-        spot_need.cpus = (spot_need.cpus - firm_over).max(0.0);
-        self.rent_kind(env, missing(firm_need, firm_free), false, None);
-        self.rent_kind(env, missing(spot_need, spot_free), true, None);
-    }
-
-    /// Chooses machines that can be returned soon: with all others, what is in use, what
-    /// waits and what is kept free would fit. `need` counts CPUs.
-    fn retire(&mut self, env: &mut Env, need: f64) {
-        let now = env.steady();
-        let window = env.policy.idle;
-        self.renting.needs.push_back((now, need));
-        while self.renting.needs.front().is_some_and(|(t, _)| now.duration_since(*t) > window) {
-            self.renting.needs.pop_front();
-        }
-        let mut have: f64 = self.machines.values().filter(|m| m.counts()).map(|m| m.total.cpus).sum();
-        let mut candidates: Vec<(bool, bool, f64, Name)> = self
-            .machines
-            .values()
-            .filter(|m| m.up && m.counts())
-            .map(|m| (m.hosts_service(), m.spot, self.empty_in(now, m), m.name.clone()))
-            .collect();
-        // Those with replicas last, since these end with their service only; then the dearest
-        // first, and of those the ones that are empty the soonest.
-        candidates.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.cmp(&b.1)).then(a.2.total_cmp(&b.2)));
-        // What may not use spot machines must find room on the ordinary ones that stay.
-        let firm_jobs = self.jobs.values().filter(|job| !job.spec.spot);
-        let firm_use: f64 = firm_jobs.map(|job| job.spec.cpus * job.places.len() as f64).sum();
-        let firm_need = firm_use + self.renting.service_reserve(env);
-        let firm = self.machines.values().filter(|m| m.counts() && !m.spot);
-        let mut firm_have: f64 = firm.map(|m| m.total.cpus).sum();
-        let mut retiring = BTreeSet::new();
-        for (_, spot, _, name) in candidates {
-            let cpus = self.machines[&name].total.cpus;
-            if have - cpus < need {
-                break;
-            }
-            if !spot {
-                if firm_have - cpus < firm_need {
-                    continue;
-                }
-                firm_have -= cpus;
-            }
-            have -= cpus;
-            retiring.insert(name);
-        }
-        for machine in self.machines.values_mut() {
-            machine.retiring = retiring.contains(&machine.name);
-        }
-    }
-
-    /// Whether tasks of the job wait that its team's limit would let run.
-    fn could_start(&self, job: &Job) -> bool {
-        let usage = self.quotas.usage(&job.spec.team);
-        job.waiting() > 0 && usage.is_some_and(|u| u.headroom(Room::of(&job.spec)) > 0)
-    }
-
-    /// Moves the tasks of a retiring machine that save their progress, and replicas, where that
-    /// empties it: one machine at a time, while nothing waits and the others have the room.
-    fn empty_retiring(&mut self, env: &mut Env) {
-        let now = env.steady();
-        if self.jobs.values().any(|job| self.could_start(job)) {
-            return;
-        }
-        let replicas: u32 = self.machines.values().map(Machine::replicas).sum();
-        let renting = &mut self.renting;
-        renting.moves = (renting.moves + f64::from(replicas) * MOVED_SHARE).min(MOVES_SAVED);
-        let mut free: Vec<(&Machine, Room)> = Vec::new();
-        for machine in self.machines.values().filter(|m| m.usable(now) && !m.retiring && m.claim.is_none()) {
-            free.push((machine, machine.total.minus(machine.used)));
-        }
-        // The fullest first, so that the others can be returned.
-        free.sort_by(|a, b| a.1.cpus.total_cmp(&b.1.cpus));
-        let mut best: Option<(f64, Vec<(TaskKey, Name)>)> = None;
-        for machine in self.machines.values().filter(|m| m.retiring && !m.places.is_empty()) {
-            let used = machine.used.cpus;
-            let replicas = f64::from(machine.replicas());
-            if replicas > self.renting.moves || best.as_ref().is_some_and(|(least, _)| used >= *least) {
-                continue;
-            }
-            let Some(moved) = self.movable(now, machine) else { continue };
-            let count = moved.len();
-            let mut room = free.clone();
-            let mut targets: BTreeSet<&Name> = BTreeSet::new();
-            let mut plan = Vec::new();
-            for key in moved {
-                let job = &self.jobs[&key.0];
-                let need = Room::of(&job.spec);
-                let target = room.iter_mut().find(|(m, r)| {
-                    let apart = job.spec.kind == Kind::Array || takes_replica(m, machine, job, &targets);
-                    r.holds(need) && apart && m.has_image(&job.spec.image)
-                });
-                let Some((target, room)) = target else { break };
-                room.sub(need);
-                if job.spec.kind == Kind::Service {
-                    targets.insert(&target.name);
-                }
-                plan.push((key, target.name.clone()));
-            }
-            if plan.len() == count {
-                best = Some((used, plan));
-            }
-        }
-        let Some((_, moved)) = best else { return };
-        let place = &self.jobs[&moved[0].0.0].places[&moved[0].0.1];
-        tracing::info!(machine = &*place.machine, tasks = moved.len(), "moving its tasks, to return it");
-        for ((job, task), target) in moved {
-            let spec = self.jobs[&job].spec.clone();
-            if spec.kind == Kind::Service {
-                self.renting.moves -= 1.0;
-                let until = now + CLAIM_FOR;
-                let claim = Claim { job: job.clone(), room: Room::of(&spec), until, made: true };
-                self.machines.get_mut(&target).expect("a target").claim = Some(claim);
-            }
-            self.stop_task(env, &job, task, spec.save_s);
-        }
-    }
-
-    /// The tasks to move for a machine to become empty; `None` if it would not, or if
-    /// nothing needs a move.
-    fn movable(&self, now: Instant, machine: &Machine) -> Option<Vec<TaskKey>> {
-        let mut moved = Vec::new();
-        for (name, task) in &machine.places {
-            let job = &self.jobs[name];
-            let place = &job.places[task];
-            let ran = now.duration_since(place.running?).as_secs_f64();
-            let left = job.mean_run_s - ran;
-            if place.stop.is_some() {
-                continue;
-            }
-            // One that saves but ends soon is quicker left alone.
-            let saves = job.spec.checkpoint_s > 0.0 && left > MOVE_AFTER_S;
-            let moves = job.spec.kind == Kind::Service || saves;
-            if moves && ran > MOVE_AFTER_S {
-                moved.push((name.clone(), *task));
-            } else if job.spec.kind == Kind::Service || left > MOVE_AFTER_S / 2.0 {
-                return None;
-            }
-        }
-        (!moved.is_empty()).then_some(moved)
-    }
-
-    /// Seconds until a machine's tasks are expected to have ended.
-    fn empty_in(&self, now: Instant, machine: &Machine) -> f64 {
-        if machine.hosts_service() {
-            return WITH_REPLICAS_S + machine.used.cpus;
-        }
-        let left = machine.places.iter().filter_map(|(name, task)| {
-            let job = self.jobs.get(name)?;
-            let ran = job.places.get(task)?.running.map_or(0.0, |t| now.duration_since(t).as_secs_f64());
-            Some((job.mean_run_s - ran).max(1.0))
-        });
-        left.fold(0.0, f64::max)
-    }
-
-    /// The only zones where a job's next task may go, if not everywhere.
-    fn bound_to(&self, job: &Job) -> Option<Vec<String>> {
-        let zones = self.zones_for(job);
-        match (&job.spec.zone, zones) {
-            (Some(zone), None) => Some(vec![zone.clone()]),
-            (Some(zone), Some(zones)) => Some(zones.into_iter().filter(|z| z == zone).collect()),
-            (None, Some(zones)) => Some(zones.into_iter().collect()),
-            (None, None) => None,
-        }
-    }
-
     /// Rents machines for `room`; spot work falls back on ordinary machines. All of it at
     /// once, as far as the cloud's calls go: in a large fleet a part each second would take
     /// minutes, while jobs wait for their first task.
@@ -484,158 +225,91 @@
         }
     }
 
+    /// A call to the cloud has an outcome.
     pub fn rented(&mut self, env: &mut Env, call: RentCall, outcome: Outcome<CloudAnswer>) {
-        let now = env.steady();
-        match (call, outcome) {
-            (RentCall::Rent(rental), Outcome::Answered(CloudAnswer::Rented(names))) => {
-                let asked = self.renting.open.len();
-                self.renting.open.retain(|(r, _)| r.request != rental.request);
-                if self.renting.open.len() == asked {
-                    return; // answered before
+        match call {
+            RentCall::Rent(rental) => self.rental_outcome(env, rental, outcome),
+            RentCall::Release(names) => self.release_outcome(env, names, outcome),
+            RentCall::List => {
+                self.renting.listing = false;
+                if let Outcome::Answered(CloudAnswer::Listing(listing)) = outcome {
+                    self.take_listing(env, &listing);
                 }
+            }
+        }
+    }
+
+    fn rental_outcome(&mut self, env: &mut Env, rental: Rental, outcome: Outcome<CloudAnswer>) {
+        let now = env.steady();
+        // Unanswered: it may have been carried out, so it is repeated by name.
+        if matches!(outcome, Outcome::Unknown) {
+            return;
+        }
+        let asked = self.renting.open.len();
+        self.renting.open.retain(|(open, _)| open.request != rental.request);
+        let answered_before = self.renting.open.len() == asked;
+        let market = (rental.kind.clone(), rental.zone.clone(), rental.spot);
+        match outcome {
+            Outcome::Answered(CloudAnswer::Rented(_)) if answered_before => {}
+            Outcome::Answered(CloudAnswer::Rented(names)) => {
                 if (names.len() as u32) < rental.count {
-                    let market = (rental.kind.clone(), rental.zone.clone(), rental.spot);
                     self.renting.refused.insert(market, now + REFUSED_FOR);
                 }
                 tracing::info!(request = rental.request, machines = names.len(), "rented");
                 self.zones.insert(rental.zone.clone());
-                if let Some(kind) = env.type_named(&rental.kind).cloned() {
-                    for name in names {
-                        let name = Name::from(name.as_str());
-                        self.machines
-                            .entry(name.clone())
-                            .or_insert_with(|| Machine::rented(name, &kind, &rental.zone, rental.spot, now));
-                    }
-                }
+                self.expect_machines(env, &rental, names);
             }
-            (RentCall::Rent(rental), Outcome::Answered(CloudAnswer::NoCapacity)) => {
-                self.renting.open.retain(|(r, _)| r.request != rental.request);
+            Outcome::Answered(CloudAnswer::NoCapacity) => {
                 tracing::info!(kind = rental.kind, zone = rental.zone, spot = rental.spot, "no capacity");
-                self.renting.refused.insert((rental.kind, rental.zone, rental.spot), now + REFUSED_FOR);
+                self.renting.refused.insert(market, now + REFUSED_FOR);
             }
-            (RentCall::Rent(rental), Outcome::Answered(_) | Outcome::NotDone) => {
-                self.renting.open.retain(|(r, _)| r.request != rental.request);
-                self.renting.refused.insert((rental.kind, rental.zone, rental.spot), now + RETRY);
+            _ => {
+                self.renting.refused.insert(market, now + RETRY);
             }
-            // Unanswered: it may have been carried out, so it is repeated by name.
-            (RentCall::Rent(_), Outcome::Unknown) => {}
-            (RentCall::Release(names), Outcome::Answered(CloudAnswer::Released)) => {
-                self.renting.return_open = false;
-                for name in names {
-                    tracing::info!(machine = &*name, "returned");
-                    self.machine_gone(env, &name);
-                }
-            }
-            (RentCall::Release(names), outcome) => {
-                self.renting.return_open = false;
-                self.renting.return_retry = Some(now + RETRY);
-                let unsure = matches!(outcome, Outcome::Unknown);
-                for name in names {
-                    // Surely not returned: it may be used again if it is heard of.
-                    if let Some(machine) = self.machines.get_mut(&name).filter(|_| !unsure) {
-                        machine.release_sent = None;
-                        machine.leaving = machine.suspect;
-                    }
-                    self.renting.release_later(name);
-                }
-            }
-            (RentCall::List, Outcome::Answered(CloudAnswer::Listing(listing))) => {
-                self.renting.listing = false;
-                for listed in &listing.machines {
-                    self.machine_listed(env, listed);
-                }
-                let last = listing.machines.last().map(|m| m.id.clone());
-                self.renting.list_after = last.filter(|_| listing.more);
-                if self.renting.list_after.is_some() {
-                    self.renting.listed_at = None;
-                } else {
-                    self.renting.listed = true;
-                }
-            }
-            (RentCall::List, _) => self.renting.listing = false,
         }
     }
 
-    fn return_idle(&mut self, env: &mut Env, now: Instant) {
-        let mut lost = Vec::new();
-        for machine in self.machines.values() {
-            let boot = env.type_named(&machine.kind).map_or(60.0, |k| k.boot_s.max(1.0));
-            let age = now.duration_since(machine.known).as_secs_f64();
-            if machine.leaving {
-                if machine.release_sent.is_none() {
-                    lost.push(machine.name.clone());
-                }
-            } else if !machine.up && !machine.kind.is_empty() && age > boot * LOST_BOOT {
-                tracing::info!(machine = &*machine.name, age_s = age, "never came up; given up");
-                lost.push(machine.name.clone());
-            } else if machine.quarantined && machine.places.is_empty() {
-                lost.push(machine.name.clone());
-            }
-        }
-        let waiting: Vec<(&Job, Option<Vec<String>>)> =
-            self.jobs.values().filter(|job| self.could_start(job)).map(|job| (job, self.bound_to(job))).collect();
-        let wanted = |machine: &Machine| {
-            waiting.iter().any(|(job, zones)| {
-                allowed(&job.spec, machine) && zones.as_ref().is_none_or(|zones| zones.contains(&machine.zone))
-            })
-        };
-        let mut idle: Vec<&Machine> = self
-            .machines
-            .values()
-            .filter(|m| m.up && m.counts() && m.places.is_empty() && !wanted(m))
-            .filter(|m| m.retiring && now.duration_since(m.known) > MIN_CHARGE)
-            .collect();
-        // The dearest first.
-        idle.sort_by_key(|m| m.spot);
-        // Capacity takes a boot to come back, so a short lull is no reason to return any.
-        let need = self.renting.needs.iter().map(|(_, n)| *n).fold(0.0, f64::max);
-        let mut have: f64 = self.machines.values().filter(|m| m.counts()).map(|m| m.total.cpus).sum();
-        for machine in idle {
-            if have - machine.total.cpus >= need {
-                have -= machine.total.cpus;
-                lost.push(machine.name.clone());
-            }
-        }
-        for name in lost {
-            let machine = self.machines.get_mut(&name).expect("listed");
-            machine.leaving = true;
-            self.renting.release_later(name);
+    /// Machines that were rented will come up.
+    fn expect_machines(&mut self, env: &Env, rental: &Rental, names: Vec<String>) {
+        let Some(kind) = env.type_named(&rental.kind) else { return };
+        for name in names {
+            let name = Name::from(name.as_str());
+            let machine = || Machine::rented(name.clone(), kind, &rental.zone, rental.spot, env.steady());
+            self.machines.entry(name.clone()).or_insert_with(machine);
         }
     }
 
-    fn send_returns(&mut self, env: &mut Env, now: Instant) {
-        let renting = &mut self.renting;
-        if renting.return_open || renting.returning.is_empty() || renting.return_retry.is_some_and(|t| t > now) {
-            return;
-        }
-        // One that was heard of again stays.
-        renting.returning.retain(|name| self.machines.get(name).is_none_or(|m| m.leaving));
-        let count = renting.returning.len().min(MOST_RETURNED);
-        let names: Vec<Name> = renting.returning.drain(..count).collect();
-        if names.is_empty() {
+    fn release_outcome(&mut self, env: &mut Env, names: Vec<Name>, outcome: Outcome<CloudAnswer>) {
+        self.renting.return_open = false;
+        if matches!(outcome, Outcome::Answered(CloudAnswer::Released)) {
+            for name in names {
+                tracing::info!(machine = &*name, "returned");
+                self.machine_gone(env, &name);
+            }
             return;
         }
-        for name in &names {
-            if let Some(machine) = self.machines.get_mut(name) {
-                machine.release_sent = Some(now);
+        self.renting.return_retry = Some(env.steady() + RETRY);
+        let unsure = matches!(outcome, Outcome::Unknown);
+        for name in names {
+            // Surely not returned: it may be used again if it is heard of.
+            if let Some(machine) = self.machines.get_mut(&name).filter(|_| !unsure) {
+                machine.release_sent = None;
+                machine.leaving = machine.suspect;
             }
+            self.renting.release_later(name);
         }
-        renting.return_open = true;
-        let list = names.iter().map(|n| n.to_string()).collect();
-        env.cloud(Purpose::Rent(RentCall::Release(names)), CloudOp::Release(list));
     }
-}
 
-/// Whether a machine can take a replica that is moved: in the same zone, and apart from the service's others.
-fn takes_replica(target: &Machine, from: &Machine, job: &Job, taken: &BTreeSet<&Name>) -> bool {
-    let key = |task| (job.id.clone(), task);
-    target.zone == from.zone
-        && allowed(&job.spec, target)
-        && !taken.contains(&target.name)
-        && target.places.range(key(0)..=key(u32::MAX)).next().is_none()
-}
-
-fn missing(need: Room, free: Room) -> Room {
-    let gap = need.minus(free);
-    Room { cpus: gap.cpus.max(0.0), gpus: gap.gpus.max(0.0), memory_gb: gap.memory_gb.max(0.0) }
+    fn take_listing(&mut self, env: &mut Env, listing: &Listing) {
+        for listed in &listing.machines {
+            self.machine_listed(env, listed);
+        }
+        let last = listing.machines.last().map(|m| m.id.clone());
+        self.renting.list_after = last.filter(|_| listing.more);
+        if self.renting.list_after.is_some() {
+            self.renting.listed_at = None;
+        } else {
+            self.renting.listed = true;
+        }
+    }
 }
