--- a/crates/core/src/facts.rs
+++ b/crates/core/src/facts.rs
@@ -3,36 +3,54 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// A team's guarantee and limit.
 #[derive(Clone, Debug, Default)]
 pub struct Team {
+    /// CPUs that it is guaranteed.
     pub cpus: f64,
+    /// CPUs that its tasks may use at the most.
     pub cpus_max: f64,
+    /// GPUs that it is guaranteed.
     pub gpus: f64,
+    /// GPUs that its tasks may use at the most.
     pub gpus_max: f64,
 }
 
 /// An aim that the users set for a class of jobs.
 #[derive(Clone, Debug)]
 pub struct Objective {
+    /// What is counted, such as `finished` or `wait`.
     pub kind: String,
+    /// The class of jobs, if not all.
     pub class: Option<String>,
+    /// The time allowed.
     pub within: Option<Duration>,
 }
 
 /// The platform's facts; nothing here is a constant of ours.
 #[derive(Clone, Debug)]
 pub struct Facts {
+    /// This node's label.
     pub label: String,
+    /// The other nodes' labels.
     pub others: Vec<String>,
+    /// Teams by name.
     pub teams: BTreeMap<String, Team>,
+    /// The users' aims.
     pub objectives: Vec<Objective>,
+    /// Interval of workers' reports.
     pub report: Duration,
+    /// Life of a worker's lease.
     pub lease: Duration,
+    /// Time within which a cancelled job must be gone.
     pub cancel: Duration,
+    /// Writes in one transaction.
     pub txn_ops: usize,
+    /// Bytes of one value.
     pub value_bytes: usize,
     /// Puts and deletes that the store takes a second.
     pub write_rps: f64,
+    /// How late the cloud's list may be.
     pub list_lag: Duration,
     /// Calls that the cloud takes a second.
     pub cloud_rps: f64,
@@ -53,6 +71,7 @@
     pub cell_minimum: u32,
     /// Levels that the clustering may form.
     pub levels: usize,
+    /// Whether the eSplash step restarts tasks.
     pub speculation: bool,
     /// Life of the leader's lease in the state service.
     pub lead_ttl: Duration,
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -20,6 +20,7 @@
 /// What became of a call.
 #[derive(Clone, Debug)]
 pub enum Outcome<T> {
+    /// It was answered.
     Answered(T),
     /// It was surely not carried out and never will be.
     NotDone,
@@ -27,6 +28,7 @@
     Unknown,
 }
 
+/// How urgent a call to the state service is; the first goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Urgency {
     /// Leadership.
@@ -39,26 +41,58 @@
     Low,
 }
 
+/// A call to the state service.
 #[derive(Clone, Debug)]
 pub enum StoreOp {
+    /// Reads a key.
     Get(String),
-    List { prefix: String, after: String },
+    /// Reads keys in order.
+    List {
+        /// What the keys begin with.
+        prefix: String,
+        /// The key, or the revision, after which it begins.
+        after: String,
+    },
+    /// Carries out a transaction.
     Txn(Txn),
-    NewLease { ttl_ms: u64 },
+    /// Asks for a lease.
+    NewLease {
+        /// Its life without renewal.
+        ttl_ms: u64,
+    },
+    /// Renews a lease.
     Touch(u64),
+    /// Ends a lease.
     EndLease(u64),
-    Watch { prefix: String, after: u64, wait_ms: u64 },
+    /// Waits for a change.
+    Watch {
+        /// What the keys begin with.
+        prefix: String,
+        /// The key, or the revision, after which it begins.
+        after: u64,
+        /// How long to wait.
+        wait_ms: u64,
+    },
 }
 
+/// What the state service answers.
 #[derive(Clone, Debug)]
 pub enum StoreAnswer {
+    /// A key, if it exists.
     Item(Option<Item>),
+    /// Keys in order.
     Page(Page),
+    /// The revision of a transaction that was carried out.
     Committed(u64),
+    /// Keys whose conditions did not hold; it may not name all.
     Refused(Vec<String>),
+    /// A new lease.
     Lease(u64),
+    /// The lease was renewed or ended.
     LeaseLives,
+    /// The lease has ended.
     NoSuchLease,
+    /// Changes that a watch saw, or none in its time.
     Changes(Changes),
     /// The watch asked for changes that are no longer kept.
     TooOld,
@@ -68,100 +102,157 @@
     Limited,
 }
 
+/// A call to the cloud.
 #[derive(Clone, Debug)]
 pub enum CloudOp {
+    /// Asks for the types of machines.
     Types,
+    /// Rents machines.
     Rent(Rental),
+    /// Returns machines.
     Release(Vec<String>),
-    List { after: Option<String> },
+    /// Lists machines.
+    List {
+        /// The name after which it begins.
+        after: Option<String>,
+    },
 }
 
+/// What the cloud answers.
 #[derive(Clone, Debug)]
 pub enum CloudAnswer {
+    /// The types of machines.
     Types(Vec<MachineType>),
+    /// Names of rented machines.
     Rented(Vec<String>),
+    /// The machines are gone.
     Released,
+    /// Machines in order.
     Listing(Listing),
+    /// There is none of the kind.
     NoCapacity,
     /// 429 or an outage: not carried out.
     Unavailable,
 }
 
+/// What happens to a node.
 #[derive(Clone, Debug)]
 pub enum Input {
+    /// A user submits a job.
     Submit {
+        /// The request to answer.
         req: Req,
+        /// The job.
         spec: Box<JobSpec>,
     },
+    /// A user asks about a job.
     Status {
+        /// The request to answer.
         req: Req,
+        /// The job's id.
         id: String,
     },
+    /// A user cancels a job.
     Cancel {
+        /// The request to answer.
         req: Req,
+        /// The job's id.
         id: String,
     },
+    /// A health check.
     Ready {
+        /// The request to answer.
         req: Req,
     },
+    /// A worker reports.
     Report {
+        /// The request to answer.
         req: Req,
+        /// The report.
         report: Box<Report>,
         /// The report's tasks if they were not read yet.
         unread: Option<Box<RawValue>>,
     },
+    /// Another node asks and tells.
     Peer {
+        /// The request to answer.
         req: Req,
+        /// The message.
         request: PeerRequest,
     },
     /// Reports that another node hands on.
     Relay {
+        /// The request to answer.
         req: Req,
+        /// The reports.
         relay: Relay,
     },
+    /// The leader answered reports that were handed on.
     RelayResponse {
+        /// The call.
         call: Call,
+        /// What became of it.
         outcome: Outcome<RelayResponse>,
     },
+    /// A call to the state service has an outcome.
     Store {
+        /// The call.
         call: Call,
+        /// What became of it.
         outcome: Outcome<StoreAnswer>,
     },
+    /// A call to the cloud has an outcome.
     Cloud {
+        /// The call.
         call: Call,
+        /// What became of it.
         outcome: Outcome<CloudAnswer>,
     },
     /// The status and report that a worker answered to direct orders.
     Ordered {
+        /// The call.
         call: Call,
+        /// What became of it.
         outcome: Outcome<(u16, Report)>,
     },
+    /// Another node answered.
     PeerResponse {
+        /// The node's label.
         label: String,
+        /// What became of it.
         outcome: Outcome<PeerResponse>,
     },
     /// How much of its time the processor was busy lately, 0 to 1, and how much too late the
     /// tick comes that follows.
     Busy {
+        /// Share of its time for which the processor was busy.
         share: f64,
+        /// How much too late the next tick comes.
         late: Duration,
     },
+    /// Time passes.
     Tick,
 }
 
+/// An HTTP answer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Answer {
+    /// Its status.
     pub status: u16,
+    /// Its body.
     pub body: Vec<u8>,
+    /// When the client should come back.
     pub retry_after_s: Option<u32>,
 }
 
 impl Answer {
+    /// An answer with a JSON body.
     pub fn json<T: serde::Serialize>(status: u16, body: &T) -> Answer {
         let body = serde_json::to_vec(body).expect("answers always encode");
         Answer { status, body, retry_after_s: None }
     }
 
+    /// An answer that says what is wrong.
     pub fn error(status: u16, text: &str) -> Answer {
         Answer::json(status, &serde_json::json!({ "error": text }))
     }
@@ -172,12 +263,55 @@
     }
 }
 
+/// What a node sends.
 #[derive(Clone, Debug)]
 pub enum Output {
-    Answer { req: Req, answer: Answer },
-    Store { call: Call, op: StoreOp, urgency: Urgency },
-    Cloud { call: Call, op: CloudOp },
-    Order { call: Call, addr: String, orders: Orders },
-    Peer { label: String, request: PeerRequest },
-    Relay { call: Call, label: String, relay: Relay },
+    /// Answers a request.
+    Answer {
+        /// The request.
+        req: Req,
+        /// The answer.
+        answer: Answer,
+    },
+    /// Calls the state service.
+    Store {
+        /// Names the call for its outcome.
+        call: Call,
+        /// The call.
+        op: StoreOp,
+        /// How urgent it is.
+        urgency: Urgency,
+    },
+    /// Calls the cloud.
+    Cloud {
+        /// Names the call for its outcome.
+        call: Call,
+        /// The call.
+        op: CloudOp,
+    },
+    /// Orders a worker directly.
+    Order {
+        /// Names the call for its outcome.
+        call: Call,
+        /// The worker's address.
+        addr: String,
+        /// The orders.
+        orders: Orders,
+    },
+    /// Asks and tells another node.
+    Peer {
+        /// The other node's label.
+        label: String,
+        /// The message.
+        request: PeerRequest,
+    },
+    /// Hands reports to the leader.
+    Relay {
+        /// Names the call for its outcome.
+        call: Call,
+        /// The other node's label.
+        label: String,
+        /// The reports.
+        relay: Relay,
+    },
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,6 +2,8 @@
 //! what to send, write and answer comes out. No I/O, no clock and no randomness of its
 //! own: the caller passes the steady clock's time, the time of day and a seed.
 
+#![warn(missing_docs)]
+
 mod awaits;
 mod election;
 mod facts;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -28,6 +28,7 @@
 /// The caller's clocks.
 #[derive(Clone, Copy, Debug)]
 pub struct Now {
+    /// The steady clock.
     pub steady: Instant,
     /// Time of day in milliseconds since 1970, for deadlines only.
     pub wall_ms: u64,
@@ -109,6 +110,7 @@
     }
 }
 
+/// A controller as a state machine.
 pub struct Node {
     pub(crate) env: Env,
     pub(crate) election: Election,
@@ -164,6 +166,7 @@
 const MUCH_LESS: f64 = 15.0;
 
 impl Node {
+    /// A node at its start; the seed names this process among all that ever run on it.
     pub fn new(facts: Facts, policy: Policy, seed: u64, now: Now) -> Node {
         let peers = facts.others.iter().map(|label| (label.clone(), Peer::default())).collect();
         Node {
--- a/crates/core/src/speculate.rs
+++ b/crates/core/src/speculate.rs
@@ -25,28 +25,33 @@
 /// Run times of finished tasks, summed so that they can be merged.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Moments {
+    /// Numbers added.
     pub count: u32,
     sum: f64,
     squares: f64,
 }
 
 impl Moments {
+    /// Adds a number.
     pub fn add(&mut self, run_s: f64) {
         self.count += 1;
         self.sum += run_s;
         self.squares += run_s * run_s;
     }
 
+    /// Adds all numbers of another.
     pub fn merge(&mut self, other: &Moments) {
         self.count += other.count;
         self.sum += other.sum;
         self.squares += other.squares;
     }
 
+    /// Their mean.
     pub fn mean(&self) -> f64 {
         self.sum / f64::from(self.count.max(1))
     }
 
+    /// Their variance.
     pub fn variance(&self) -> f64 {
         let mean = self.mean();
         (self.squares / f64::from(self.count.max(1)) - mean * mean).max(0.0)
@@ -62,6 +67,7 @@
 /// A usable cell of the statistics table.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Cell {
+    /// Mean run time.
     pub mean: f64,
     /// δ: the standard deviation. The paper's variance, in seconds squared, makes a task
     /// of 40 s wait for hundreds of seconds; measured in docs/performance.md.
--- a/crates/testkit/src/cloud.rs
+++ b/crates/testkit/src/cloud.rs
@@ -6,29 +6,41 @@
 use rushyoke_core::{CloudAnswer, CloudOp};
 use rushyoke_wire::cloud::{Listed, Listing, MachineType, Phase};
 
+/// A machine that is rented.
 #[derive(Clone)]
 pub struct Rented {
+    /// Its type.
     pub kind: String,
+    /// Its zone.
     pub zone: String,
+    /// Whether the cloud may take it back.
     pub spot: bool,
+    /// When it was rented.
     pub since: Duration,
+    /// Whether it has booted.
     pub up: bool,
 }
 
+/// A stand-in for the cloud.
 pub struct Cloud {
+    /// The types that it rents.
     pub types: Vec<MachineType>,
+    /// Machines that are rented, by name.
     pub machines: BTreeMap<String, Rented>,
     requests: BTreeMap<String, Vec<String>>,
     serial: u32,
+    /// It answers nobody.
     pub outage: bool,
     /// Free machines; none are given beyond.
     pub capacity: u32,
     /// Machines that will never come up.
     pub stillborn: BTreeSet<String>,
+    /// Rentals carried out.
     pub rentals: u32,
 }
 
 impl Cloud {
+    /// A cloud with one type of machine in these zones.
     pub fn new(zones: &[&str]) -> Cloud {
         let kind = MachineType {
             name: "m16".into(),
@@ -63,6 +75,7 @@
         name
     }
 
+    /// Carries out a call.
     pub fn execute(&mut self, now: Duration, op: &CloudOp) -> CloudAnswer {
         if self.outage {
             return CloudAnswer::Unavailable;
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -2,6 +2,8 @@
 //! service, the cloud, workers and the network between them, under one simulated clock.
 //! They follow the published protocol and check the users' rules as they go.
 
+#![warn(missing_docs)]
+
 mod cloud;
 mod deployment;
 mod rules;
--- a/crates/testkit/src/store.rs
+++ b/crates/testkit/src/store.rs
@@ -12,17 +12,22 @@
 const MAX_OPS: usize = 16;
 const MAX_VALUE: usize = 8 * 1024;
 
+/// A stand-in for the state service.
 #[derive(Default)]
 pub struct Store {
+    /// Values, versions and leases by key.
     pub rows: BTreeMap<String, (Value, u64, Option<u64>)>,
+    /// Counts the changes.
     pub revision: u64,
     log: Vec<(u64, Event)>,
     /// Lease, its life and its end.
     leases: BTreeMap<u64, (Duration, Duration)>,
     next_lease: u64,
+    /// It answers nobody.
     pub outage: bool,
     /// Limits of a transaction's writes and of a value; what goes beyond fails the test.
     pub max_ops: usize,
+    /// Bytes of a value; what goes beyond fails the test.
     pub max_value: usize,
     /// A refused transaction names only the first key that failed.
     pub names_one_failure: bool,
@@ -39,6 +44,7 @@
 }
 
 impl Store {
+    /// An empty store.
     pub fn new() -> Store {
         Store { page: 1000, kept: KEPT, max_ops: MAX_OPS, max_value: MAX_VALUE, ..Store::default() }
     }
@@ -57,6 +63,7 @@
         self.revision > before
     }
 
+    /// It answers again, and all leases have their full time.
     pub fn end_outage(&mut self, now: Duration) {
         self.outage = false;
         for (life, end) in self.leases.values_mut() {
@@ -100,6 +107,7 @@
         (!events.is_empty()).then_some(StoreAnswer::Changes(Changes { revision, events }))
     }
 
+    /// Carries out a call.
     pub fn execute(&mut self, now: Duration, op: &StoreOp) -> StoreAnswer {
         self.expire(now);
         self.requests += 1;
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -4,39 +4,58 @@
 
 use rushyoke_wire::worker::{Cause, Order, Orders, Report, TaskReport, TaskState};
 
+/// A task on a worker.
 #[derive(Clone, Debug)]
 pub struct Task {
+    /// Its job and number.
     pub name: String,
+    /// Which start of it this is.
     pub attempt: u64,
+    /// What it does.
     pub state: TaskState,
+    /// Why it has ended.
     pub why: Option<Cause>,
     /// When the present state ends by itself.
     pub until: Duration,
 }
 
+/// A stand-in for a worker on its machine.
 pub struct Worker {
+    /// The machine's name.
     pub name: String,
+    /// Its zone.
     pub zone: String,
+    /// Whether the cloud may take it back.
     pub spot: bool,
+    /// Its type.
     pub kind: String,
+    /// Counts the leases that have ended.
     pub session: u64,
     seq: u64,
+    /// The highest token seen.
     pub token: u64,
+    /// All tasks on the machine.
     pub tasks: Vec<Task>,
     /// When the last answered report was sent, or the session began.
     pub lease_from: Duration,
     /// The node that it reports to.
     pub node: usize,
+    /// When it reports next.
     pub next_report: Duration,
     /// Identity and sending time of the report that waits for an answer.
     pub waiting: Option<(u64, Duration, u64)>,
+    /// Every task that it starts fails.
     pub fails_all: bool,
+    /// How long its tasks run.
     pub run_s: f64,
+    /// Seconds until the cloud takes it back, if it gave notice.
     pub notice_s: Option<f64>,
+    /// How many times as long as others its tasks take.
     pub slow: f64,
 }
 
 impl Worker {
+    /// A worker that has just begun.
     pub fn new(name: String, zone: String, spot: bool, kind: String, now: Duration) -> Worker {
         Worker {
             name,
@@ -58,6 +77,7 @@
         }
     }
 
+    /// Its next report.
     pub fn report(&mut self) -> Report {
         self.seq += 1;
         Report {
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -54,8 +54,10 @@
     Relay { node: usize, incarnation: u64, call: Call },
 }
 
+/// Nodes, state service, cloud, workers and users under one clock.
 pub struct World {
     start: Instant,
+    /// The time since the world began.
     pub now: Duration,
     /// The deployment's facts, as the first node sees them.
     facts: Facts,
@@ -65,19 +67,24 @@
     pub spent: BTreeMap<(usize, &'static str), (u64, Duration)>,
     slots: Vec<Slot>,
     policy: Policy,
+    /// The state service.
     pub store: Store,
+    /// The cloud.
     pub cloud: Cloud,
+    /// Workers by machine.
     pub workers: BTreeMap<String, Worker>,
     events: BTreeMap<(Duration, u64), Event>,
     serial: u64,
     watches: Vec<Watch>,
     askers: BTreeMap<(usize, Req), Asker>,
     answers: BTreeMap<u64, Answer>,
+    /// Jobs that were submitted.
     pub specs: BTreeMap<String, JobSpec>,
     /// Jobs that a user was told are cancelled, and when.
     pub cancelled: BTreeMap<String, Duration>,
     /// Nodes cut off from the state service, or from all workers.
     pub no_store: BTreeSet<usize>,
+    /// Nodes that no worker reaches.
     pub no_workers: BTreeSet<usize>,
     /// Nodes that the other nodes do not reach, nor they them.
     pub no_peers: BTreeSet<usize>,
@@ -105,6 +112,7 @@
     steps: u32,
     /// Direct orders under way by node, and the most that one had at a time.
     orders: BTreeMap<usize, usize>,
+    /// The most direct orders that a node had under way.
     pub most_orders: usize,
     /// So many renewals of leases are lost.
     pub lose_touches: u32,
@@ -131,7 +139,9 @@
     seen_leader: Option<(usize, u64)>,
     /// Tokens under which any node ever led, and whether two did at a time.
     pub terms: BTreeSet<u64>,
+    /// Two nodes held that they led at a time.
     pub two_led: bool,
+    /// What users were told.
     pub rules: Rules,
     /// Tasks that began after their job's cancellation was confirmed.
     pub late_starts: u64,
@@ -149,6 +159,7 @@
     pub started: u64,
     /// Reports handed from one node to another, and those of them with all their tasks.
     pub relayed: u64,
+    /// Reports handed on with all their tasks.
     pub relayed_full: u64,
     /// Answers to relayed reports come at this time.
     pub hold_relays: Option<Duration>,
@@ -163,6 +174,7 @@
         World::with(machines, Policy::default(), &["a"])
     }
 
+    /// Three nodes with a policy, and ordinary machines that are up in these zones.
     pub fn with(machines: usize, policy: Policy, zones: &[&str]) -> World {
         World::deployed(facts(0, 3), machines, policy, zones)
     }
@@ -243,6 +255,7 @@
         world
     }
 
+    /// Starts a node's process.
     pub fn start_node(&mut self, n: usize) {
         self.serial += 1;
         let incarnation = self.serial;
@@ -266,11 +279,13 @@
         Now { steady: self.start + self.now, wall_ms: 1_700_000_000_000 + self.now.as_millis() as u64 }
     }
 
+    /// The node that leads under the highest token.
     pub fn leader(&self) -> Option<usize> {
         let leads = (0..self.slots.len()).filter_map(|n| Some((self.slots[n].node.as_ref()?.token()?, n)));
         leads.max().map(|(_, n)| n)
     }
 
+    /// The token under which a node leads.
     pub fn token_of(&self, n: usize) -> Option<u64> {
         self.slots[n].node.as_ref()?.token()
     }
--- a/crates/testkit/src/world/users.rs
+++ b/crates/testkit/src/world/users.rs
@@ -62,10 +62,12 @@
         asked.iter().filter_map(|id| Some(self.answers.remove(id)?.status)).collect()
     }
 
+    /// Asks a node for a job's state.
     pub fn state(&mut self, node: usize, job: &str) -> Option<JobStatus> {
         self.status(node, job)?.1.map(|view| view.state)
     }
 
+    /// Cancels at a node; the status and, with 200, the state.
     pub fn cancel(&mut self, node: usize, job: &str) -> Option<(u16, Option<JobView>)> {
         let id = self.ask(node, |req| Input::Cancel { req, id: job.into() });
         let answer = self.wait(id)?;
@@ -76,6 +78,7 @@
         Some((answer.status, view))
     }
 
+    /// The status of a health check.
     pub fn ready(&mut self, node: usize) -> Option<u16> {
         let id = self.ask(node, |req| Input::Ready { req });
         Some(self.wait(id)?.status)
--- a/crates/wire/src/job.rs
+++ b/crates/wire/src/job.rs
@@ -7,6 +7,7 @@
 /// The most tasks that one job may have.
 pub const MAX_TASKS: u32 = 100_000;
 
+/// What a job is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
     /// Independent tasks; each runs to completion.
@@ -21,50 +22,75 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Priority {
+    /// May wait for all else.
     BestEffort,
+    /// The usual priority.
     #[serde(rename = "standard")]
     Normal,
+    /// Before the usual one.
     High,
+    /// What users of the teams depend on at once.
     Production,
 }
 
+/// A job's description, as users submit it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
+    /// Its id, such as `wk-000412`.
     #[serde(rename = "name_id")]
     pub id: String,
+    /// The class whose aims apply.
     #[serde(rename = "lane")]
     pub class: String,
+    /// The team whose guarantee and limit apply.
     #[serde(rename = "crew")]
     pub team: String,
+    /// Array or service.
     #[serde(rename = "shape")]
     pub kind: Kind,
+    /// Its priority.
     #[serde(rename = "rank")]
     pub priority: Priority,
+    /// How many tasks it has.
     #[serde(rename = "loads")]
     pub tasks: u32,
+    /// CPUs of a task.
     pub cpus: f64,
+    /// GPUs of a task.
     pub gpus: f64,
+    /// Memory of a task.
     pub memory_gb: f64,
+    /// Machine types that it may use, if not all.
     #[serde(rename = "rigs", default)]
     pub types: Option<Vec<String>>,
+    /// The only zone that it may use, if there is one.
     #[serde(rename = "yard", default)]
     pub zone: Option<String>,
+    /// All tasks must be in one zone.
     #[serde(rename = "together")]
     pub one_zone: bool,
+    /// At most half of the tasks may be in one zone.
     #[serde(rename = "scatter")]
     pub spread: bool,
+    /// It may use machines that the cloud may take back.
     #[serde(rename = "borrowed")]
     pub spot: bool,
+    /// The image that a machine must have.
     #[serde(rename = "kit")]
     pub image: String,
+    /// The size of the image.
     #[serde(rename = "size_gb")]
     pub image_gb: f64,
+    /// The owner's estimate of a task's run time.
     #[serde(rename = "haul_s")]
     pub estimate_s: f64,
+    /// How often a running task saves its progress; 0: never.
     #[serde(rename = "tally_s")]
     pub checkpoint_s: f64,
+    /// Time that a task needs to save when it is stopped.
     #[serde(rename = "stow_s")]
     pub save_s: f64,
+    /// When it should be done, from its submission.
     #[serde(rename = "due_s", default)]
     pub deadline_s: Option<f64>,
     /// Jobs that must be done before any task of this one starts, each named once.
@@ -133,13 +159,18 @@
     }
 }
 
+/// What users are told of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum JobStatus {
+    /// No task runs.
     #[serde(rename = "pending")]
     Queued,
+    /// Tasks run.
     Running,
+    /// All tasks are done.
     Done,
+    /// It was cancelled.
     Cancelled,
 }
 
@@ -150,14 +181,19 @@
     }
 }
 
+/// A job as users see it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobView {
+    /// Its id.
     #[serde(rename = "name_id")]
     pub id: String,
+    /// What it does.
     #[serde(rename = "status")]
     pub state: JobStatus,
+    /// Tasks that are done, for display.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub done: Option<u32>,
+    /// Tasks that run, for display.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub running: Option<u32>,
     /// Jobs that it waits for.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -6,15 +6,21 @@
 
 use crate::worker::{Cause, TaskState};
 
+/// How far a job has come, for display.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
+    /// Its id.
     pub job: String,
+    /// Tasks that are done.
     pub done: u32,
+    /// Tasks that run.
     pub running: u32,
 }
 
+/// What a controller asks of, and tells, another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerRequest {
+    /// The sender's label.
     pub label: String,
     /// The asker's token while it leads.
     pub token: Option<u64>,
@@ -24,9 +30,12 @@
     pub progress: Vec<Progress>,
 }
 
+/// What a controller answers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerResponse {
+    /// Its label.
     pub label: String,
+    /// Which of its processes answers.
     pub incarnation: u64,
     /// Whether the state service answers this node.
     pub store_ok: bool,
@@ -43,50 +52,72 @@
 pub struct Relay {
     /// The token of the leader that they are for.
     pub token: u64,
+    /// The reports, in the order of their answers.
     pub reports: Vec<Relayed>,
 }
 
 /// A worker's report, with its tasks or the digest of a list that was told before.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Relayed {
+    /// The machine's name.
     pub machine: String,
+    /// The worker's session.
     pub session: u64,
+    /// The report's number.
     pub seq: u64,
+    /// The highest token that the worker has seen.
     pub token: u64,
+    /// Seconds until the cloud takes the machine back.
     pub notice_s: Option<f64>,
+    /// Tells lists of tasks apart.
     pub digest: u64,
+    /// What the digest stands for, if it must be told.
     pub full: Option<RelayedMachine>,
 }
 
+/// A report in full.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RelayedMachine {
+    /// Where the worker takes direct orders.
     pub addr: String,
+    /// The machine's type.
     pub kind: String,
+    /// Its zone.
     pub zone: String,
+    /// Whether the cloud may take it back.
     pub spot: bool,
+    /// All tasks on the machine.
     pub tasks: Vec<RelayedTask>,
 }
 
 /// A task of a report; in postcard no field may be left out.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RelayedTask {
+    /// Its job and number.
     pub task: String,
+    /// Which start of it this is.
     pub attempt: u64,
+    /// What it does.
     pub state: TaskState,
+    /// Why it has ended.
     pub why: Option<Cause>,
 }
 
 /// The leader's answers to relayed reports, in their order; `None`: send it in full.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RelayResponse {
+    /// One for each report.
     pub answers: Vec<Option<RelayAnswer>>,
 }
 
 /// What is to be answered to the worker.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RelayAnswer {
+    /// The HTTP status.
     pub status: u16,
+    /// The body.
     pub body: Vec<u8>,
+    /// When the worker should come back.
     pub retry_after_s: Option<u32>,
 }
 
