A list that no transaction could write is refused at once

With values of more than 30 KiB a description could fit into its value while the transaction that writes the job's two records would not: it would be refused by the state service again and again (503), where 400 is the answer.

--- a/crates/core/src/users/submit.rs
+++ b/crates/core/src/users/submit.rs
@@ -19,6 +19,8 @@
 
 /// Dependencies looked for by one transaction, where the store takes so many conditions.
 const DEPENDENCIES_AT_ONCE: usize = 48;
+/// Bytes of a transaction. A job is created by one that writes what it awaits twice.
+const TRANSACTION_BYTES: usize = 60 * 1024;
 /// Bytes that a cancellation may add to a job's description.
 const CANCELLATION_BYTES: usize = 16;
 
@@ -233,11 +235,11 @@
     Ok(())
 }
 
-/// Whether a value of the store holds the description; the answer depends on nothing but the settings,
+/// Whether a value of the store, and the transaction, hold the description; the answer depends on nothing but the settings,
 /// so that every node and every repeat gives the same.
 fn can_store(env: &Env, spec: &JobSpec) -> Result<(), Refusal> {
     let live = LiveRecord { at_ms: env.now.wall_ms, cancelled: false, spec: spec.clone() };
     let size = serde_json::to_vec(&live).expect("records always encode").len();
-    let most = env.facts.value_bytes.saturating_sub(CANCELLATION_BYTES);
+    let most = env.facts.value_bytes.min(TRANSACTION_BYTES / 2).saturating_sub(CANCELLATION_BYTES);
     if size > most { Err(Refusal::TooLarge(most)) } else { Ok(()) }
 }
--- a/crates/core/tests/dependencies.rs
+++ b/crates/core/tests/dependencies.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use rushyoke_core::Facts;
+use rushyoke_core::{Facts, Policy};
 use rushyoke_testkit::{World, all, dependent, facts, job_id, millis, secs, service};
 use rushyoke_wire::job::{JobSpec, JobStatus, Priority};
 
@@ -254,7 +254,7 @@
 
 #[test]
 fn limits_come_in_the_midst_of_a_large_cancellation() {
-    let mut world = World::deployed(lower_limits(), 4, rushyoke_core::Policy::default(), &["a"]);
+    let mut world = World::deployed(lower_limits(), 4, Policy::default(), &["a"]);
     world.check_every = 5;
     world.workers.values_mut().for_each(|worker| worker.run_s = 300.0);
     world.run(secs(6));
@@ -382,6 +382,19 @@
     }
 }
 
+#[test]
+fn a_list_that_a_value_holds_but_no_transaction_is_refused() {
+    let large_values = Facts { value_bytes: 64 * 1024, ..facts(0, 3) };
+    let mut world = World::deployed(large_values, 1, Policy::default(), &["a"]);
+    world.store.max_value = 64 * 1024;
+    world.run(secs(6));
+    assert_eq!(world.submit(0, dependent(1, 1, &[])), Some(201));
+    let named = |count: u32| vec![1].into_iter().chain(10_000..10_000 + count).collect::<Vec<u32>>();
+    assert_eq!(world.submit(1, dependent(2, 1, &named(4000))), Some(400));
+    // A shorter one is judged by its jobs, which were never accepted.
+    assert_eq!(world.submit(1, dependent(3, 1, &named(2000))), Some(422));
+}
+
 #[test]
 fn an_accepted_job_is_not_refused_by_a_node_with_lower_limits() {
     let (mut world, _) = World::with_short_tasks();
