--- /dev/null
+++ b/crates/balance/src/balancer.rs
@@ -0,0 +1,297 @@
+//! The balancer: the load model, fair shares, planner and open moves put together, as the core uses
+//! them.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::{Duration, Instant};
+
+use crate::load::{LoadModel, MachineInfo};
+use crate::moves::{GiveUp, Move, MoveEnd, MoveState, Moves};
+use crate::pace::Pace;
+use crate::planner::{FleetView, Planner, Proposal};
+use crate::price::Pricing;
+use crate::record::{OpenMove, OpenMoves};
+use crate::resources::Resources;
+use crate::settings::Settings;
+use crate::shares::{Borrow, Shares};
+use crate::{Name, TaskKey};
+
+/// What a step after the booking may take, beside the task's own time to save.
+const STEP_SLACK: u32 = 2;
+
+/// What was done since the last summary, and how even the fleet is.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Summary {
+    /// Machines, their mean use and how it varies.
+    pub machines: usize,
+    /// Mean use.
+    pub mean: f64,
+    /// Coefficient of variation of use.
+    pub variation: f64,
+    /// Jain's index of use.
+    pub jain: f64,
+    /// Moves begun.
+    pub begun: u64,
+    /// Moves that ended with the task running at its destination.
+    pub confirmed: u64,
+    /// Moves given up, by reason.
+    pub given_up: Vec<(GiveUp, u64)>,
+    /// Moves that are open.
+    pub open: usize,
+    /// Jobs held back for other teams now.
+    pub held: usize,
+}
+
+impl fmt::Display for Summary {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "machines {}, mean use {:.2}, variation {:.2}, jain {:.2}, moves begun {}, confirmed {}, open {}, jobs held {}",
+            self.machines, self.mean, self.variation, self.jain, self.begun, self.confirmed, self.open, self.held
+        )?;
+        for (reason, count) in &self.given_up {
+            write!(formatter, ", given up {reason:?} {count}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Load spreading for one term of a leader.
+#[derive(Debug)]
+pub struct Balancer {
+    settings: Settings,
+    load: LoadModel,
+    shares: Shares,
+    moves: Moves,
+    pace: Pace,
+    begun: u64,
+    confirmed: u64,
+    given_up: BTreeMap<GiveUp, u64>,
+}
+
+impl Balancer {
+    /// A balancer with empty tables, for teams with these guarantees.
+    pub fn new(settings: Settings, teams: impl IntoIterator<Item = (Name, Resources)>) -> Balancer {
+        Balancer {
+            settings,
+            load: LoadModel::default(),
+            shares: Shares::new(teams),
+            moves: Moves::default(),
+            pace: Pace::default(),
+            begun: 0,
+            confirmed: 0,
+            given_up: BTreeMap::new(),
+        }
+    }
+
+    /// The operators' settings.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Load of machines, zones and teams.
+    pub fn load(&self) -> &LoadModel {
+        &self.load
+    }
+
+    /// Fair shares of teams.
+    pub fn shares(&self) -> &Shares {
+        &self.shares
+    }
+
+    /// Moves that are open.
+    pub fn moves(&self) -> &Moves {
+        &self.moves
+    }
+
+    /// Expected times.
+    pub fn pricing(&self) -> Pricing {
+        Pricing::new(&self.settings)
+    }
+
+    /// What the core knows of a machine.
+    pub fn machine(&mut self, name: &Name, info: MachineInfo) {
+        self.load.set_machine(name, info);
+    }
+
+    /// A machine is gone; returns the moves that end with it, to be given up.
+    pub fn machine_gone(&mut self, name: &Name) -> Vec<TaskKey> {
+        self.load.remove_machine(name);
+        self.pace.forget(name);
+        self.moves.bound_for(name)
+    }
+
+    /// A task has a place. If the move of it brought it there, room is booked no more.
+    pub fn placed(&mut self, now: Instant, key: &TaskKey, machine: &Name, team: &Name, need: Resources) {
+        self.load.place(key, machine, team, need);
+        let Some(open) = self.moves.get(key) else { return };
+        if open.state != MoveState::Vacated || open.to != *machine {
+            return;
+        }
+        let (to, need) = (open.to.clone(), open.need);
+        self.load.unbook(&to, need);
+        self.moves.advance(now, key, &[MoveState::Vacated], MoveState::Placed);
+    }
+
+    /// A task was seen running.
+    pub fn running(&mut self, key: &TaskKey) -> Option<(Move, MoveEnd)> {
+        self.load.running(key);
+        let arrived = self.moves.get(key).is_some_and(|open| open.state == MoveState::Placed);
+        if arrived { self.end(key, MoveEnd::Confirmed) } else { None }
+    }
+
+    /// A task was seen saving.
+    pub fn saving(&mut self, now: Instant, key: &TaskKey) {
+        self.moves.advance(now, key, &[MoveState::Stopping], MoveState::Saving);
+    }
+
+    /// A task is proven gone from its place, with its end or without. Tells whether its move goes on:
+    /// its destination waits for it.
+    pub fn left(&mut self, now: Instant, key: &TaskKey, ended: bool) -> Option<(Move, MoveEnd)> {
+        self.load.remove(key);
+        let state = self.moves.get(key)?.state;
+        let reason = match state {
+            _ if ended => GiveUp::TaskEnded,
+            MoveState::Stopping | MoveState::Saving => {
+                let states = [MoveState::Stopping, MoveState::Saving];
+                self.moves.advance(now, key, &states, MoveState::Vacated);
+                return None;
+            }
+            MoveState::Vacated => return None,
+            MoveState::Booked => GiveUp::LeftEarly,
+            MoveState::Placed => GiveUp::DestinationGone,
+        };
+        self.end(key, MoveEnd::GivenUp(reason))
+    }
+
+    /// Ends a move with its reason.
+    pub fn give_up(&mut self, key: &TaskKey, reason: GiveUp) -> Option<(Move, MoveEnd)> {
+        self.end(key, MoveEnd::GivenUp(reason))
+    }
+
+    /// Begins a move: from now on its room counts against everything else.
+    pub fn begin(&mut self, now: Instant, proposal: &Proposal) {
+        self.begun += 1;
+        self.pace.begun(now, &proposal.from, &proposal.to);
+        self.open_move(Move {
+            key: proposal.task.key.clone(),
+            attempt: proposal.task.attempt,
+            from: proposal.from.clone(),
+            to: proposal.to.clone(),
+            need: proposal.task.need,
+            state: MoveState::Booked,
+            since: now,
+            gain_s: proposal.gain_s,
+        });
+    }
+
+    /// Takes over a move whose task an earlier leader had proven gone from its source.
+    pub fn adopt(&mut self, now: Instant, open: &OpenMove, need: Resources) {
+        self.open_move(Move {
+            key: (Name::from(open.job.as_str()), open.task),
+            attempt: open.attempt,
+            from: Name::from(open.from.as_str()),
+            to: Name::from(open.to.as_str()),
+            need,
+            state: MoveState::Vacated,
+            since: now,
+            gain_s: 0.0,
+        });
+    }
+
+    /// The record of the last leader names moves that are not open any more: it must be written anew.
+    pub fn record_is_stale(&mut self) {
+        self.moves.write_failed();
+    }
+
+    fn open_move(&mut self, open: Move) {
+        self.load.book(&open.to, open.need);
+        self.moves.begin(open);
+    }
+
+    /// The booking is durable: the stop may be ordered. False if the move is no longer there.
+    pub fn durable(&mut self, now: Instant, key: &TaskKey, attempt: u64) -> bool {
+        let same = self.moves.get(key).is_some_and(|open| open.attempt == attempt);
+        same && self.moves.advance(now, key, &[MoveState::Booked], MoveState::Stopping)
+    }
+
+    fn end(&mut self, key: &TaskKey, end: MoveEnd) -> Option<(Move, MoveEnd)> {
+        let ended = self.moves.end(key)?;
+        if ended.books_room() {
+            self.load.unbook(&ended.to, ended.need);
+        }
+        match end {
+            MoveEnd::Confirmed => self.confirmed += 1,
+            MoveEnd::GivenUp(reason) => *self.given_up.entry(reason).or_default() += 1,
+        }
+        Some((ended, end))
+    }
+
+    /// Lets time pass; returns the moves that took too long, to be given up.
+    pub fn tick(&mut self, now: Instant) -> Vec<TaskKey> {
+        self.pace.tick(now, self.load.machines(), &self.settings);
+        self.moves.overdue(now, self.settings.booking * STEP_SLACK)
+    }
+
+    /// For how long a vacated task waits for its destination.
+    pub fn longest_wait(&self) -> Duration {
+        self.settings.booking
+    }
+
+    /// The next move that pays, if the budget allows one and the record of open moves has room for it.
+    pub fn propose(&self, view: &impl FleetView, record_bytes: usize) -> Option<Proposal> {
+        if self.pace.available() == 0 {
+            return None;
+        }
+        let planner = Planner { load: &self.load, moves: &self.moves, pace: &self.pace, settings: &self.settings };
+        let next = planner.next(view)?;
+        let bytes = OpenMove::bytes(&next.task.key.0, &next.from, &next.to);
+        (self.moves.record_bytes() + bytes <= record_bytes).then_some(next)
+    }
+
+    /// Whether a team may have one more task placed now.
+    pub fn may_place(&mut self, now: Instant, ask: &Borrow) -> bool {
+        self.shares.may_place(now, &self.load, &self.settings, ask)
+    }
+
+    /// A job is over.
+    pub fn job_over(&mut self, job: &Name) {
+        self.shares.forget(job);
+    }
+
+    /// The record of the open moves, if it must be written.
+    pub fn record(&mut self) -> Option<OpenMoves> {
+        if !self.moves.take_unwritten() {
+            return None;
+        }
+        let moves = self.moves.open().map(|open| OpenMove {
+            job: open.key.0.to_string(),
+            task: open.key.1,
+            attempt: open.attempt,
+            from: open.from.to_string(),
+            to: open.to.to_string(),
+        });
+        Some(OpenMoves { moves: moves.collect() })
+    }
+
+    /// A write of the record failed or is in doubt: it is written again.
+    pub fn record_failed(&mut self) {
+        self.moves.write_failed();
+    }
+
+    /// What was done since the last summary.
+    pub fn summary(&mut self) -> Summary {
+        let evenness = self.load.evenness();
+        Summary {
+            machines: evenness.machines(),
+            mean: evenness.mean(),
+            variation: evenness.variation(),
+            jain: evenness.jain(),
+            begun: std::mem::take(&mut self.begun),
+            confirmed: std::mem::take(&mut self.confirmed),
+            given_up: std::mem::take(&mut self.given_up).into_iter().collect(),
+            open: self.moves.len(),
+            held: self.shares.held().0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/balance/src/lib.rs
@@ -0,0 +1,40 @@
+//! Load spreading as a pure state machine: no I/O, no clock, no randomness.
+//!
+//! The scheduler's core feeds a [`Balancer`] with changes (machines, tasks, teams) and asks it what
+//! a placement costs, whether a team may borrow, and which running tasks should move. The core alone
+//! gives orders and writes: everything here is advice, and every step of a move is taken only when
+//! the core reports the event that allows it. See `docs/balance.md` for the design.
+
+#![warn(missing_docs)]
+
+mod balancer;
+mod evenness;
+mod load;
+mod moves;
+mod pace;
+mod planner;
+mod price;
+mod record;
+mod resources;
+mod settings;
+mod shares;
+
+use std::sync::Arc;
+
+pub use balancer::{Balancer, Summary};
+pub use evenness::Evenness;
+pub use load::{LoadModel, MachineInfo, TeamLoad, ZoneLoad};
+pub use moves::{GiveUp, Move, MoveEnd, MoveState, Moves};
+pub use pace::Pace;
+pub use planner::{Candidate, FleetView, Proposal};
+pub use price::{MoveCost, Pricing};
+pub use record::{KEY as RECORD_KEY, OpenMove, OpenMoves};
+pub use resources::Resources;
+pub use settings::{Settings, SettingsError};
+pub use shares::{Borrow, Shares};
+
+/// The name of a job, machine, zone or team.
+pub type Name = Arc<str>;
+
+/// A job and the number of one of its tasks.
+pub type TaskKey = (Name, u32);
--- /dev/null
+++ b/crates/balance/src/moves.rs
@@ -0,0 +1,197 @@
+//! The life of a move, from the booking of room at its destination to its end.
+//!
+//! ```text
+//! Booked ──durable──▶ Stopping ──saves──▶ Saving ──┐
+//!    │                    └───────────────────────▶├─proven empty─▶ Vacated ──planned──▶ Placed ──runs──▶ Confirmed
+//!    └── any failure: given up with its reason; after the stop the task is placed like any other
+//! ```
+//!
+//! Guards: no stop before the booking and the task's mark are durable, so that a new leader never
+//! repeats a move; one move for each task at a time; room stays booked from before the stop until the
+//! task has its new place, or the move ends.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::record::OpenMove;
+use crate::resources::Resources;
+use crate::{Name, TaskKey};
+
+/// How far a move has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum MoveState {
+    /// Room is booked; that is not yet durable.
+    Booked,
+    /// The task was ordered to stop.
+    Stopping,
+    /// It was seen saving its progress.
+    Saving,
+    /// It is proven gone from its source, and waits for its new place.
+    Vacated,
+    /// Its new place at the destination is planned or ordered.
+    Placed,
+}
+
+/// Why a move was given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum GiveUp {
+    /// The destination has no more room for it, or may not take it.
+    DestinationFull,
+    /// The destination is retiring, straggling, silent or to be taken away.
+    DestinationUnfit,
+    /// The destination is gone.
+    DestinationGone,
+    /// The task ended before it was stopped.
+    TaskEnded,
+    /// Its job was cancelled.
+    JobCancelled,
+    /// It left the source otherwise, before it was ordered to stop.
+    LeftEarly,
+    /// It was placed elsewhere.
+    PlacedElsewhere,
+    /// A step took too long.
+    TimedOut,
+    /// It was still where it was when a new leader came.
+    LeaderChanged,
+}
+
+impl GiveUp {
+    /// All reasons, as counted in the summary.
+    pub const ALL: [GiveUp; 9] = [
+        GiveUp::DestinationFull,
+        GiveUp::DestinationUnfit,
+        GiveUp::DestinationGone,
+        GiveUp::TaskEnded,
+        GiveUp::JobCancelled,
+        GiveUp::LeftEarly,
+        GiveUp::PlacedElsewhere,
+        GiveUp::TimedOut,
+        GiveUp::LeaderChanged,
+    ];
+}
+
+/// How a move ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MoveEnd {
+    /// The task runs at the destination.
+    Confirmed,
+    /// It was given up.
+    GivenUp(GiveUp),
+}
+
+/// A move that is open.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Move {
+    /// The task.
+    pub key: TaskKey,
+    /// Its attempt at the source.
+    pub attempt: u64,
+    /// The source.
+    pub from: Name,
+    /// The destination.
+    pub to: Name,
+    /// What the task needs, and is booked.
+    pub need: Resources,
+    /// How far it has come.
+    pub state: MoveState,
+    /// When it came to this state.
+    pub since: Instant,
+    /// Expected seconds that it gains.
+    pub gain_s: f64,
+}
+
+impl Move {
+    /// Whether room is booked for it: from the start until its new place counts by itself.
+    pub fn books_room(&self) -> bool {
+        self.state < MoveState::Placed
+    }
+}
+
+/// The open moves.
+#[derive(Debug, Default)]
+pub struct Moves {
+    open: BTreeMap<TaskKey, Move>,
+    /// What is open changed since it was last written.
+    unwritten: bool,
+}
+
+impl Moves {
+    /// The open moves.
+    pub fn open(&self) -> impl Iterator<Item = &Move> {
+        self.open.values()
+    }
+
+    /// How many are open.
+    pub fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Bytes that the record of the open moves takes at the most.
+    pub fn record_bytes(&self) -> usize {
+        self.open.values().map(|open| OpenMove::bytes(&open.key.0, &open.from, &open.to)).sum()
+    }
+
+    /// Whether none is open.
+    pub fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+
+    /// The move of a task, if it has one.
+    pub fn get(&self, key: &TaskKey) -> Option<&Move> {
+        self.open.get(key)
+    }
+
+    /// Whether the record of the open moves must be written, and that it is now.
+    pub fn take_unwritten(&mut self) -> bool {
+        std::mem::take(&mut self.unwritten)
+    }
+
+    /// Whether the record of the open moves must be written.
+    pub fn unwritten(&self) -> bool {
+        self.unwritten
+    }
+
+    /// A write of the record failed.
+    pub fn write_failed(&mut self) {
+        self.unwritten = true;
+    }
+
+    /// Begins a move, or takes one over from an earlier leader.
+    pub fn begin(&mut self, new: Move) {
+        self.unwritten = true;
+        self.open.insert(new.key.clone(), new);
+    }
+
+    /// Brings a move from one of `states` to `next`; false if it is in none of them.
+    pub fn advance(&mut self, now: Instant, key: &TaskKey, states: &[MoveState], next: MoveState) -> bool {
+        let Some(open) = self.open.get_mut(key).filter(|open| states.contains(&open.state)) else { return false };
+        open.state = next;
+        open.since = now;
+        true
+    }
+
+    /// Ends a move.
+    pub fn end(&mut self, key: &TaskKey) -> Option<Move> {
+        let ended = self.open.remove(key)?;
+        self.unwritten = true;
+        Some(ended)
+    }
+
+    /// Moves that have been in one state for too long.
+    pub fn overdue(&self, now: Instant, longest: Duration) -> Vec<TaskKey> {
+        let late = |open: &&Move| now.saturating_duration_since(open.since) >= longest;
+        self.open.values().filter(late).map(|open| open.key.clone()).collect()
+    }
+
+    /// Moves to a machine that have not placed their task yet.
+    pub fn bound_for(&self, machine: &Name) -> Vec<TaskKey> {
+        let bound = |open: &&Move| open.to == *machine && open.books_room();
+        self.open.values().filter(bound).map(|open| open.key.clone()).collect()
+    }
+
+    /// Moves of one job.
+    pub fn of_job(&self, job: &Name) -> Vec<TaskKey> {
+        let tasks = (job.clone(), 0)..=(job.clone(), u32::MAX);
+        self.open.range(tasks).map(|(key, _)| key.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/balance/src/planner.rs
@@ -0,0 +1,137 @@
+//! Which running tasks should move: from the machines that are used the most to those that are used
+//! the least, one at a time, while a move gains more expected time than it costs.
+
+use crate::load::LoadModel;
+use crate::moves::Moves;
+use crate::pace::{Direction, Pace};
+use crate::price::{MoveCost, Pricing, Side};
+use crate::resources::Resources;
+use crate::settings::Settings;
+use crate::{Name, TaskKey};
+
+/// Machines looked at on either side for one move: the ends of the order by use, not the fleet.
+const SOURCES: usize = 8;
+const DESTINATIONS: usize = 8;
+
+/// A task that may be moved, as the core sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// The task.
+    pub key: TaskKey,
+    /// Its attempt.
+    pub attempt: u64,
+    /// What it needs.
+    pub need: Resources,
+    /// Run time that it has left.
+    pub left_s: f64,
+    /// Work that would run again.
+    pub repeated_s: f64,
+    /// From the order to stop to the proof that it is gone.
+    pub stop_s: f64,
+}
+
+/// What the planner asks the core about a few machines.
+pub trait FleetView {
+    /// Tasks on the machine that may be moved, at most one for each job: those of a job are alike.
+    fn candidates(&self, machine: &Name) -> Vec<Candidate>;
+    /// Run time that all tasks on the machine have left together.
+    fn left_s(&self, machine: &Name) -> f64;
+    /// Whether the task may run on the machine, and there is room that nobody has claimed or booked.
+    fn fits(&self, task: &Candidate, machine: &Name) -> bool;
+    /// How long its image takes to be there.
+    fn fetch_s(&self, task: &Candidate, machine: &Name) -> f64;
+}
+
+/// A move that pays.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Proposal {
+    /// The task to move.
+    pub task: Candidate,
+    /// From where.
+    pub from: Name,
+    /// To where.
+    pub to: Name,
+    /// Expected seconds gained, cost taken off.
+    pub gain_s: f64,
+}
+
+/// What planning reads.
+pub struct Planner<'a> {
+    /// Load of the machines.
+    pub load: &'a LoadModel,
+    /// Moves that are open.
+    pub moves: &'a Moves,
+    /// Budget and rests.
+    pub pace: &'a Pace,
+    /// The operators' settings.
+    pub settings: &'a Settings,
+}
+
+impl Planner<'_> {
+    /// The next move, if one pays: from the most used machine that has one.
+    pub fn next(&self, view: &impl FleetView) -> Option<Proposal> {
+        let destinations = self.load.coldest(DESTINATIONS);
+        let coldest = destinations.iter().filter_map(|name| self.load.use_of(name)).fold(f64::INFINITY, f64::min);
+        for from in self.load.hottest(SOURCES) {
+            let used = self.load.use_of(&from)?;
+            if used - coldest < self.settings.use_gap {
+                return None;
+            }
+            if !self.pace.may(&from, Direction::Gave) {
+                continue;
+            }
+            let best = self.best_from(&from, used, &destinations, view);
+            if best.is_some() {
+                return best;
+            }
+        }
+        None
+    }
+
+    fn best_from(&self, from: &Name, used: f64, to: &[Name], view: &impl FleetView) -> Option<Proposal> {
+        let pricing = Pricing::new(self.settings);
+        let left_s = view.left_s(from);
+        let mut best: Option<Proposal> = None;
+        for task in view.candidates(from) {
+            if self.moves.get(&task.key).is_some() {
+                continue;
+            }
+            let share = self.load.share_of(from, task.need);
+            let source = Side { used, share, others_left_s: (left_s - task.left_s).max(0.0) };
+            for machine in to.iter().filter(|machine| *machine != from) {
+                let Some(gain_s) = self.gain_s(&pricing, &task, &source, machine, view) else { continue };
+                if best.as_ref().is_none_or(|best| gain_s > best.gain_s) {
+                    best = Some(Proposal { task: task.clone(), from: from.clone(), to: machine.clone(), gain_s });
+                }
+            }
+        }
+        best
+    }
+
+    /// What the move gains, if it pays: by more than the hysteresis, and by a multiple of its cost.
+    fn gain_s(
+        &self,
+        pricing: &Pricing,
+        task: &Candidate,
+        source: &Side,
+        machine: &Name,
+        view: &impl FleetView,
+    ) -> Option<f64> {
+        let share = self.load.share_of(machine, task.need);
+        let used = self.load.use_of(machine)? + share;
+        // With the task moved the source must not be the one that is used less.
+        let even = source.used - source.share >= used - self.settings.use_gap / 2.0;
+        let apart = source.used - (used - share) >= self.settings.use_gap;
+        if !even || !apart || !self.pace.may(machine, Direction::Took) || !view.fits(task, machine) {
+            return None;
+        }
+        let fetch_s = view.fetch_s(task, machine);
+        let cost = MoveCost { left_s: task.left_s, repeated_s: task.repeated_s, stop_s: task.stop_s, fetch_s };
+        let side = Side { used, share, others_left_s: view.left_s(machine) };
+        let gain_s = pricing.net_gain_s(&cost, source, &side);
+        let least = self.settings.least_gain.as_secs_f64();
+        // The gain has its cost taken off already.
+        let pays = gain_s >= least && gain_s + cost.total_s() >= cost.total_s() * self.settings.gain_ratio;
+        pays.then_some(gain_s)
+    }
+}
--- /dev/null
+++ b/crates/balance/src/settings.rs
@@ -0,0 +1,116 @@
+//! What operators set for load spreading, with units, defaults and checks.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::time::Duration;
+
+/// The operators' settings; all times are expected times, all shares are parts of one.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// By what share of its run time a task is expected to take longer on a full machine than on an
+    /// empty one.
+    pub crowding_share: f64,
+    /// What a running service counts as having left to run, when the crowding of others is priced.
+    pub service_horizon: Duration,
+    /// Expected time that a move must gain, beyond its cost.
+    pub least_gain: Duration,
+    /// How many times its cost a move must gain.
+    pub gain_ratio: f64,
+    /// By how much more the source must be in use than the destination.
+    pub use_gap: f64,
+    /// Moves begun each minute, for each machine of the fleet.
+    pub moves_per_machine: f64,
+    /// After it took part in a move a machine does not take part in the other direction for so long.
+    pub cooldown: Duration,
+    /// How long room stays booked at a destination.
+    pub booking: Duration,
+    /// A task that saves no progress is moved only within this time after its start.
+    pub fresh: Duration,
+    /// Share of the fleet that stays free from teams which already have more than their fair share.
+    pub free_share: f64,
+    /// For how long a job is held back at the most for that.
+    pub hold: Duration,
+    /// Tasks expected to run for longer may not borrow beyond their team's fair share at once.
+    pub borrow: Duration,
+    /// Classes of jobs that are never moved.
+    pub protected: BTreeSet<String>,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            crowding_share: 0.5,
+            service_horizon: Duration::from_secs(60),
+            least_gain: Duration::from_secs(5),
+            gain_ratio: 1.5,
+            use_gap: 0.2,
+            moves_per_machine: 6.0,
+            cooldown: Duration::from_secs(30),
+            booking: Duration::from_secs(30),
+            fresh: Duration::from_secs(5),
+            free_share: 0.05,
+            hold: Duration::from_secs(20),
+            borrow: Duration::from_secs(120),
+            protected: BTreeSet::new(),
+        }
+    }
+}
+
+/// The longest that a job may be held back: a job that waits for long while there is room would
+/// break what users are promised.
+pub const LONGEST_HOLD: Duration = Duration::from_secs(60);
+
+/// A setting that makes no sense.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SettingsError {
+    /// The setting's name in the operators' file.
+    pub setting: &'static str,
+    /// The least that it may be.
+    pub low: f64,
+    /// The most that it may be.
+    pub high: f64,
+    /// What it counts.
+    pub unit: &'static str,
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let SettingsError { setting, low, high, unit } = self;
+        write!(formatter, "balance.{setting}: must be {low} to {high}{unit}")
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+impl Settings {
+    /// Checks every setting; the error names the first that makes no sense.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let shares = [
+            ("crowding_share", self.crowding_share, 0.0, 10.0),
+            ("gain_ratio", self.gain_ratio, 1.0, 100.0),
+            ("use_gap", self.use_gap, 0.01, 1.0),
+            ("moves_per_machine", self.moves_per_machine, 0.0, 60.0),
+            ("free_share", self.free_share, 0.0, 0.5),
+        ];
+        for (setting, value, low, high) in shares {
+            in_range(setting, value, low, high, "")?;
+        }
+        let times = [
+            ("service_horizon_s", self.service_horizon, 0.0, 3600.0),
+            ("least_gain_s", self.least_gain, 0.0, 3600.0),
+            ("cooldown_s", self.cooldown, 1.0, 3600.0),
+            ("booking_s", self.booking, 5.0, 300.0),
+            ("fresh_s", self.fresh, 0.0, 3600.0),
+            ("hold_s", self.hold, 0.0, LONGEST_HOLD.as_secs_f64()),
+            ("borrow_s", self.borrow, 1.0, 86_400.0),
+        ];
+        for (setting, value, low, high) in times {
+            in_range(setting, value.as_secs_f64(), low, high, " seconds")?;
+        }
+        Ok(())
+    }
+}
+
+fn in_range(setting: &'static str, value: f64, low: f64, high: f64, unit: &'static str) -> Result<(), SettingsError> {
+    if (low..=high).contains(&value) { Ok(()) } else { Err(SettingsError { setting, low, high, unit }) }
+}
--- /dev/null
+++ b/crates/balance/tests/moves.rs
@@ -0,0 +1,232 @@
+//! The planner and the life of a move, without a core.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use rushyoke_balance::{
+    Balancer, Candidate, FleetView, GiveUp, MachineInfo, MoveEnd, MoveState, Name, OpenMoves, Proposal, Resources,
+    Settings, TaskKey,
+};
+
+const TASK: Resources = Resources { cpus: 1.0, gpus: 0.0, memory_gb: 2.0 };
+const MACHINE: Resources = Resources { cpus: 16.0, gpus: 0.0, memory_gb: 64.0 };
+const RECORD_BYTES: usize = 8000;
+
+fn name(text: &str) -> Name {
+    Name::from(text)
+}
+
+/// A fleet in which each task has the same time left.
+struct Fleet {
+    places: BTreeMap<TaskKey, Name>,
+    left_s: f64,
+    fetch_s: f64,
+}
+
+impl FleetView for Fleet {
+    fn candidates(&self, machine: &Name) -> Vec<Candidate> {
+        let here = self.places.iter().filter(|(_, on)| *on == machine);
+        here.map(|(key, _)| Candidate {
+            key: key.clone(),
+            attempt: u64::from(key.1) + 1,
+            need: TASK,
+            left_s: self.left_s,
+            repeated_s: 0.0,
+            stop_s: 1.0,
+        })
+        .collect()
+    }
+
+    fn left_s(&self, machine: &Name) -> f64 {
+        self.places.values().filter(|on| *on == machine).count() as f64 * self.left_s
+    }
+
+    fn fits(&self, _: &Candidate, machine: &Name) -> bool {
+        self.places.values().filter(|on| *on == machine).count() < 16
+    }
+
+    fn fetch_s(&self, _: &Candidate, _: &Name) -> f64 {
+        self.fetch_s
+    }
+}
+
+/// Four machines, the first of which is full of tasks that have so long to run.
+fn skewed(left_s: f64, settings: Settings, now: Instant) -> (Balancer, Fleet) {
+    let mut balancer = Balancer::new(settings, [(name("red"), MACHINE)]);
+    let mut fleet = Fleet { places: BTreeMap::new(), left_s, fetch_s: 1.0 };
+    for machine in ["m0", "m1", "m2", "m3"] {
+        let info = MachineInfo { zone: name("a"), total: MACHINE, open: true, claimed: Resources::default() };
+        balancer.machine(&name(machine), info);
+    }
+    for task in 0..16 {
+        let key = (name("wk-000001"), task);
+        balancer.placed(now, &key, &name("m0"), &name("red"), TASK);
+        balancer.running(&key);
+        fleet.places.insert(key, name("m0"));
+    }
+    balancer.tick(now);
+    (balancer, fleet)
+}
+
+fn first_move(balancer: &mut Balancer, fleet: &Fleet, now: Instant) -> Proposal {
+    let later = now + Duration::from_secs(3);
+    balancer.tick(later);
+    let proposal = balancer.propose(fleet, RECORD_BYTES).expect("a move that pays");
+    balancer.begin(later, &proposal);
+    proposal
+}
+
+/// Carries all moves out at once that the balancer proposes, second by second.
+fn play(balancer: &mut Balancer, fleet: &mut Fleet, now: Instant, seconds: u64) -> Vec<TaskKey> {
+    let mut moved = Vec::new();
+    for second in 1..=seconds {
+        let now = now + Duration::from_secs(second);
+        balancer.tick(now);
+        while let Some(proposal) = balancer.propose(fleet, RECORD_BYTES) {
+            balancer.begin(now, &proposal);
+            let key = proposal.task.key;
+            assert!(balancer.durable(now, &key, proposal.task.attempt));
+            assert_eq!(balancer.left(now, &key, false), None);
+            balancer.placed(now, &key, &proposal.to, &name("red"), TASK);
+            let (_, end) = balancer.running(&key).expect("an end");
+            assert_eq!(end, MoveEnd::Confirmed);
+            fleet.places.insert(key.clone(), proposal.to);
+            moved.push(key);
+        }
+    }
+    moved
+}
+
+#[test]
+fn a_full_machine_is_relieved_and_the_moves_come_to_rest() {
+    let now = Instant::now();
+    let (mut balancer, mut fleet) = skewed(100.0, Settings::default(), now);
+    let moved = play(&mut balancer, &mut fleet, now, 60);
+    assert!(balancer.load().evenness().jain() > 0.9, "{}", balancer.load().evenness().jain());
+    let then = now + Duration::from_secs(60);
+    assert!(play(&mut balancer, &mut fleet, then, 300).is_empty(), "moves go on for ever");
+    assert!(moved.len() <= 12, "{} moves for what 12 do", moved.len());
+}
+
+#[test]
+fn nothing_moves_for_too_small_a_gain_or_against_the_settings() {
+    let now = Instant::now();
+    let none = |settings: Settings, left_s: f64, fetch_s: f64| {
+        let (mut balancer, mut fleet) = skewed(left_s, settings, now);
+        fleet.fetch_s = fetch_s;
+        play(&mut balancer, &mut fleet, now, 30).is_empty()
+    };
+    assert!(none(Settings::default(), 2.0, 1.0), "tasks that are soon over");
+    assert!(none(Settings::default(), 100.0, 1000.0), "a fetch that takes longer than is gained");
+    assert!(none(Settings { crowding_share: 0.0, ..Settings::default() }, 100.0, 1.0), "crowding costs nothing");
+    assert!(none(Settings { moves_per_machine: 0.0, ..Settings::default() }, 100.0, 1.0), "no budget");
+    assert!(none(Settings { least_gain: Duration::from_secs(3000), ..Settings::default() }, 100.0, 1.0));
+    assert!(!none(Settings::default(), 100.0, 1.0));
+}
+
+#[test]
+fn the_budget_bounds_the_moves_of_a_minute() {
+    let now = Instant::now();
+    let settings = Settings { moves_per_machine: 0.5, ..Settings::default() };
+    let (mut balancer, mut fleet) = skewed(1000.0, settings, now);
+    // Two moves a minute for four machines, and one that was saved up.
+    assert!(play(&mut balancer, &mut fleet, now, 60).len() <= 3);
+}
+
+#[test]
+fn a_machine_that_has_just_given_takes_nothing() {
+    let now = Instant::now();
+    let (mut balancer, mut fleet) = skewed(100.0, Settings::default(), now);
+    let proposal = first_move(&mut balancer, &fleet, now);
+    assert_eq!(&*proposal.from, "m0");
+    // All of it ends but the moved task; the others fill up at once.
+    for key in fleet.places.keys().cloned().collect::<Vec<_>>() {
+        balancer.left(now, &key, true);
+        fleet.places.remove(&key);
+    }
+    for task in 100..148 {
+        let key = (name("wk-000002"), task);
+        let machine = name(["m1", "m2", "m3"][task as usize % 3]);
+        balancer.placed(now, &key, &machine, &name("red"), TASK);
+        balancer.running(&key);
+        fleet.places.insert(key, machine);
+    }
+    let soon = now + Duration::from_secs(5);
+    balancer.tick(soon);
+    assert!(balancer.propose(&fleet, RECORD_BYTES).is_none_or(|next| &*next.to != "m0"), "work goes to and fro");
+    balancer.tick(soon + Settings::default().cooldown);
+    assert_eq!(balancer.propose(&fleet, RECORD_BYTES).map(|next| next.to), Some(name("m0")));
+}
+
+#[test]
+fn room_is_booked_until_the_task_has_its_place() {
+    let now = Instant::now();
+    let (mut balancer, fleet) = skewed(100.0, Settings::default(), now);
+    let proposal = first_move(&mut balancer, &fleet, now);
+    let (key, to) = (proposal.task.key.clone(), proposal.to.clone());
+    assert_eq!(balancer.load().booked(&to), TASK);
+    assert!(!balancer.durable(now, &key, proposal.task.attempt + 1), "another attempt");
+    assert!(balancer.durable(now, &key, proposal.task.attempt));
+    assert!(!balancer.durable(now, &key, proposal.task.attempt), "the stop is ordered once");
+    balancer.saving(now, &key);
+    assert_eq!(balancer.moves().get(&key).map(|open| open.state), Some(MoveState::Saving));
+    assert_eq!(balancer.left(now, &key, false), None);
+    assert_eq!(balancer.load().booked(&to), TASK, "room is free before the task has its place");
+    balancer.placed(now, &key, &to, &name("red"), TASK);
+    assert!(balancer.load().booked(&to).is_nothing());
+    let (_, end) = balancer.running(&key).expect("an end");
+    assert_eq!((end, balancer.moves().is_empty()), (MoveEnd::Confirmed, true));
+}
+
+#[test]
+fn every_way_out_gives_the_room_back_with_its_reason() {
+    let now = Instant::now();
+    let ends: [(GiveUp, fn(&mut Balancer, &Proposal, Instant)); 5] = [
+        (GiveUp::LeftEarly, |b, p, now| drop(b.left(now, &p.task.key, false))),
+        (GiveUp::TaskEnded, |b, p, now| {
+            b.durable(now, &p.task.key, p.task.attempt);
+            b.left(now, &p.task.key, true);
+        }),
+        (GiveUp::JobCancelled, |b, p, _| drop(b.give_up(&p.task.key, GiveUp::JobCancelled))),
+        (GiveUp::DestinationGone, |b, p, _| {
+            for key in b.machine_gone(&p.to) {
+                b.give_up(&key, GiveUp::DestinationGone);
+            }
+        }),
+        (GiveUp::TimedOut, |b, p, now| {
+            b.durable(now, &p.task.key, p.task.attempt);
+            for key in b.tick(now + Duration::from_secs(120)) {
+                b.give_up(&key, GiveUp::TimedOut);
+            }
+        }),
+    ];
+    for (reason, end) in ends {
+        let (mut balancer, fleet) = skewed(100.0, Settings::default(), now);
+        let proposal = first_move(&mut balancer, &fleet, now);
+        end(&mut balancer, &proposal, now);
+        assert!(balancer.moves().is_empty(), "{reason:?}");
+        assert!(balancer.load().booked(&proposal.to).is_nothing(), "{reason:?}");
+        assert_eq!(balancer.summary().given_up, [(reason, 1)]);
+    }
+}
+
+#[test]
+fn the_record_names_what_is_open_and_fits_its_value() {
+    let now = Instant::now();
+    let (mut balancer, fleet) = skewed(100.0, Settings::default(), now);
+    assert_eq!(balancer.record(), None, "nothing has changed");
+    let proposal = first_move(&mut balancer, &fleet, now);
+    let record = balancer.record().expect("a move began");
+    assert_eq!(balancer.record(), None);
+    balancer.record_failed();
+    assert_eq!(balancer.record().as_ref(), Some(&record), "a write that failed is made again");
+    let text = serde_json::to_string(&record).expect("records encode");
+    assert!(text.len() <= balancer.moves().record_bytes() + 20, "{text}");
+    let back: OpenMoves = serde_json::from_str(&text).expect("records decode");
+    assert_eq!(back, record);
+    assert!(balancer.propose(&fleet, balancer.moves().record_bytes()).is_none(), "no room in the record");
+    let mut next = Balancer::new(Settings::default(), [(name("red"), MACHINE)]);
+    next.adopt(now, &record.moves[0], TASK);
+    let open = next.moves().get(&proposal.task.key).expect("taken over");
+    assert_eq!((open.state, &open.to, open.need), (MoveState::Vacated, &proposal.to, TASK));
+}
--- a/crates/core/src/facts.rs
+++ b/crates/core/src/facts.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use rushyoke_balance::Settings as BalanceSettings;
+
 /// A team's guarantee and limit.
 #[derive(Clone, Debug, Default)]
 pub struct Team {
@@ -96,6 +98,8 @@
     pub known_jobs: usize,
     /// Machines looked at for one placement when many are known.
     pub sample: usize,
+    /// Load spreading; off if there is none.
+    pub balance: Option<BalanceSettings>,
 }
 
 impl Default for Policy {
@@ -117,6 +121,7 @@
             max_jobs: 5000,
             known_jobs: 20_000,
             sample: 32,
+            balance: None,
         }
     }
 }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -36,6 +36,8 @@
 const RENEWED: f64 = 0.7;
 /// Names of returned machines that are remembered, against late reports.
 const GONE_KEPT: usize = 4000;
+/// And at least so many for each machine that is there, since whole fleets are replaced.
+const GONE_PER_MACHINE: usize = 4;
 
 /// A job and the number of one of its tasks.
 pub(crate) type TaskKey = (Name, u32);
@@ -89,7 +91,8 @@
             self.place_empty(env, &key, now);
         }
         self.machines.remove(name);
-        self.renting.gone(name, GONE_KEPT);
+        self.destination_gone(name);
+        self.renting.gone(name, GONE_KEPT.max(GONE_PER_MACHINE * self.machines.len()));
         self.place_due = true;
     }
 
--- a/crates/core/src/fleet/machine.rs
+++ b/crates/core/src/fleet/machine.rs
@@ -215,6 +215,17 @@
         }
     }
 
+    /// Whether its worker has shown this leader what it holds.
+    pub fn is_known(&self) -> bool {
+        self.fenced.is_some()
+    }
+
+    /// Whether a report of its worker was answered lately, and so its lease renewed.
+    pub fn reports_to_us(&self, now: Instant, report: Duration) -> bool {
+        let longest = report.mul_f64(LATEST_REPORT) + PROMPT;
+        self.answered.is_some_and(|at| now.duration_since(at) <= longest)
+    }
+
     /// Whether tasks may be placed here.
     pub fn usable(&self, now: Instant) -> bool {
         self.up
--- a/crates/core/src/fleet/survey.rs
+++ b/crates/core/src/fleet/survey.rs
@@ -145,6 +145,11 @@
         (self.inherited && !self.renting.listed) || self.survey.most || asking
     }
 
+    /// Whether many machines are silent or a sample is asked: no time to move work.
+    pub fn survey_suspects(&self) -> bool {
+        self.survey.asked.is_some() || self.survey.parted_at.is_some()
+    }
+
     /// Whether a zone's machines are out of reach: new ones would be too.
     pub fn zone_is_cut(&self, zone: &str) -> bool {
         self.survey.cut_zones.contains(zone)
--- a/crates/core/src/fleet/tasks.rs
+++ b/crates/core/src/fleet/tasks.rs
@@ -40,6 +40,7 @@
                 self.call_soon(&machine);
             }
             self.note_progress(&key.0);
+            self.move_seen(now, key, report.state);
         }
     }
 
@@ -141,6 +142,7 @@
             machine.release(key, &job.spec, now);
         }
         self.records.changed(key.clone(), None);
+        self.task_left(now, key, again > now);
         self.place_due = true;
         self.note_progress(&key.0);
         self.after_change(&key.0);
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -303,6 +303,11 @@
         again.or((self.next < self.spec.tasks).then_some(self.next))
     }
 
+    /// Whether a task that had a place waits for another attempt.
+    pub fn waits(&self, task: u32) -> bool {
+        self.returned.contains_key(&task)
+    }
+
     /// Takes a task, as given by `peek`, out of the waiting ones.
     pub fn take(&mut self, task: u32) {
         if self.returned.remove(&task).is_none() && task == self.next {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,8 +19,11 @@
 mod relay;
 mod rent;
 pub mod speculate;
+mod spread;
 mod users;
 
+pub use rushyoke_balance::{Settings as BalanceSettings, SettingsError as BalanceSettingsError};
+
 pub use facts::{Facts, Objective, Policy, Team};
 pub use io::{Answer, Call, CloudAnswer, CloudOp, Input, Outcome, Output, Req, StoreAnswer, StoreOp, Urgency};
 pub use node::{Node, Now};
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -403,7 +403,7 @@
         let facts = &self.env.facts;
         tracing::info!(token, "leading from now on");
         let silent = self.env.steady() + silence_allowance(facts);
-        let mut term = Term::new(token, self.env.steady(), silent, facts);
+        let mut term = Term::new(token, self.env.steady(), silent, facts, &self.env.policy);
         term.begin(&mut self.env);
         self.term = Some(term);
         // The peers are asked at once whether an earlier leader still acts.
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -26,11 +26,18 @@
 /// Machines on which room that comes free is kept for it at a time.
 const STARVED_MACHINES: usize = 16;
 
+/// What a machine that is empty counts for beside one that is full, in seconds: work is packed.
+const PACKING_S: f64 = 2.0;
+/// Share of a machine by which use must differ for its cost to differ, when work is spread.
+const ONE_MORE: f64 = 0.05;
 /// Machines weighed for a service's replica, in samples of a placement.
 const SERVICE_SAMPLES: usize = 8;
 /// What a job within its guarantee may wait if the users do not say.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(5);
 
+/// The class of jobs beyond their team's guarantee.
+const BEYOND_GUARANTEE: u8 = 2;
+
 /// A job's place in the queue; the smaller goes first.
 struct Turn {
     job: Name,
@@ -39,6 +46,8 @@
     class: u8,
     starved: bool,
     priority: Priority,
+    /// Beyond its guarantee, and its team has more than its fair share of the fleet.
+    over_share: bool,
     /// Whether no aim of its class can be met any more.
     hopeless: bool,
     /// CPU seconds that have no place yet. What runs ends without more room, so a job that
@@ -52,12 +61,32 @@
             .cmp(&other.class)
             .then(other.starved.cmp(&self.starved))
             .then(other.priority.cmp(&self.priority))
+            .then(self.over_share.cmp(&other.over_share))
             .then(self.hopeless.cmp(&other.hopeless))
             .then(self.work.total_cmp(&other.work))
             .then_with(|| self.job.cmp(&other.job))
     }
 }
 
+/// How the tasks of a job are laid out over machines.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Way {
+    /// What is weighed changes with every task.
+    OneByOne,
+    /// The machines are filled in their order.
+    Filling,
+    /// A task each on all machines that cost no more than the best does with one task more.
+    Level { within_s: f64 },
+}
+
+/// Tasks of a job to be placed on machines that were ranked for it.
+struct Round<'a> {
+    job: &'a Name,
+    most: u32,
+    borrows: bool,
+    way: Way,
+}
+
 /// Whether a job's tasks may run on a machine like this.
 pub(crate) fn allowed(spec: &JobSpec, machine: &Machine) -> bool {
     (!machine.spot || spec.spot)
@@ -128,13 +157,14 @@
             let class = match (job.spec.kind, job.spec.priority) {
                 (Kind::Service, Priority::Production) => 0,
                 _ if inside => 1,
-                _ => 2,
+                _ => BEYOND_GUARANTEE,
             };
             turns.push(Turn {
                 job: job.id.clone(),
                 class: if job.slice > 0 { class.min(1) } else { class },
                 starved: job.slice > 0,
                 priority: job.priority,
+                over_share: class == BEYOND_GUARANTEE && self.over_fair_share(&job.spec.team),
                 hopeless: hopeless(env, job),
                 work: f64::from(job.waiting()) * job.spec.cpus * job.mean_run_s,
             });
@@ -168,7 +198,8 @@
             let limited = self.quotas.usage(&spec.team).is_none_or(|usage| usage.headroom(need) == 0);
             if !limited && most[usize::from(!spec.spot)].holds(need) {
                 let share = if turn.starved { left.min(self.jobs[&turn.job].slice) } else { left };
-                left -= self.place_job(env, &turn.job, share);
+                let borrows = turn.class == BEYOND_GUARANTEE && !turn.starved;
+                left -= self.place_job(env, &turn.job, share, borrows);
             }
             let job = &self.jobs[&turn.job];
             if turn.starved {
@@ -211,48 +242,72 @@
         u128::from(env.now.wall_ms.saturating_sub(job.from_ms)) >= patience.as_millis()
     }
 
-    /// Places up to `most` tasks of a job; returns how many.
-    fn place_job(&mut self, env: &mut Env, name: &Name, most: u32) -> u32 {
-        let now = env.steady();
+    /// Places up to `most` tasks of a job; returns how many. `borrows` if it is beyond its team's guarantee.
+    fn place_job(&mut self, env: &mut Env, name: &Name, most: u32, borrows: bool) -> u32 {
         let mut placed = 0;
         while placed < most {
             let job = &self.jobs[name];
+            let way = self.way_of(job);
             let ranked = self.rank(env, job, Room::of(&job.spec));
-            // What is weighed changes with every replica; an array's tasks fill the
-            // machines in their order.
-            let one_by_one = job.spec.kind == Kind::Service || job.spec.spread || job.spec.one_zone;
             let mut reserve = self.reserve_left(env, job);
-            let before = placed;
-            for machine in ranked {
-                while placed < most && self.starts_there(now, name, &machine, &mut reserve) {
-                    placed += 1;
-                    if one_by_one {
-                        break;
-                    }
-                }
-                if one_by_one && placed > before {
-                    break;
-                }
-            }
-            if !one_by_one || placed == before {
+            let round = Round { job: name, most: most - placed, borrows, way };
+            let count = self.place_round(env.steady(), &round, ranked, &mut reserve);
+            placed += count;
+            if count == 0 || way == Way::Filling {
                 break;
             }
         }
         placed
     }
 
+    fn way_of(&self, job: &Job) -> Way {
+        if job.spec.kind == Kind::Service || job.spec.spread || job.spec.one_zone {
+            return Way::OneByOne;
+        }
+        match &self.balance {
+            Some(balancer) => Way::Level { within_s: balancer.pricing().crowding_s(job.mean_run_s, ONE_MORE) },
+            None => Way::Filling,
+        }
+    }
+
+    /// Places tasks on machines in the order of their cost; returns how many.
+    fn place_round(&mut self, now: Instant, round: &Round, ranked: Vec<(f64, Name)>, reserve: &mut f64) -> u32 {
+        let least = ranked.first().map_or(0.0, |(cost, _)| *cost);
+        let mut placed = 0;
+        for (cost, machine) in ranked {
+            let each = match round.way {
+                Way::Filling => u32::MAX,
+                Way::OneByOne if placed > 0 => return placed,
+                Way::Level { within_s } if cost > least + within_s => return placed,
+                Way::OneByOne | Way::Level { .. } => 1,
+            };
+            let mut here = 0;
+            while here < each && placed < round.most && self.starts_there(now, round, &machine, reserve) {
+                here += 1;
+                placed += 1;
+            }
+        }
+        placed
+    }
+
     /// CPUs on ordinary machines that a job may take without touching what is kept for
     /// services.
     fn reserve_left(&self, env: &Env, job: &Job) -> f64 {
         if job.spec.priority == Priority::Production {
             return f64::INFINITY;
         }
-        let firm = self.machines.values().filter(|m| !m.spot && m.usable(env.steady()));
-        firm.map(|m| m.total.cpus - m.used.cpus).sum::<f64>() - self.renting.service_reserve(env)
+        self.ordinary_left(env.steady()) - self.renting.service_reserve(env)
+    }
+
+    /// CPUs that are free on ordinary machines.
+    pub fn ordinary_left(&self, now: Instant) -> f64 {
+        let ordinary = self.machines.values().filter(|m| !m.spot && m.usable(now));
+        ordinary.map(|m| m.total.cpus - m.used.cpus).sum()
     }
 
     /// Plans one more task of the job on the machine, if limit and room allow.
-    fn starts_there(&mut self, now: Instant, name: &Name, machine: &Name, reserve: &mut f64) -> bool {
+    fn starts_there(&mut self, now: Instant, round: &Round, machine: &Name, reserve: &mut f64) -> bool {
+        let name = round.job;
         let job = &self.jobs[name];
         let need = Room::of(&job.spec);
         let Some(task) = job.peek(now) else { return false };
@@ -262,14 +317,19 @@
         if reserved || limited || !self.room_for(target, name).holds(need) {
             return false;
         }
-        if !target.spot {
+        let ordinary = !target.spot;
+        if round.borrows && !self.may_borrow(now, name) {
+            return false;
+        }
+        if ordinary {
             *reserve -= need.cpus;
         }
         self.plan(name, task, machine, now);
         true
     }
 
-    fn plan(&mut self, name: &Name, task: u32, machine: &Name, now: Instant) {
+    /// Gives a waiting task a place; it is ordered once that is durable.
+    pub fn plan(&mut self, name: &Name, task: u32, machine: &Name, now: Instant) {
         let attempt = self.attempt();
         let job = self.jobs.get_mut(name).expect("chosen");
         job.take(task);
@@ -298,6 +358,7 @@
             }
         }
         tracing::debug!(job = &**name, task, machine = &**machine, attempt, "placed");
+        self.task_placed(now, &(name.clone(), task), machine);
         let turn = crate::records::Turn::of(&self.jobs[name].spec);
         self.records.changed((name.clone(), task), Some(turn));
     }
@@ -336,7 +397,7 @@
     }
 
     /// The machines that could take one more task of a job, the best first.
-    fn rank(&self, env: &mut Env, job: &Job, need: Room) -> Vec<Name> {
+    fn rank(&self, env: &mut Env, job: &Job, need: Room) -> Vec<(f64, Name)> {
         let now = env.steady();
         let zones = self.zones_for(job);
         let mut fitting: Vec<&Machine> = self
@@ -355,14 +416,12 @@
         }
         let mut ranked: Vec<(f64, &Machine)> = fitting.into_iter().map(|m| (self.cost(env, job, m), m)).collect();
         ranked.sort_by(|(a, m), (b, n)| a.total_cmp(b).then_with(|| m.name.cmp(&n.name)));
-        ranked.into_iter().map(|(_, m)| m.name.clone()).collect()
+        ranked.into_iter().map(|(cost, m)| (cost, m.name.clone())).collect()
     }
 
     /// What speaks against a machine for a task of the job, in seconds.
     fn cost(&self, env: &Env, job: &Job, machine: &Machine) -> f64 {
-        let free = machine.total.cpus - machine.used.cpus;
-        // The fuller machine first, so that others can be returned.
-        let packing = 2.0 * free / machine.total.cpus.max(1.0);
+        let crowding = self.crowding(job, machine);
         // Services stand together on few machines, so that the others can be returned,
         // but replicas of one service apart, so that one machine's end costs one.
         let (hosting, mates) = if job.spec.kind == Kind::Service {
@@ -376,12 +435,26 @@
         let kind = if job.spec.spot && !machine.spot { 3.0 } else { 0.0 };
         let doubt = if job.failed_on.contains(&machine.name) { 60.0 } else { 0.0 };
         let slow = if machine.straggler { 30.0 } else { 0.0 };
-        self.fetch_s(env, job, machine) + packing + hosting + mates + retiring + kind + doubt + slow
+        self.fetch_s(env, job, machine) + crowding + hosting + mates + retiring + kind + doubt + slow
+    }
+
+    /// What the use of a machine counts for, in seconds. With load spreading a run takes longer among
+    /// others; else the fuller machine goes first, so that others can be returned.
+    fn crowding(&self, job: &Job, machine: &Machine) -> f64 {
+        let free = (machine.total.cpus - machine.used.cpus) / machine.total.cpus.max(1.0);
+        match &self.balance {
+            Some(balancer) if job.spec.kind == Kind::Array => {
+                let share = Room::of(&job.spec).dominant_share(machine.total);
+                let used = balancer.load().use_of(&machine.name).unwrap_or(1.0 - free);
+                balancer.pricing().crowding_s(job.mean_run_s, used + share)
+            }
+            _ => PACKING_S * free,
+        }
     }
 
     /// How long the job's image takes to be on the machine. Images that are fetched at
     /// the same time may share the rate.
-    fn fetch_s(&self, env: &Env, job: &Job, machine: &Machine) -> f64 {
+    pub fn fetch_s(&self, env: &Env, job: &Job, machine: &Machine) -> f64 {
         if machine.has_image(&job.spec.image) {
             return 0.0;
         }
@@ -398,9 +471,18 @@
         if fetched.contains(job.spec.image.as_str()) { alone * 0.6 } else { alone * (1.0 + fetched.len() as f64) }
     }
 
+    /// Room on a machine that nothing takes, and that no open move has booked.
+    pub fn free_room(&self, machine: &Machine) -> Room {
+        let free = machine.total.minus(machine.used);
+        match &self.balance {
+            Some(balancer) => free.minus(balancer.load().booked(&machine.name)),
+            None => free,
+        }
+    }
+
     /// Free room on a machine for this job: room made for another is left alone.
     pub fn room_for(&self, machine: &Machine, job: &Name) -> Room {
-        let mut room = machine.total.minus(machine.used);
+        let mut room = self.free_room(machine);
         if let Some(claim) = &machine.claim
             && claim.job != *job
         {
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -197,7 +197,7 @@
         let mut best: Option<Plan> = None;
         for machine in fitting {
             let mut victims: Vec<(f64, TaskKey, Room)> = Vec::new();
-            let mut freed = machine.total.minus(machine.used);
+            let mut freed = self.free_room(machine);
             for key in &machine.places {
                 let owner = &self.jobs[&key.0];
                 let place = &owner.places[&key.1];
--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -8,68 +8,10 @@
 use crate::facts::Team;
 use crate::jobs::{Job, Name};
 
-/// Amounts compare with this slack, since sums of decimals are not exact.
-pub(crate) const SLACK: f64 = 1e-6;
-
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) struct Room {
-    pub cpus: f64,
-    pub gpus: f64,
-    pub memory_gb: f64,
-}
-
-impl Room {
-    pub fn of(spec: &JobSpec) -> Room {
-        Room { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb }
-    }
-
-    pub fn add(&mut self, other: Room) {
-        self.cpus += other.cpus;
-        self.gpus += other.gpus;
-        self.memory_gb += other.memory_gb;
-    }
-
-    pub fn sub(&mut self, other: Room) {
-        self.cpus -= other.cpus;
-        self.gpus -= other.gpus;
-        self.memory_gb -= other.memory_gb;
-    }
-
-    pub fn scaled(self, times: f64) -> Room {
-        Room { cpus: self.cpus * times, gpus: self.gpus * times, memory_gb: self.memory_gb * times }
-    }
-
-    /// Nothing of anything.
-    pub fn is_nothing(&self) -> bool {
-        self.cpus <= SLACK && self.gpus <= SLACK && self.memory_gb <= SLACK
-    }
-
-    /// Grows to hold as much of each as `other` does.
-    pub fn widen(&mut self, other: Room) {
-        self.cpus = self.cpus.max(other.cpus);
-        self.gpus = self.gpus.max(other.gpus);
-        self.memory_gb = self.memory_gb.max(other.memory_gb);
-    }
-
-    pub fn minus(mut self, other: Room) -> Room {
-        self.sub(other);
-        self
-    }
-
-    pub fn holds(&self, need: Room) -> bool {
-        need.cpus <= self.cpus + SLACK && need.gpus <= self.gpus + SLACK && need.memory_gb <= self.memory_gb + SLACK
-    }
+pub(crate) use rushyoke_balance::Resources as Room;
 
-    /// How many times `need` fits.
-    pub fn times(&self, need: Room) -> u32 {
-        let part = |have: f64, want: f64| {
-            if want > 0.0 { (have + SLACK) / want } else { f64::INFINITY }
-        };
-        let times =
-            part(self.cpus, need.cpus).min(part(self.gpus, need.gpus)).min(part(self.memory_gb, need.memory_gb));
-        times.clamp(0.0, 1e6) as u32
-    }
-}
+/// Amounts compare with this slack, since sums of decimals are not exact.
+pub(crate) const SLACK: f64 = Room::SLACK;
 
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Usage {
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -34,6 +34,8 @@
 const GAP: Duration = Duration::from_millis(60);
 /// The same where nobody waits for it: places that came free, tasks that are done.
 const LAZY_GAP: Duration = Duration::from_millis(500);
+/// The same where only moves have ended: their record is no more than stale until then.
+const MOVES_GAP: Duration = Duration::from_secs(5);
 /// Segments that one transaction gathers at the most.
 const GATHERED: usize = 2;
 /// The log takes no more than this part of the store's changes a second, or users would wait.
@@ -75,6 +77,8 @@
     segment: bool,
     placed: bool,
     pages: Vec<(Name, u32)>,
+    /// Whether the record of open moves is written, and the moves that wait for it.
+    moves: Option<Vec<(TaskKey, u64)>>,
     closed: Vec<Name>,
     drops: Vec<String>,
 }
@@ -205,6 +209,7 @@
         let mut conditioned: BTreeSet<Name> = BTreeSet::new();
         self.close_jobs(&mut txn, &mut batch, &mut conditioned, ops.saturating_sub(2).max(2));
         self.write_segment(env, &mut txn, &mut batch, &mut conditioned);
+        self.write_moves(env, &mut txn, &mut batch);
         self.gather(env, &mut txn, &mut batch);
         while txn.writes.len() < ops {
             let Some(key) = self.records.drops.pop_front() else {
@@ -228,7 +233,8 @@
         let records = &self.records;
         let since = |gap: Duration| records.sent.is_none_or(|t| now.duration_since(t) >= gap);
         let awaited = !records.placed.is_empty() || !records.closing.is_empty();
-        let any = awaited || records.doubt || !records.changed.is_empty() || !records.drops.is_empty();
+        let moves = self.moves_unwritten() && since(MOVES_GAP);
+        let any = awaited || moves || records.doubt || !records.changed.is_empty() || !records.drops.is_empty();
         let gap = GAP.max(Duration::from_secs_f64(1.0 / (write_rps * LOG_SHARE).max(0.1)));
         any && since(if awaited { gap } else { LAZY_GAP })
     }
@@ -354,6 +360,9 @@
             }
         }
         self.records.drops.extend(batch.drops);
+        if let (Some(_), Some(balancer)) = (batch.moves, &mut self.balance) {
+            balancer.record_failed();
+        }
     }
 
     fn refused(&mut self, batch: Batch, failed: &[String]) {
@@ -381,6 +390,7 @@
                 self.call_soon(&machine);
             }
         }
+        self.moves_durable(env, batch.moves.unwrap_or_default());
         for (name, page) in batch.pages {
             if let Some(job) = self.jobs.get_mut(&name) {
                 job.pages.insert(page, version);
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -7,11 +7,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use rushyoke_balance::Balancer;
 use rushyoke_wire::peer::Progress;
 
 use crate::awaits::Awaited;
 use crate::election::silence_allowance;
-use crate::facts::Facts;
+use crate::facts::{Facts, Policy};
 use crate::fleet::{Machine, Survey};
 use crate::jobs::*;
 use crate::node::Env;
@@ -37,6 +38,7 @@
     Jobs,
     Segments,
     Pages,
+    OpenMoves,
     Watch {
         sent: Instant,
     },
@@ -49,6 +51,7 @@
     Jobs { after: String },
     Segments { after: String },
     Pages { after: String },
+    OpenMoves,
     Ready,
 }
 
@@ -111,10 +114,15 @@
     pub cut_off: bool,
     pub survey: Survey,
     pub awaited: Awaited,
+    /// Load spreading, if it is switched on.
+    pub balance: Option<Balancer>,
+    /// A task of an open move may be vacated.
+    pub vacated_due: bool,
+    pub summarized: Option<Instant>,
 }
 
 impl Term {
-    pub fn new(token: u64, now: Instant, old_silent: Instant, facts: &Facts) -> Term {
+    pub fn new(token: u64, now: Instant, old_silent: Instant, facts: &Facts, policy: &Policy) -> Term {
         Term {
             token,
             since: now,
@@ -155,6 +163,9 @@
             cut_off: false,
             survey: Survey::default(),
             awaited: Awaited::default(),
+            balance: crate::spread::balancer(facts, policy),
+            vacated_due: false,
+            summarized: None,
         }
     }
 
@@ -223,6 +234,7 @@
         };
         job.cancelled = true;
         let tasks: Vec<u32> = job.places.keys().copied().collect();
+        self.moves_cancelled(name);
         for task in tasks {
             self.stop_task(env, name, task, 0.0);
         }
@@ -249,6 +261,9 @@
             }
         }
         self.speculation.forget(name);
+        if let Some(balancer) = &mut self.balance {
+            balancer.job_over(name);
+        }
         self.progress.remove(name);
     }
 
@@ -275,6 +290,7 @@
             self.last_second = Some(now);
             self.rent_tick(env);
             self.speculate_tick(env);
+            self.spread_tick(env);
             self.place_due = true;
         }
     }
@@ -303,6 +319,7 @@
             return;
         }
         let now = env.steady();
+        self.place_vacated(env);
         // A pass looks at every unfinished job, so many jobs make passes rarer.
         let gap = PASS_GAP + PASS_GAP_PER_JOB * self.jobs.len() as u32;
         if self.place_due && self.placed_at.is_none_or(|t| now.duration_since(t) >= gap) {
--- a/crates/core/src/recover/load.rs
+++ b/crates/core/src/recover/load.rs
@@ -3,12 +3,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
+use rushyoke_balance::RECORD_KEY;
 use rushyoke_wire::store::{Event, Item, Page};
 
 use crate::fleet::Machine;
 use crate::io::*;
 use crate::jobs::*;
 use crate::node::{Env, Purpose};
+use crate::quota::Room;
 
 use super::{LIVE, LOG, Load, LoadCall, RETRY, TASK, Term};
 
@@ -24,6 +26,7 @@
                 (LoadCall::Segments, StoreOp::List { prefix: LOG.into(), after: after.clone() })
             }
             Load::Pages { after } => (LoadCall::Pages, StoreOp::List { prefix: TASK.into(), after: after.clone() }),
+            Load::OpenMoves => (LoadCall::OpenMoves, StoreOp::Get(RECORD_KEY.into())),
             Load::Ready => {
                 self.waiting = false;
                 return;
@@ -51,6 +54,10 @@
         match (call, outcome) {
             (LoadCall::Watch { sent }, outcome) => self.watched(env, sent, outcome),
             (LoadCall::Awaited(job), outcome) => self.awaited_read(env, job, outcome),
+            (LoadCall::OpenMoves, Outcome::Answered(StoreAnswer::Item(item))) => {
+                self.waiting = false;
+                self.complete_load(env, item);
+            }
             (call, Outcome::Answered(StoreAnswer::Page(page))) => {
                 self.waiting = false;
                 match call {
@@ -109,7 +116,11 @@
                 self.load = Load::Pages { after };
                 self.read_on(env);
             }
-            None => self.complete_load(env),
+            None if self.balance.is_some() => {
+                self.load = Load::OpenMoves;
+                self.read_on(env);
+            }
+            None => self.complete_load(env, None),
         }
     }
 
@@ -157,11 +168,12 @@
     }
 
     /// All is read: the tables are put together, and the leader begins to act.
-    fn complete_load(&mut self, env: &mut Env) {
+    fn complete_load(&mut self, env: &mut Env, open_moves: Option<Item>) {
         self.load = Load::Ready;
         self.loaded = true;
         let addresses = self.adopt_records(env.steady());
         self.hold_places(env.steady(), &addresses);
+        self.adopt_moves(env, open_moves);
         for name in self.jobs.keys().cloned().collect::<Vec<_>>() {
             self.link(env, &name);
         }
@@ -225,6 +237,10 @@
                 });
                 machine.hold((id.clone(), *task), &job.spec);
                 self.quotas.add(&job.spec);
+                if let Some(balancer) = &mut self.balance {
+                    let team = Name::from(job.spec.team.as_str());
+                    balancer.placed(now, &(id.clone(), *task), name, &team, Room::of(&job.spec));
+                }
             }
         }
     }
--- a/crates/core/src/rent/returns.rs
+++ b/crates/core/src/rent/returns.rs
@@ -79,7 +79,7 @@
         renting.moves = (renting.moves + f64::from(replicas) * MOVED_SHARE).min(MOVES_SAVED);
         let mut free: Vec<(&Machine, Room)> = Vec::new();
         for machine in self.machines.values().filter(|m| m.usable(now) && !m.retiring && m.claim.is_none()) {
-            free.push((machine, machine.total.minus(machine.used)));
+            free.push((machine, self.free_room(machine)));
         }
         // The fullest first, so that the others can be returned.
         free.sort_by(|a, b| a.1.cpus.total_cmp(&b.1.cpus));
@@ -192,6 +192,8 @@
             .machines
             .values()
             .filter(|m| m.up && m.counts() && m.places.is_empty() && !wanted(m))
+            // A move is on its way there.
+            .filter(|m| m.total.minus(self.free_room(m)).is_nothing())
             .filter(|m| m.retiring && now.duration_since(m.known) > MIN_CHARGE)
             .collect();
         // The dearest first.
--- /dev/null
+++ b/crates/core/src/spread.rs
@@ -0,0 +1,420 @@
+//! Load spreading: feeds the balancer with what happens, and carries out what it advises.
+//!
+//! The balancer decides nothing that a rule depends on. A move is a stop like any other, ordered
+//! once the booking and the task's mark are durable; the task gets its new place when its old one is
+//! proven empty, within its team's limit, and by the same record as every placement.
+
+use std::time::{Duration, Instant};
+
+use rushyoke_balance::{
+    Balancer, Borrow, Candidate, FleetView, GiveUp, MachineInfo, Move, MoveEnd, MoveState, OpenMoves,
+};
+use rushyoke_wire::job::{Kind, Priority};
+use rushyoke_wire::store::Item;
+use rushyoke_wire::worker::TaskState;
+
+use crate::facts::{Facts, Policy};
+use crate::fleet::{Machine, TaskKey};
+use crate::jobs::*;
+use crate::node::Env;
+use crate::place::allowed;
+use crate::quota::Room;
+use crate::recover::Term;
+
+/// From a direct order to stop until the worker's report shows that the task is gone, beside the time
+/// to save: workers report changes at most each half second.
+const STOP_S: f64 = 0.6;
+/// How long a vacated task waits for a destination that a new leader does not know yet.
+const KNOWN_SOON: Duration = Duration::from_secs(4);
+/// Bytes of the record of open moves that stay unused.
+const RECORD_SPARE: usize = 256;
+const SUMMARY_PERIOD: Duration = Duration::from_secs(60);
+
+/// The balancer of a new term, if the operators switched load spreading on.
+pub(crate) fn balancer(facts: &Facts, policy: &Policy) -> Option<Balancer> {
+    let settings = policy.balance.clone()?;
+    let teams = facts.teams.iter().map(|(name, team)| {
+        let guarantee = Room { cpus: team.cpus, gpus: team.gpus, memory_gb: 0.0 };
+        (Name::from(name.as_str()), guarantee)
+    });
+    Some(Balancer::new(settings, teams))
+}
+
+/// Whether work may be moved to a machine: it takes tasks, is to stay, and this leader renews its
+/// lease. One that only answers calls, as after a takeover, may lose its lease before it finds the
+/// leader, and what was moved there with it.
+fn is_destination(machine: &Machine, env: &Env) -> bool {
+    let now = env.steady();
+    machine.usable(now) && machine.reports_to_us(now, env.facts.report) && !machine.retiring && !machine.straggler
+}
+
+/// Run time that a task has left, as far as is known.
+fn left_s(now: Instant, job: &Job, place: &Place) -> f64 {
+    let ran = place.running.map_or(0.0, |at| now.duration_since(at).as_secs_f64());
+    (job.mean_run_s - ran).max(0.0)
+}
+
+/// What the planner sees of the fleet.
+struct View<'a> {
+    term: &'a Term,
+    env: &'a Env,
+    balancer: &'a Balancer,
+    /// CPUs on ordinary machines that may be taken without touching what is kept for services.
+    reserve_left: f64,
+}
+
+impl View<'_> {
+    fn candidate(&self, key: &TaskKey) -> Option<Candidate> {
+        let now = self.env.steady();
+        let job = &self.term.jobs[&key.0];
+        let place = &job.places[&key.1];
+        let settings = self.balancer.settings();
+        let movable = job.spec.kind == Kind::Array
+            && job.spec.priority != Priority::Production
+            && !settings.protected.contains(&job.spec.class)
+            && !job.restarted.contains(&key.1)
+            && !job.rescued
+            && place.stop.is_none()
+            && matches!(place.stage, Stage::Fetching | Stage::Running);
+        if !movable {
+            return None;
+        }
+        let ran = place.running.map_or(0.0, |at| now.duration_since(at).as_secs_f64());
+        let saves = job.spec.checkpoint_s > 0.0;
+        if !saves && ran > settings.fresh.as_secs_f64() {
+            return None;
+        }
+        let (repeated_s, save_s) = if saves { (0.0, job.spec.save_s) } else { (ran, 0.0) };
+        Some(Candidate {
+            key: key.clone(),
+            attempt: place.attempt,
+            need: Room::of(&job.spec),
+            left_s: left_s(now, job, place),
+            repeated_s,
+            stop_s: save_s + STOP_S,
+        })
+    }
+}
+
+impl FleetView for View<'_> {
+    fn candidates(&self, machine: &Name) -> Vec<Candidate> {
+        let Some(machine) = self.term.machines.get(machine) else { return Vec::new() };
+        let mut candidates: Vec<Candidate> = Vec::new();
+        for candidate in machine.places.iter().filter_map(|key| self.candidate(key)) {
+            match candidates.iter_mut().find(|other| other.key.0 == candidate.key.0) {
+                // Tasks of a job are alike: the one with the most left gains the most.
+                Some(other) if other.left_s >= candidate.left_s => {}
+                Some(other) => *other = candidate,
+                None => candidates.push(candidate),
+            }
+        }
+        candidates
+    }
+
+    fn left_s(&self, machine: &Name) -> f64 {
+        let now = self.env.steady();
+        let horizon = self.balancer.settings().service_horizon.as_secs_f64();
+        let places = self.term.machines.get(machine).into_iter().flat_map(|machine| &machine.places);
+        let left = places.map(|(name, task)| {
+            let job = &self.term.jobs[name];
+            if job.spec.kind == Kind::Service { horizon } else { left_s(now, job, &job.places[task]) }
+        });
+        left.sum()
+    }
+
+    fn fits(&self, task: &Candidate, machine: &Name) -> bool {
+        let job = &self.term.jobs[&task.key.0];
+        let Some(target) = self.term.machines.get(machine) else { return false };
+        let reserved = !target.spot && self.reserve_left < task.need.cpus;
+        let room = self.term.room_without(self.balancer, target, &job.id);
+        is_destination(target, self.env)
+            && !reserved
+            && target.claim.is_none()
+            && allowed(&job.spec, target)
+            && !job.shuns(machine)
+            && self.term.zones_for(job).is_none_or(|zones| zones.contains(&target.zone))
+            && room.holds(task.need)
+    }
+
+    fn fetch_s(&self, task: &Candidate, machine: &Name) -> f64 {
+        let target = self.term.machines.get(machine);
+        target.map_or(f64::INFINITY, |target| self.term.fetch_s(self.env, &self.term.jobs[&task.key.0], target))
+    }
+}
+
+impl Term {
+    // What happens, told to the balancer.
+
+    /// A task has a place.
+    pub fn task_placed(&mut self, now: Instant, key: &TaskKey, machine: &Name) {
+        let spec = &self.jobs[&key.0].spec;
+        let Some(balancer) = &mut self.balance else { return };
+        balancer.placed(now, key, machine, &Name::from(spec.team.as_str()), Room::of(spec));
+    }
+
+    /// A worker reports a task in another state.
+    pub fn move_seen(&mut self, now: Instant, key: &TaskKey, state: TaskState) {
+        let Some(balancer) = &mut self.balance else { return };
+        match state {
+            TaskState::Running => log_end(balancer.running(key)),
+            TaskState::Saving => balancer.saving(now, key),
+            TaskState::Fetching | TaskState::Exited => {}
+        }
+    }
+
+    /// A task has left its place; `waits` if it cannot start again at once.
+    pub fn task_left(&mut self, now: Instant, key: &TaskKey, waits: bool) {
+        let ended = waits || self.jobs.get(&key.0).is_none_or(|job| job.cancelled || job.is_done(key.1));
+        let Some(balancer) = &mut self.balance else { return };
+        log_end(balancer.left(now, key, ended));
+        self.vacated_due = true;
+    }
+
+    /// A machine is gone: what was on its way there goes elsewhere.
+    pub fn destination_gone(&mut self, name: &Name) {
+        let Some(balancer) = &mut self.balance else { return };
+        for key in balancer.machine_gone(name) {
+            log_end(balancer.give_up(&key, GiveUp::DestinationGone));
+        }
+    }
+
+    /// A job is cancelled: its moves end.
+    pub fn moves_cancelled(&mut self, job: &Name) {
+        let Some(balancer) = &mut self.balance else { return };
+        for key in balancer.moves().of_job(job) {
+            log_end(balancer.give_up(&key, GiveUp::JobCancelled));
+        }
+    }
+
+    // What the balancer advises.
+
+    /// Whether a team that is beyond its guarantee may have one more task of the job placed.
+    pub fn may_borrow(&mut self, now: Instant, name: &Name) -> bool {
+        let job = &self.jobs[name];
+        let Some(balancer) = &mut self.balance else { return true };
+        let need = Room::of(&job.spec);
+        balancer.may_place(now, &Borrow { job: name, team: &job.spec.team, need, run_s: job.mean_run_s })
+    }
+
+    /// Whether a team has more than its fair share of the fleet.
+    pub fn over_fair_share(&self, team: &str) -> bool {
+        self.balance.as_ref().is_some_and(|balancer| balancer.shares().weighted_share(balancer.load(), team) > 1.0)
+    }
+
+    /// Free room on a machine for a job, by the bookings of a balancer that is taken out of the term.
+    fn room_without(&self, balancer: &Balancer, machine: &Machine, job: &Name) -> Room {
+        self.room_for(machine, job).minus(balancer.load().booked(&machine.name))
+    }
+
+    /// Once a second: the balancer learns which machines take work, and moves begin that pay.
+    pub fn spread_tick(&mut self, env: &mut Env) {
+        let now = env.steady();
+        let Some(mut balancer) = self.balance.take() else { return };
+        for machine in self.machines.values() {
+            let claimed = machine.claim.as_ref().filter(|claim| claim.made).map(|claim| claim.room);
+            let info = MachineInfo {
+                zone: Name::from(machine.zone.as_str()),
+                total: if machine.up && machine.counts() { machine.total } else { Room::default() },
+                open: is_destination(machine, env),
+                claimed: claimed.unwrap_or_default(),
+            };
+            balancer.machine(&machine.name, info);
+        }
+        for key in balancer.tick(now) {
+            log_end(balancer.give_up(&key, GiveUp::TimedOut));
+        }
+        // What waits for room gets it before running work is moved into it.
+        let waiting = self.jobs.values().any(|job| job.peek(now).is_some());
+        if !waiting && !self.survey_suspects() {
+            self.begin_moves(env, &mut balancer);
+        }
+        if self.summarized.is_none_or(|at| now.duration_since(at) >= SUMMARY_PERIOD) {
+            self.summarized = Some(now);
+            tracing::info!("balance: {}", balancer.summary());
+        }
+        self.balance = Some(balancer);
+        self.vacated_due = true;
+    }
+
+    fn begin_moves(&mut self, env: &Env, balancer: &mut Balancer) {
+        let now = env.steady();
+        let mut reserve_left = self.ordinary_left(now) - self.renting.service_reserve(env);
+        let record_bytes = env.facts.value_bytes.saturating_sub(RECORD_SPARE);
+        loop {
+            let view = View { term: self, env, balancer, reserve_left };
+            let Some(proposal) = balancer.propose(&view, record_bytes) else { return };
+            balancer.begin(now, &proposal);
+            let key = &proposal.task.key;
+            let (from, to) = (&self.machines[&proposal.from], &self.machines[&proposal.to]);
+            if from.spot && !to.spot {
+                reserve_left -= proposal.task.need.cpus;
+            }
+            tracing::debug!(
+                job = &*key.0,
+                task = key.1,
+                from = &*proposal.from,
+                to = &*proposal.to,
+                gain_s = proposal.gain_s,
+                "move booked"
+            );
+            // The mark is written beside the booking: whoever leads next, the task is moved once.
+            let job = self.jobs.get_mut(&key.0).expect("a candidate");
+            job.restarted.insert(key.1);
+            self.records.changed(key.clone(), None);
+        }
+    }
+
+    /// The record of the open moves, if it must be written: `durable_with` tells whether a task's mark
+    /// is durable, or written with it. Returns the moves that wait for that, with their attempts.
+    pub fn moves_record(
+        &mut self,
+        durable_with: impl Fn(&TaskKey) -> bool,
+    ) -> Option<(OpenMoves, Vec<(TaskKey, u64)>)> {
+        let balancer = self.balance.as_mut()?;
+        let unmarked = balancer.moves().open().any(|open| !durable_with(&open.key));
+        if unmarked {
+            return None;
+        }
+        let record = balancer.record()?;
+        let booked = balancer.moves().open().filter(|open| open.state == MoveState::Booked);
+        let booked = booked.map(|open| (open.key.clone(), open.attempt)).collect();
+        Some((record, booked))
+    }
+
+    /// Whether the record of the open moves must be written.
+    pub fn moves_unwritten(&self) -> bool {
+        self.balance.as_ref().is_some_and(|balancer| balancer.moves().unwritten())
+    }
+
+    /// Bookings are durable: their tasks are stopped, unless something has changed meanwhile.
+    pub fn moves_durable(&mut self, env: &mut Env, booked: Vec<(TaskKey, u64)>) {
+        for (key, attempt) in booked {
+            self.stop_for_move(env, &key, attempt);
+        }
+    }
+
+    fn stop_for_move(&mut self, env: &mut Env, key: &TaskKey, attempt: u64) {
+        let now = env.steady();
+        let Some(balancer) = &mut self.balance else { return };
+        let Some(to) = balancer.moves().get(key).filter(|open| open.attempt == attempt).map(|open| open.to.clone())
+        else {
+            return;
+        };
+        let place = self.jobs.get(&key.0).and_then(|job| job.places.get(&key.1));
+        // Stopped for another reason, or ended and begun anew.
+        if place.is_none_or(|place| place.attempt != attempt || place.stop.is_some()) {
+            log_end(balancer.give_up(key, GiveUp::LeftEarly));
+            return;
+        }
+        let target = self.machines.get(&to);
+        let need = Room::of(&self.jobs[&key.0].spec);
+        let reason = match target {
+            None => Some(GiveUp::DestinationGone),
+            Some(target) if !is_destination(target, env) => Some(GiveUp::DestinationUnfit),
+            Some(target) if !self.booked_room(target, need) => Some(GiveUp::DestinationFull),
+            Some(_) => None,
+        };
+        let Some(balancer) = &mut self.balance else { return };
+        if let Some(reason) = reason {
+            log_end(balancer.give_up(key, reason));
+            return;
+        }
+        if balancer.durable(now, key, attempt) {
+            let spec = &self.jobs[&key.0].spec;
+            let grace = if spec.checkpoint_s > 0.0 { spec.save_s } else { 0.0 };
+            self.stop_task(env, &key.0, key.1, grace);
+        }
+    }
+
+    /// Whether the room that is booked on a machine for a task is there.
+    fn booked_room(&self, machine: &Machine, need: Room) -> bool {
+        self.free_room(machine).plus(need).holds(need)
+    }
+
+    /// Gives vacated tasks their new places, before anything else can take the room or their team's part.
+    pub fn place_vacated(&mut self, env: &Env) {
+        if !std::mem::take(&mut self.vacated_due) {
+            return;
+        }
+        let Some(balancer) = &self.balance else { return };
+        let vacated: Vec<Move> =
+            balancer.moves().open().filter(|open| open.state == MoveState::Vacated).cloned().collect();
+        for open in vacated {
+            self.place_moved(env, &open);
+        }
+    }
+
+    fn place_moved(&mut self, env: &Env, open: &Move) {
+        let now = env.steady();
+        let (name, task) = &open.key;
+        let waits = self.jobs.get(name).is_some_and(|job| job.waits(*task));
+        let reason = match self.machines.get(&open.to) {
+            _ if !waits => Some(GiveUp::PlacedElsewhere),
+            // A new leader may not know it yet, or not have reached it.
+            Some(target) if !target.is_known() && now.duration_since(open.since) < KNOWN_SOON => return,
+            None if now.duration_since(open.since) < KNOWN_SOON => return,
+            None => Some(GiveUp::DestinationGone),
+            Some(target) if !target.usable(now) => Some(GiveUp::DestinationUnfit),
+            Some(target) if !self.takes_moved(target, open) => Some(GiveUp::DestinationFull),
+            Some(_) => None,
+        };
+        if let Some(reason) = reason {
+            let Some(balancer) = &mut self.balance else { return };
+            log_end(balancer.give_up(&open.key, reason));
+            self.place_due = true;
+            return;
+        }
+        self.plan(name, *task, &open.to, now);
+    }
+
+    fn takes_moved(&self, target: &Machine, open: &Move) -> bool {
+        let job = &self.jobs[&open.key.0];
+        let limited = self.quotas.usage(&job.spec.team).is_none_or(|usage| usage.headroom(open.need) == 0);
+        !limited
+            && allowed(&job.spec, target)
+            && self.zones_for(job).is_none_or(|zones| zones.contains(&target.zone))
+            && self.booked_room(target, open.need)
+    }
+
+    /// Takes over the open moves of an earlier leader: what is vacated is finished, all else dropped.
+    pub fn adopt_moves(&mut self, env: &Env, item: Option<Item>) {
+        let now = env.steady();
+        let (Some(balancer), Some(item)) = (&mut self.balance, item) else { return };
+        let record: OpenMoves = match serde_json::from_value(item.value) {
+            Ok(record) => record,
+            Err(error) => {
+                tracing::error!(key = item.key, %error, "a record cannot be read");
+                return;
+            }
+        };
+        if record.moves.is_empty() {
+            return;
+        }
+        balancer.record_is_stale();
+        let mut finished = 0;
+        for open in &record.moves {
+            let Some(job) = self.jobs.get_mut(open.job.as_str()) else { continue };
+            // Moved, restarted or ended since, by a leader that knows nothing of moves perhaps.
+            if job.cancelled || !job.restarted.contains(&open.task) || !job.waits(open.task) {
+                continue;
+            }
+            job.put_back(open.task, now + KNOWN_SOON);
+            balancer.adopt(now, open, Room::of(&job.spec));
+            finished += 1;
+        }
+        let dropped = record.moves.len() - finished;
+        tracing::info!(finished, dropped, "open moves of an earlier leader taken over");
+        self.vacated_due = true;
+    }
+}
+
+/// Tells how a move ended.
+fn log_end(ended: Option<(Move, MoveEnd)>) {
+    let Some((open, end)) = ended else { return };
+    let (job, task) = &open.key;
+    let (from, to, state) = (&*open.from, &*open.to, open.state);
+    match end {
+        MoveEnd::Confirmed => tracing::debug!(job = &**job, task, from, to, "moved"),
+        MoveEnd::GivenUp(reason) => tracing::info!(job = &**job, task, from, to, ?state, ?reason, "move given up"),
+    }
+}
--- a/crates/rushyoke/src/settings.rs
+++ b/crates/rushyoke/src/settings.rs
@@ -1,11 +1,15 @@
 //! Settings: the platform's TOML file, and the operators' YAML file.
 
+mod balance;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
 use rushyoke_core::{Facts, Objective, Policy, Team};
+
+use balance::FileBalance;
 use serde::Deserialize;
 
 /// All that a node starts with.
@@ -204,6 +208,7 @@
     max_jobs: Option<usize>,
     known_jobs: Option<usize>,
     sample: Option<usize>,
+    balance: Option<FileBalance>,
 }
 
 /// Reads and checks both files; an error is one line that names the file, the field
@@ -349,5 +354,6 @@
     whole("max_jobs", file.max_jobs, 1, 1_000_000, &mut policy.max_jobs)?;
     whole("known_jobs", file.known_jobs, 100, 10_000_000, &mut policy.known_jobs)?;
     whole("sample", file.sample, 1, 100_000, &mut policy.sample)?;
+    policy.balance = file.balance.map(FileBalance::into_settings).transpose()?.flatten();
     Ok(policy)
 }
--- /dev/null
+++ b/crates/rushyoke/src/settings/balance.rs
@@ -0,0 +1,82 @@
+//! The section `balance:` of the operators' file: load spreading.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use rushyoke_core::BalanceSettings;
+use serde::Deserialize;
+
+/// The most seconds that any setting here is read as, so that all fit a duration.
+const MOST_S: f64 = 1e9;
+
+/// What operators set; what is left out keeps its default. Off unless `enabled` is true.
+#[derive(Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(super) struct FileBalance {
+    enabled: bool,
+    crowding_share: Option<f64>,
+    service_horizon_s: Option<f64>,
+    least_gain_s: Option<f64>,
+    gain_ratio: Option<f64>,
+    use_gap: Option<f64>,
+    moves_per_machine: Option<f64>,
+    cooldown_s: Option<f64>,
+    booking_s: Option<f64>,
+    fresh_s: Option<f64>,
+    free_share: Option<f64>,
+    hold_s: Option<f64>,
+    borrow_s: Option<f64>,
+    protected: Vec<String>,
+}
+
+impl FileBalance {
+    /// The checked settings, if load spreading is on. They are checked also while it is off.
+    pub(super) fn into_settings(self) -> Result<Option<BalanceSettings>, String> {
+        let mut settings = BalanceSettings::default();
+        let shares = [
+            (self.crowding_share, &mut settings.crowding_share),
+            (self.gain_ratio, &mut settings.gain_ratio),
+            (self.use_gap, &mut settings.use_gap),
+            (self.moves_per_machine, &mut settings.moves_per_machine),
+            (self.free_share, &mut settings.free_share),
+        ];
+        for (value, target) in shares {
+            *target = value.unwrap_or(*target);
+        }
+        let times = [
+            ("service_horizon_s", self.service_horizon_s, &mut settings.service_horizon),
+            ("least_gain_s", self.least_gain_s, &mut settings.least_gain),
+            ("cooldown_s", self.cooldown_s, &mut settings.cooldown),
+            ("booking_s", self.booking_s, &mut settings.booking),
+            ("fresh_s", self.fresh_s, &mut settings.fresh),
+            ("hold_s", self.hold_s, &mut settings.hold),
+            ("borrow_s", self.borrow_s, &mut settings.borrow),
+        ];
+        for (name, value, target) in times {
+            *target = value.map_or(Ok(*target), |value| seconds(name, value))?;
+        }
+        settings.protected = protected(self.protected)?;
+        settings.check().map_err(|error| error.to_string())?;
+        Ok(self.enabled.then_some(settings))
+    }
+}
+
+fn seconds(name: &str, value: f64) -> Result<Duration, String> {
+    match (0.0..=MOST_S).contains(&value) {
+        true => Ok(Duration::from_secs_f64(value)),
+        false => Err(format!("balance.{name}: must be a number of seconds from 0 on")),
+    }
+}
+
+fn protected(classes: Vec<String>) -> Result<BTreeSet<String>, String> {
+    let mut protected = BTreeSet::new();
+    for class in classes {
+        if class.trim().is_empty() {
+            return Err("balance.protected: names an empty class".into());
+        }
+        if !protected.insert(class.clone()) {
+            return Err(format!("balance.protected: {class} stands twice"));
+        }
+    }
+    Ok(protected)
+}
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -63,6 +63,8 @@
     facts: Facts,
     /// What nodes are told instead when they start next, as while settings are rolled out.
     pub facts_of: BTreeMap<usize, Facts>,
+    /// Policies of nodes that start next and have another one than all, as another version does.
+    pub policy_of: BTreeMap<usize, Policy>,
     /// Time spent in the core, by node and kind of input.
     pub spent: BTreeMap<(usize, &'static str), (u64, Duration)>,
     slots: Vec<Slot>,
@@ -186,6 +188,7 @@
             now: Duration::from_secs(1),
             facts,
             facts_of: BTreeMap::new(),
+            policy_of: BTreeMap::new(),
             spent: BTreeMap::new(),
             slots: Vec::new(),
             policy,
@@ -263,7 +266,8 @@
         let others = (0..3).filter(|other| *other != n).map(label).collect();
         let told = self.facts_of.get(&n).unwrap_or(&self.facts).clone();
         let facts = Facts { label: label(n), others, ..told };
-        let node = Node::new(facts, self.policy.clone(), incarnation, self.clocks());
+        let policy = self.policy_of.get(&n).unwrap_or(&self.policy).clone();
+        let node = Node::new(facts, policy, incarnation, self.clocks());
         self.slots[n] = Slot { node: Some(node), incarnation, next_tick: self.now };
     }
 
