--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -43,6 +43,8 @@
         let end = world.now + time;
         while world.now < end {
             world.run(millis(200));
+            let fullest = loads(world, jobs).into_iter().max_by_key(|(_, tasks)| *tasks).expect("a machine");
+            assert!(fullest.1 <= 16, "at {:?} a machine of 16 CPUs is overfull: {fullest:?}", world.now);
             for (task, machine) in jobs.iter().flat_map(|id| world.where_runs(&job_id(*id))) {
                 let path = self.of.entry(task).or_default();
                 if path.last() != Some(&machine) {
@@ -471,3 +473,83 @@
     assert!(late[0].0 < secs(3), "a team waits behind another's burst: {late:?}");
     assert!(late[0].1 <= late[1].1, "work was stopped for it all the same: {late:?}");
 }
+
+#[test]
+fn a_destination_that_turns_unfit_before_the_booking_is_durable_ends_the_move_before_the_stop() {
+    for gone in [false, true] {
+        let mut world = skewed(4, 8, spreading());
+        let leader = world.leader().expect("a leader");
+        let until = world.now + secs(5);
+        world.slow_txns.insert(leader, until);
+        let started = world.started;
+        world.run(millis(2500));
+        assert!(!world.store.rows.contains_key(MOVES), "a booking is durable");
+        let idle: Vec<String> =
+            loads(&world, &[1, 2, 3]).into_iter().filter(|(_, n)| *n == 0).map(|(name, _)| name).collect();
+        assert_eq!(idle.len(), 8);
+        for machine in &idle {
+            if gone {
+                world.workers.remove(machine);
+                world.cloud.machines.remove(machine);
+            } else {
+                world.workers.get_mut(machine).expect("up").notice_s = Some(25.0);
+            }
+        }
+        world.run(secs(3));
+        assert!(world.store.rows.contains_key(MOVES), "no move was booked");
+        world.run(secs(9));
+        assert_eq!(world.started, started, "gone {gone}: tasks were stopped with nowhere to go");
+        assert_eq!(loads(&world, &[1, 2, 3]).values().sum::<usize>(), 64);
+    }
+}
+
+#[test]
+fn a_destination_that_others_want_keeps_the_room_for_a_task_on_its_way() {
+    // Tasks save for three seconds while a burst comes that could fill every machine.
+    let mut world = World::deployed(deployment(), 2, spreading(), &ZONES);
+    world.task_s = 300.0;
+    world.boot = secs(2);
+    world.workers.values_mut().for_each(|worker| worker.run_s = 300.0);
+    world.cloud.capacity = 2;
+    world.run(secs(6));
+    for id in [2, 3] {
+        assert_eq!(world.submit(0, JobSpec { save_s: 3.0, ..saving(id, 16) }), Some(201));
+    }
+    world.run(secs(28));
+    world.cloud.add(world.now, "c", false);
+    world.cloud.capacity = 3;
+    until_moves_open(&mut world, 1);
+    world.run(secs(1));
+    let open = open_moves(&world);
+    for (id, kind) in [(4, job(4, 40)), (5, service(5, 12))] {
+        let spec = JobSpec { team: "blue".into(), spot: false, estimate_s: 300.0, ..kind };
+        assert_eq!(world.submit(id as usize % 3, spec), Some(201));
+    }
+    assert!(!open.is_empty());
+    Paths::default().run(&mut world, &[2, 3, 4, 5], secs(6));
+    for (job, task, from, to) in open {
+        let on = world.where_runs(&job).into_iter().find(|(name, _)| *name == format!("{job}/{task}"));
+        assert_eq!(on.map(|(_, machine)| machine), Some(to), "{job}/{task} left {from} for nothing");
+    }
+}
+
+#[test]
+fn a_task_is_moved_once_however_often_there_is_more_room_and_another_leader() {
+    let mut world = skewed(4, 4, spreading());
+    let mut paths = Paths::default();
+    paths.run(&mut world, &[1, 2, 3], secs(50));
+    let first = paths.moves();
+    assert!((20..=32).contains(&first.0) && first.1 == 1, "{first:?}");
+    for round in 0..2 {
+        let leader = world.leader().expect("a leader");
+        world.crash(leader);
+        paths.run(&mut world, &[1, 2, 3], secs(4));
+        world.start_node(leader);
+        (0..8).for_each(|n| drop(world.cloud.add(world.now, ZONES[n % 3], false)));
+        world.cloud.capacity += 8;
+        paths.run(&mut world, &[1, 2, 3], secs(60));
+        assert_eq!(paths.moves().1, 1, "round {round}: a task was moved twice");
+    }
+    // Those that were not moved before take the new room.
+    assert!(paths.moves().0 > first.0 + 8, "{:?} after {first:?}", paths.moves());
+}
--- a/crates/rushyoke/tests/check.rs
+++ b/crates/rushyoke/tests/check.rs
@@ -65,3 +65,60 @@
     let (code, said) = check("bad-type", "[facts.state.next]\nvalue_kb = \"two\"\n");
     assert_eq!((code, said.contains("value_kb")), (Some(2), true), "{said}");
 }
+
+/// The exit code, and what is printed on standard error, with an operators' file.
+fn with_policy(name: &str, policy: &str, arguments: &[&str]) -> (Option<i32>, String) {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let (config, file) = (folder.join(format!("{name}.toml")), folder.join(format!("{name}.yaml")));
+    std::fs::write(&config, SETTINGS).expect("the folder for tests can be written to");
+    std::fs::write(&file, policy).expect("the folder for tests can be written to");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_rushyoke"));
+    let out = command.arg("--config").arg(&config).arg("--policy").arg(&file).args(arguments).output();
+    let out = out.expect("the program starts");
+    (out.status.code(), String::from_utf8_lossy(&out.stderr).into_owned())
+}
+
+#[test]
+fn load_spreading_is_switched_on_by_its_file_and_may_be_left_out() {
+    let deployed = include_str!("../../../deploy/balance.yaml");
+    for (name, policy) in [
+        ("balance-deployed", deployed),
+        ("balance-none", "idle_s: 12\n"),
+        ("balance-off", "balance:\n  enabled: false\n"),
+        ("balance-some", "balance:\n  enabled: true\n  protected: [sheets, settlement]\n"),
+    ] {
+        let (code, said) = with_policy(name, policy, &["check"]);
+        assert_eq!(code, Some(0), "{name}: {said}");
+    }
+}
+
+#[test]
+fn nonsense_in_load_spreading_is_one_clear_line() {
+    for (field, line) in [
+        ("balance.crowding_share", "crowding_share: -1"),
+        ("balance.gain_ratio", "gain_ratio: 0.1"),
+        ("balance.use_gap", "use_gap: .nan"),
+        ("balance.moves_per_machine", "moves_per_machine: 1e9"),
+        ("balance.free_share", "free_share: 1"),
+        ("balance.hold_s", "hold_s: 90"),
+        ("balance.hold_s", "hold_s: -.inf"),
+        ("balance.booking_s", "booking_s: 0"),
+        ("balance.protected", "protected: [sheets, sheets]"),
+        ("balance.protected", "protected: [' ']"),
+        ("enabled", "enabled: maybe"),
+        ("unknown field", "moves: 3"),
+    ] {
+        for arguments in [&["check"][..], &[]] {
+            for enabled in ["", "  enabled: false\n"] {
+                if line.starts_with("enabled") && !enabled.is_empty() {
+                    continue;
+                }
+                let policy = format!("balance:\n{enabled}  {line}\n");
+                let (code, said) = with_policy("balance-bad", &policy, arguments);
+                assert_eq!(code, Some(2), "{line}: {said}");
+                assert_eq!(said.trim().lines().count(), 1, "{said}");
+                assert!(said.contains(field), "{line}: {said}");
+            }
+        }
+    }
+}
