--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -169,8 +169,9 @@
         self.end(key, MoveEnd::GivenUp(reason))
     }
 
-    /// Begins a move: from now on its room counts against everything else.
-    pub fn begin(&mut self, now: Instant, proposal: &Proposal) {
+    /// Begins a move: from now on its room counts against everything else. `part` is the value of the
+    /// record that names it.
+    pub fn begin(&mut self, now: Instant, proposal: &Proposal, part: usize) {
         self.begun += 1;
         self.pace.begun(now, &proposal.from, &proposal.to);
         self.open_move(Move {
@@ -182,11 +183,12 @@
             state: MoveState::Booked,
             since: now,
             gain_s: proposal.gain_s,
+            part,
         });
     }
 
     /// Takes over a move whose task an earlier leader had proven gone from its source.
-    pub fn adopt(&mut self, now: Instant, open: &OpenMove, need: Resources) {
+    pub fn adopt(&mut self, now: Instant, open: &OpenMove, part: usize, need: Resources) {
         self.open_move(Move {
             key: (Name::from(open.job.as_str()), open.task),
             attempt: open.attempt,
@@ -196,14 +198,10 @@
             state: MoveState::Vacated,
             since: now,
             gain_s: 0.0,
+            part,
         });
     }
 
-    /// The record of the last leader names moves that are not open any more: it must be written anew.
-    pub fn record_is_stale(&mut self) {
-        self.moves.write_failed();
-    }
-
     fn open_move(&mut self, open: Move) {
         self.load.book(&open.to, open.need);
         self.moves.begin(open);
@@ -238,15 +236,17 @@
         self.settings.booking
     }
 
-    /// The next move that pays, if the budget allows one and the record of open moves has room for it.
-    pub fn propose(&self, view: &impl FleetView, record_bytes: usize) -> Option<Proposal> {
+    /// The next move that pays, if the budget allows one, and the value of the record that has room for
+    /// it; values hold so many bytes.
+    pub fn propose(&self, view: &impl FleetView, value_bytes: usize) -> Option<(Proposal, usize)> {
         if self.pace.available() == 0 {
             return None;
         }
         let planner = Planner { load: &self.load, moves: &self.moves, pace: &self.pace, settings: &self.settings };
         let next = planner.next(view)?;
         let bytes = OpenMove::bytes(&next.task.key.0, &next.from, &next.to);
-        (self.moves.record_bytes() + bytes <= record_bytes).then_some(next)
+        let part = self.moves.part_for(bytes, value_bytes)?;
+        Some((next, part))
     }
 
     /// Whether a team may have one more task placed now.
@@ -259,24 +259,23 @@
         self.shares.forget(job);
     }
 
-    /// The record of the open moves, if it must be written.
-    pub fn record(&mut self) -> Option<OpenMoves> {
-        if !self.moves.take_unwritten() {
-            return None;
-        }
-        let moves = self.moves.open().map(|open| OpenMove {
+    /// One value of the record; from now on it counts as written.
+    pub fn record(&mut self, part: usize) -> OpenMoves {
+        self.moves.set_unwritten(part, false);
+        let moves = self.moves.in_part(part).map(|open| OpenMove {
             job: open.key.0.to_string(),
             task: open.key.1,
             attempt: open.attempt,
             from: open.from.to_string(),
             to: open.to.to_string(),
         });
-        Some(OpenMoves { moves: moves.collect() })
+        OpenMoves { moves: moves.collect() }
     }
 
-    /// A write of the record failed or is in doubt: it is written again.
-    pub fn record_failed(&mut self) {
-        self.moves.write_failed();
+    /// A value of the record must be written: its write failed or is in doubt, or it is an earlier
+    /// leader's.
+    pub fn record_is_stale(&mut self, part: usize) {
+        self.moves.set_unwritten(part, true);
     }
 
     /// What was done since the last summary.
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -28,7 +28,7 @@
 pub use pace::Pace;
 pub use planner::{Candidate, FleetView, Proposal};
 pub use price::{MoveCost, Pricing};
-pub use record::{KEY as RECORD_KEY, OpenMove, OpenMoves};
+pub use record::{OpenMove, OpenMoves, PREFIX as RECORD_PREFIX, key as record_key};
 pub use resources::Resources;
 pub use settings::{Settings, SettingsError};
 pub use shares::{Borrow, Shares};
--- a/crates/balance/src/moves.rs
+++ b/crates/balance/src/moves.rs
@@ -13,7 +13,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use crate::record::OpenMove;
+use crate::record::{MOST_PARTS, OpenMove};
 use crate::resources::Resources;
 use crate::{Name, TaskKey};
 
@@ -98,21 +98,35 @@
     pub since: Instant,
     /// Expected seconds that it gains.
     pub gain_s: f64,
+    /// Which value of the record names it.
+    pub part: usize,
 }
 
 impl Move {
+    /// Bytes that it takes of the record at the most.
+    pub fn record_bytes(&self) -> usize {
+        OpenMove::bytes(&self.key.0, &self.from, &self.to)
+    }
+
     /// Whether room is booked for it: from the start until its new place counts by itself.
     pub fn books_room(&self) -> bool {
         self.state < MoveState::Placed
     }
 }
 
+/// One value of the record.
+#[derive(Debug, Default)]
+struct Part {
+    bytes: usize,
+    /// What it names changed since it was last written.
+    unwritten: bool,
+}
+
 /// The open moves.
 #[derive(Debug, Default)]
 pub struct Moves {
     open: BTreeMap<TaskKey, Move>,
-    /// What is open changed since it was last written.
-    unwritten: bool,
+    parts: Vec<Part>,
 }
 
 impl Moves {
@@ -126,11 +140,6 @@
         self.open.len()
     }
 
-    /// Bytes that the record of the open moves takes at the most.
-    pub fn record_bytes(&self) -> usize {
-        self.open.values().map(|open| OpenMove::bytes(&open.key.0, &open.from, &open.to)).sum()
-    }
-
     /// Whether none is open.
     pub fn is_empty(&self) -> bool {
         self.open.is_empty()
@@ -141,24 +150,41 @@
         self.open.get(key)
     }
 
-    /// Whether the record of the open moves must be written, and that it is now.
-    pub fn take_unwritten(&mut self) -> bool {
-        std::mem::take(&mut self.unwritten)
+    /// Values of the record that must be written.
+    pub fn unwritten(&self) -> Vec<usize> {
+        let parts = self.parts.iter().enumerate();
+        parts.filter(|(_, part)| part.unwritten).map(|(number, _)| number).collect()
+    }
+
+    /// Notes whether a value must be written.
+    pub fn set_unwritten(&mut self, part: usize, unwritten: bool) {
+        self.part_mut(part).unwritten = unwritten;
+    }
+
+    /// Moves that a value names.
+    pub fn in_part(&self, part: usize) -> impl Iterator<Item = &Move> {
+        self.open.values().filter(move |open| open.part == part)
     }
 
-    /// Whether the record of the open moves must be written.
-    pub fn unwritten(&self) -> bool {
-        self.unwritten
+    /// The first value with room for so many bytes, each holding so many; none if all are full.
+    pub fn part_for(&self, bytes: usize, value_bytes: usize) -> Option<usize> {
+        let fits = |part: &usize| self.parts.get(*part).map_or(0, |part| part.bytes) + bytes <= value_bytes;
+        (0..MOST_PARTS).find(fits)
     }
 
-    /// A write of the record failed.
-    pub fn write_failed(&mut self) {
-        self.unwritten = true;
+    fn part_mut(&mut self, part: usize) -> &mut Part {
+        if self.parts.len() <= part {
+            self.parts.resize_with(part + 1, Part::default);
+        }
+        &mut self.parts[part]
     }
 
     /// Begins a move, or takes one over from an earlier leader.
     pub fn begin(&mut self, new: Move) {
-        self.unwritten = true;
+        let bytes = new.record_bytes();
+        let part = self.part_mut(new.part);
+        part.bytes += bytes;
+        part.unwritten = true;
         self.open.insert(new.key.clone(), new);
     }
 
@@ -173,7 +199,10 @@
     /// Ends a move.
     pub fn end(&mut self, key: &TaskKey) -> Option<Move> {
         let ended = self.open.remove(key)?;
-        self.unwritten = true;
+        let bytes = ended.record_bytes();
+        let part = self.part_mut(ended.part);
+        part.bytes -= bytes;
+        part.unwritten = true;
         Some(ended)
     }
 
--- a/crates/balance/src/planner.rs
+++ b/crates/balance/src/planner.rs
@@ -119,10 +119,8 @@
     ) -> Option<f64> {
         let share = self.load.share_of(machine, task.need);
         let used = self.load.use_of(machine)? + share;
-        // With the task moved the source must not be the one that is used less.
-        let even = source.used - source.share >= used - self.settings.use_gap / 2.0;
         let apart = source.used - (used - share) >= self.settings.use_gap;
-        if !even || !apart || !self.pace.may(machine, Direction::Took) || !view.fits(task, machine) {
+        if !apart || !self.pace.may(machine, Direction::Took) || !view.fits(task, machine) {
             return None;
         }
         let fetch_s = view.fetch_s(task, machine);
--- a/crates/balance/src/record.rs
+++ b/crates/balance/src/record.rs
@@ -1,5 +1,5 @@
-//! The durable form of open moves: one value of the state service, written in the same transaction
-//! as the mark of each moved task, so that neither is there without the other.
+//! The durable form of open moves: values of the state service that hold some moves each, written in the
+//! same transaction as the mark of each moved task, so that neither is there without the other.
 //!
 //! Versions that know nothing of it leave the key alone. What it names is then stale, and is told by
 //! the attempt: attempts never repeat, so an entry holds only while its task has the attempt that the
@@ -7,10 +7,17 @@
 
 use serde::{Deserialize, Serialize};
 
-/// The key under which open moves stand in the state service.
-pub const KEY: &str = "balance/moves";
+/// What the keys begin with under which open moves stand in the state service.
+pub const PREFIX: &str = "balance/moves/";
+/// The most values: a thousand open moves and more with values of 8 KiB.
+pub const MOST_PARTS: usize = 16;
 
-/// The value: all moves that are open.
+/// The key of one of the values.
+pub fn key(part: usize) -> String {
+    format!("{PREFIX}{part:02}")
+}
+
+/// A value: some of the moves that are open.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct OpenMoves {
     /// The open moves.
--- a/crates/balance/src/settings.rs
+++ b/crates/balance/src/settings.rs
@@ -28,9 +28,11 @@
     pub fresh: Duration,
     /// Share of the fleet that stays free from teams which already have more than their fair share.
     pub free_share: f64,
+    /// The same for tasks that are expected to run for longer than `borrow`.
+    pub free_share_long: f64,
     /// For how long a job is held back at the most for that.
     pub hold: Duration,
-    /// Tasks expected to run for longer may not borrow beyond their team's fair share at once.
+    /// Tasks expected to run for longer leave more of the fleet free.
     pub borrow: Duration,
     /// Classes of jobs that are never moved.
     pub protected: BTreeSet<String>,
@@ -43,12 +45,13 @@
             service_horizon: Duration::from_secs(60),
             least_gain: Duration::from_secs(5),
             gain_ratio: 1.5,
-            use_gap: 0.2,
+            use_gap: 0.1,
             moves_per_machine: 6.0,
             cooldown: Duration::from_secs(30),
             booking: Duration::from_secs(30),
             fresh: Duration::from_secs(5),
             free_share: 0.05,
+            free_share_long: 0.2,
             hold: Duration::from_secs(20),
             borrow: Duration::from_secs(120),
             protected: BTreeSet::new(),
@@ -91,6 +94,7 @@
             ("use_gap", self.use_gap, 0.01, 1.0),
             ("moves_per_machine", self.moves_per_machine, 0.0, 60.0),
             ("free_share", self.free_share, 0.0, 0.5),
+            ("free_share_long", self.free_share_long, 0.0, 0.9),
         ];
         for (setting, value, low, high) in shares {
             in_range(setting, value, low, high, "")?;
--- a/crates/balance/src/shares.rs
+++ b/crates/balance/src/shares.rs
@@ -2,7 +2,7 @@
 //! it has of any resource, and teams stand to each other as their guarantees do.
 //!
 //! Within its guarantee a team is never asked. Beyond it, a team that has more than its fair share
-//! leaves a part of the fleet free for others that may come, and borrows more only for tasks that are
+//! leaves a part of the fleet free for others that may come, and a larger one with tasks that are not
 //! soon over. A job is held back for a stated time at the most: users are promised that nothing waits
 //! for long while there is room.
 
@@ -104,10 +104,10 @@
         }
         let total = load.total();
         let left = load.free().minus(ask.need);
-        let kept = total.scaled(settings.free_share);
+        let soon_over = ask.run_s <= settings.borrow.as_secs_f64();
+        let kept = total.scaled(if soon_over { settings.free_share } else { settings.free_share_long });
         let wanted = [(ask.need.cpus, left.cpus, kept.cpus), (ask.need.gpus, left.gpus, kept.gpus)];
-        let leaves_room = wanted.iter().all(|(need, left, kept)| *need <= 0.0 || left >= kept);
-        leaves_room && ask.run_s <= settings.borrow.as_secs_f64()
+        wanted.iter().all(|(need, left, kept)| *need <= 0.0 || left >= kept)
     }
 
     /// A job waits no more.
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -77,8 +77,9 @@
     segment: bool,
     placed: bool,
     pages: Vec<(Name, u32)>,
-    /// Whether the record of open moves is written, and the moves that wait for it.
-    moves: Option<Vec<(TaskKey, u64)>>,
+    /// Values of the record of open moves, and the moves that wait for them, with their attempts.
+    moves: Vec<usize>,
+    booked: Vec<(TaskKey, u64)>,
     closed: Vec<Name>,
     drops: Vec<String>,
 }
@@ -233,7 +234,7 @@
         let records = &self.records;
         let since = |gap: Duration| records.sent.is_none_or(|t| now.duration_since(t) >= gap);
         let awaited = !records.placed.is_empty() || !records.closing.is_empty();
-        let moves = self.moves_unwritten() && since(MOVES_GAP);
+        let moves = since(MOVES_GAP) && !self.moves_unwritten().is_empty();
         let any = awaited || moves || records.doubt || !records.changed.is_empty() || !records.drops.is_empty();
         let gap = GAP.max(Duration::from_secs_f64(1.0 / (write_rps * LOG_SHARE).max(0.1)));
         any && since(if awaited { gap } else { LAZY_GAP })
@@ -360,9 +361,7 @@
             }
         }
         self.records.drops.extend(batch.drops);
-        if let (Some(_), Some(balancer)) = (batch.moves, &mut self.balance) {
-            balancer.record_failed();
-        }
+        self.moves_not_written(&batch.moves);
     }
 
     fn refused(&mut self, batch: Batch, failed: &[String]) {
@@ -390,7 +389,7 @@
                 self.call_soon(&machine);
             }
         }
-        self.moves_durable(env, batch.moves.unwrap_or_default());
+        self.moves_durable(env, batch.booked);
         for (name, page) in batch.pages {
             if let Some(job) = self.jobs.get_mut(&name) {
                 job.pages.insert(page, version);
--- a/crates/core/src/records/log.rs
+++ b/crates/core/src/records/log.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use rushyoke_balance::RECORD_KEY;
+use rushyoke_balance::record_key;
 use rushyoke_wire::store::Txn;
 
 use crate::fleet::TaskKey;
@@ -57,7 +57,7 @@
         let waiting = self.records.placed.iter().map(|(_, key)| key).chain(&self.records.changed);
         let looked_at: Vec<TaskKey> = waiting.take(env.facts.value_bytes / LEAST_BYTES).cloned().collect();
         let (due, over): (Vec<_>, Vec<_>) = looked_at.into_iter().partition(|key| open(&key.0).is_some());
-        let moves_unwritten = self.moves_unwritten();
+        let moves_unwritten = !self.moves_unwritten().is_empty();
         let records = &mut self.records;
         // What is over needs no record.
         over.iter().for_each(|key| records.settled(key));
@@ -117,17 +117,24 @@
     /// Writes the open moves, beside the marks of their tasks. Only beside a write of the last segment,
     /// which keeps a late copy of this transaction from being applied.
     pub(super) fn write_moves(&mut self, env: &Env, txn: &mut Txn, batch: &mut Batch) {
-        if !batch.segment || txn.writes.len() >= env.facts.txn_ops {
+        if !batch.segment {
             return;
         }
-        let here: BTreeSet<&TaskKey> = batch.tasks.iter().map(|(key, _)| key).collect();
+        let here: BTreeSet<TaskKey> = batch.tasks.iter().map(|(key, _)| key.clone()).collect();
         let waiting = std::mem::take(&mut self.records.changed);
-        let record = self.moves_record(|key| here.contains(key) || !waiting.contains(key));
+        for part in self.moves_unwritten() {
+            let full = (txn.writes.len() + 1) * env.facts.value_bytes > TXN_BYTES;
+            if txn.writes.len() >= env.facts.txn_ops || full {
+                break;
+            }
+            let record = self.moves_record(part, |key| here.contains(key) || !waiting.contains(key));
+            let Some((record, booked)) = record else { continue };
+            let value = serde_json::to_value(record).expect("records always encode");
+            *txn = std::mem::take(txn).put(record_key(part), value);
+            batch.moves.push(part);
+            batch.booked.extend(booked);
+        }
         self.records.changed = waiting;
-        let Some((record, booked)) = record else { return };
-        let value = serde_json::to_value(record).expect("records always encode");
-        *txn = std::mem::take(txn).put(RECORD_KEY, value);
-        batch.moves = Some(booked);
     }
 
     /// Whether a page of a sealed segment must be written before the segment can go.
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use rushyoke_balance::Balancer;
+use rushyoke_balance::{Balancer, OpenMoves};
 use rushyoke_wire::peer::Progress;
 
 use crate::awaits::Awaited;
@@ -53,7 +53,7 @@
     Jobs { after: String },
     Segments { after: String },
     Pages { after: String },
-    OpenMoves,
+    OpenMoves { after: String },
     Ready,
 }
 
@@ -86,6 +86,8 @@
     /// What was read so far, kept until the load is complete.
     loaded_pages: Vec<(Name, u32, u64, PageRecord)>,
     loaded_segments: Vec<(u64, u64, SegmentRecord)>,
+    /// Values of the record of open moves, by number.
+    pub loaded_moves: Vec<(usize, OpenMoves)>,
     loaded: bool,
     /// The records named machines.
     pub inherited: bool,
@@ -143,6 +145,7 @@
             renewed_blind: Duration::ZERO,
             loaded_pages: Vec::new(),
             loaded_segments: Vec::new(),
+            loaded_moves: Vec::new(),
             loaded: false,
             inherited: false,
             jobs: BTreeMap::new(),
--- a/crates/core/src/recover/load.rs
+++ b/crates/core/src/recover/load.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
-use rushyoke_balance::RECORD_KEY;
+use rushyoke_balance::RECORD_PREFIX;
 use rushyoke_wire::store::{Event, Item, Page};
 
 use crate::fleet::Machine;
@@ -26,7 +26,9 @@
                 (LoadCall::Segments, StoreOp::List { prefix: LOG.into(), after: after.clone() })
             }
             Load::Pages { after } => (LoadCall::Pages, StoreOp::List { prefix: TASK.into(), after: after.clone() }),
-            Load::OpenMoves => (LoadCall::OpenMoves, StoreOp::Get(RECORD_KEY.into())),
+            Load::OpenMoves { after } => {
+                (LoadCall::OpenMoves, StoreOp::List { prefix: RECORD_PREFIX.into(), after: after.clone() })
+            }
             Load::Ready => {
                 self.waiting = false;
                 return;
@@ -54,15 +56,12 @@
         match (call, outcome) {
             (LoadCall::Watch { sent }, outcome) => self.watched(env, sent, outcome),
             (LoadCall::Awaited(job), outcome) => self.awaited_read(env, job, outcome),
-            (LoadCall::OpenMoves, Outcome::Answered(StoreAnswer::Item(item))) => {
-                self.waiting = false;
-                self.complete_load(env, item);
-            }
             (call, Outcome::Answered(StoreAnswer::Page(page))) => {
                 self.waiting = false;
                 match call {
                     LoadCall::Jobs => self.jobs_read(env, page),
                     LoadCall::Segments => self.segments_read(env, page),
+                    LoadCall::OpenMoves => self.moves_read(env, page),
                     _ => self.pages_read(env, page),
                 }
             }
@@ -117,10 +116,22 @@
                 self.read_on(env);
             }
             None if self.balance.is_some() => {
-                self.load = Load::OpenMoves;
+                self.load = Load::OpenMoves { after: String::new() };
                 self.read_on(env);
             }
-            None => self.complete_load(env, None),
+            None => self.complete_load(env),
+        }
+    }
+
+    fn moves_read(&mut self, env: &mut Env, page: Page) {
+        let next = next_page(&page);
+        page.rows.into_iter().for_each(|item| self.open_moves_read(item));
+        match next {
+            Some(after) => {
+                self.load = Load::OpenMoves { after };
+                self.read_on(env);
+            }
+            None => self.complete_load(env),
         }
     }
 
@@ -167,13 +178,23 @@
         }
     }
 
+    fn open_moves_read(&mut self, item: Item) {
+        let Some(part) = item.key.strip_prefix(RECORD_PREFIX).and_then(|part| part.parse().ok()) else {
+            return;
+        };
+        match serde_json::from_value(item.value) {
+            Ok(record) => self.loaded_moves.push((part, record)),
+            Err(error) => tracing::error!(key = item.key, %error, "a record cannot be read"),
+        }
+    }
+
     /// All is read: the tables are put together, and the leader begins to act.
-    fn complete_load(&mut self, env: &mut Env, open_moves: Option<Item>) {
+    fn complete_load(&mut self, env: &mut Env) {
         self.load = Load::Ready;
         self.loaded = true;
         let addresses = self.adopt_records(env.steady());
         self.hold_places(env.steady(), &addresses);
-        self.adopt_moves(env, open_moves);
+        self.adopt_moves(env);
         for name in self.jobs.keys().cloned().collect::<Vec<_>>() {
             self.link(env, &name);
         }
--- a/crates/core/src/spread.rs
+++ b/crates/core/src/spread.rs
@@ -7,10 +7,9 @@
 use std::time::{Duration, Instant};
 
 use rushyoke_balance::{
-    Balancer, Borrow, Candidate, FleetView, GiveUp, MachineInfo, Move, MoveEnd, MoveState, OpenMoves,
+    Balancer, Borrow, Candidate, FleetView, GiveUp, MachineInfo, Move, MoveEnd, MoveState, OpenMove, OpenMoves,
 };
 use rushyoke_wire::job::{Kind, Priority};
-use rushyoke_wire::store::Item;
 use rushyoke_wire::worker::TaskState;
 
 use crate::facts::{Facts, Policy};
@@ -231,7 +230,7 @@
         if !self.survey_suspects() && !balancer.moves().waits_longer(now, MoveState::Booked, BOOKED_SOON) {
             self.begin_moves(env, &mut balancer);
         }
-        if self.summarized.is_none_or(|at| now.duration_since(at) >= SUMMARY_PERIOD) {
+        if now.duration_since(self.summarized.unwrap_or(self.since)) >= SUMMARY_PERIOD {
             self.summarized = Some(now);
             tracing::info!("balance: {}", balancer.summary());
         }
@@ -268,8 +267,8 @@
         let record_bytes = env.facts.value_bytes.saturating_sub(RECORD_SPARE);
         loop {
             let view = View { term: self, env, balancer, reserve_left };
-            let Some(proposal) = balancer.propose(&view, record_bytes) else { return };
-            balancer.begin(now, &proposal);
+            let Some((proposal, part)) = balancer.propose(&view, record_bytes) else { return };
+            balancer.begin(now, &proposal, part);
             let key = &proposal.task.key;
             let (from, to) = (&self.machines[&proposal.from], &self.machines[&proposal.to]);
             if from.spot && !to.spot {
@@ -290,26 +289,33 @@
         }
     }
 
-    /// The record of the open moves, if it must be written: `durable_with` tells whether a task's mark
-    /// is durable, or written with it. Returns the moves that wait for that, with their attempts.
+    /// A value of the record of open moves, if it may be written: `durable_with` tells whether a task's
+    /// mark is durable, or written with it. With it come the moves that wait for that.
     pub fn moves_record(
         &mut self,
+        part: usize,
         durable_with: impl Fn(&TaskKey) -> bool,
     ) -> Option<(OpenMoves, Vec<(TaskKey, u64)>)> {
         let balancer = self.balance.as_mut()?;
-        let unmarked = balancer.moves().open().any(|open| !durable_with(&open.key));
-        if unmarked {
+        if balancer.moves().in_part(part).any(|open| !durable_with(&open.key)) {
             return None;
         }
-        let record = balancer.record()?;
-        let booked = balancer.moves().open().filter(|open| open.state == MoveState::Booked);
+        let record = balancer.record(part);
+        let booked = balancer.moves().in_part(part).filter(|open| open.state == MoveState::Booked);
         let booked = booked.map(|open| (open.key.clone(), open.attempt)).collect();
         Some((record, booked))
     }
 
-    /// Whether the record of the open moves must be written.
-    pub fn moves_unwritten(&self) -> bool {
-        self.balance.as_ref().is_some_and(|balancer| balancer.moves().unwritten())
+    /// Values of the record of open moves that must be written.
+    pub fn moves_unwritten(&self) -> Vec<usize> {
+        self.balance.as_ref().map(|balancer| balancer.moves().unwritten()).unwrap_or_default()
+    }
+
+    /// A write of values of the record failed, or is in doubt.
+    pub fn moves_not_written(&mut self, parts: &[usize]) {
+        if let Some(balancer) = &mut self.balance {
+            parts.iter().for_each(|part| balancer.record_is_stale(*part));
+        }
     }
 
     /// Bookings are durable: their tasks are stopped, unless something has changed meanwhile.
@@ -401,33 +407,37 @@
     }
 
     /// Takes over the open moves of an earlier leader: what is vacated is finished, all else dropped.
-    pub fn adopt_moves(&mut self, env: &Env, item: Option<Item>) {
-        let now = env.steady();
-        let (Some(balancer), Some(item)) = (&mut self.balance, item) else { return };
-        let record: OpenMoves = match serde_json::from_value(item.value) {
-            Ok(record) => record,
-            Err(error) => {
-                tracing::error!(key = item.key, %error, "a record cannot be read");
-                return;
+    pub fn adopt_moves(&mut self, env: &Env) {
+        let (mut finished, mut dropped) = (0, 0);
+        for (part, record) in std::mem::take(&mut self.loaded_moves) {
+            for open in &record.moves {
+                match self.adopt_move(env, part, open) {
+                    true => finished += 1,
+                    false => dropped += 1,
+                }
             }
-        };
-        if record.moves.is_empty() {
-            return;
-        }
-        balancer.record_is_stale();
-        let mut finished = 0;
-        for open in &record.moves {
-            let Some(job) = self.jobs.get_mut(open.job.as_str()) else { continue };
-            // Moved, restarted or ended since, by a leader that knows nothing of moves perhaps.
-            if job.cancelled || !job.restarted.contains(&open.task) || !job.waits(open.task) {
-                continue;
+            if !record.moves.is_empty() {
+                self.moves_not_written(&[part]);
             }
-            job.put_back(open.task, now + KNOWN_SOON);
-            balancer.adopt(now, open, Room::of(&job.spec));
-            finished += 1;
         }
-        let dropped = record.moves.len() - finished;
-        tracing::info!(finished, dropped, "open moves of an earlier leader taken over");
+        if finished + dropped > 0 {
+            tracing::info!(finished, dropped, "open moves of an earlier leader taken over");
+        }
         self.vacated_due = true;
     }
+
+    fn adopt_move(&mut self, env: &Env, part: usize, open: &OpenMove) -> bool {
+        let now = env.steady();
+        let Some(job) = self.jobs.get_mut(open.job.as_str()) else { return false };
+        // Moved, restarted or ended since, by a leader that knows nothing of moves perhaps.
+        if job.cancelled || !job.restarted.contains(&open.task) || !job.waits(open.task) {
+            return false;
+        }
+        job.put_back(open.task, now + KNOWN_SOON);
+        let need = Room::of(&job.spec);
+        if let Some(balancer) = &mut self.balance {
+            balancer.adopt(now, open, part, need);
+        }
+        true
+    }
 }
--- a/crates/rushyoke/src/settings/balance.rs
+++ b/crates/rushyoke/src/settings/balance.rs
@@ -24,6 +24,7 @@
     booking_s: Option<f64>,
     fresh_s: Option<f64>,
     free_share: Option<f64>,
+    free_share_long: Option<f64>,
     hold_s: Option<f64>,
     borrow_s: Option<f64>,
     protected: Vec<String>,
@@ -39,6 +40,7 @@
             (self.use_gap, &mut settings.use_gap),
             (self.moves_per_machine, &mut settings.moves_per_machine),
             (self.free_share, &mut settings.free_share),
+            (self.free_share_long, &mut settings.free_share_long),
         ];
         for (value, target) in shares {
             *target = value.unwrap_or(*target);
