A new leader finishes moves whose tasks were stopped, and drops those that run on

Cause: nearly every open move was dropped by a new leader, since its record still shows the old place. Change: such a move is taken over with its room, and the worker's first report decides. Stories save for two seconds, so that leaders end in every state.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -136,13 +136,17 @@
     /// A task was seen running.
     pub fn running(&mut self, key: &TaskKey) -> Option<(Move, MoveEnd)> {
         self.load.running(key);
-        let arrived = self.moves.get(key).is_some_and(|open| open.state == MoveState::Placed);
-        if arrived { self.end(key, MoveEnd::Confirmed) } else { None }
+        match self.moves.get(key)?.state {
+            MoveState::Placed => self.end(key, MoveEnd::Confirmed),
+            // Its stop was never sent or may still come; it is not sent again.
+            MoveState::Inherited => self.end(key, MoveEnd::GivenUp(GiveUp::LeaderChanged)),
+            _ => None,
+        }
     }
 
     /// A task was seen saving.
     pub fn saving(&mut self, now: Instant, key: &TaskKey) {
-        self.moves.advance(now, key, &[MoveState::Stopping], MoveState::Saving);
+        self.moves.advance(now, key, &[MoveState::Inherited, MoveState::Stopping], MoveState::Saving);
     }
 
     /// A task is proven gone from its place, with its end or without. Tells whether its move goes on:
@@ -152,9 +156,8 @@
         let state = self.moves.get(key)?.state;
         let reason = match state {
             _ if ended => GiveUp::TaskEnded,
-            MoveState::Stopping | MoveState::Saving => {
-                let states = [MoveState::Stopping, MoveState::Saving];
-                self.moves.advance(now, key, &states, MoveState::Vacated);
+            MoveState::Inherited | MoveState::Stopping | MoveState::Saving => {
+                self.moves.advance(now, key, &[state], MoveState::Vacated);
                 return None;
             }
             MoveState::Vacated => return None,
@@ -187,15 +190,16 @@
         });
     }
 
-    /// Takes over a move whose task an earlier leader had proven gone from its source.
-    pub fn adopt(&mut self, now: Instant, open: &OpenMove, part: usize, need: Resources) {
+    /// Takes over a move of an earlier leader. `vacated` if its task is proven gone from the source; else
+    /// it stands there by the records.
+    pub fn adopt(&mut self, now: Instant, open: &OpenMove, part: usize, need: Resources, vacated: bool) {
         self.open_move(Move {
             key: (Name::from(open.job.as_str()), open.task),
             attempt: open.attempt,
             from: Name::from(open.from.as_str()),
             to: Name::from(open.to.as_str()),
             need,
-            state: MoveState::Vacated,
+            state: if vacated { MoveState::Vacated } else { MoveState::Inherited },
             since: now,
             gain_s: 0.0,
             part,
--- a/crates/balance/src/moves.rs
+++ b/crates/balance/src/moves.rs
@@ -3,6 +3,7 @@
 //! ```text
 //! Booked ──durable──▶ Stopping ──saves──▶ Saving ──┐
 //!    │                    └───────────────────────▶├─proven empty─▶ Vacated ──planned──▶ Placed ──runs──▶ Confirmed
+//!    │  Inherited (by a new leader) ──saves, or is gone──▶ as above
 //!    └── any failure: given up with its reason; after the stop the task is placed like any other
 //! ```
 //!
@@ -22,6 +23,8 @@
 pub enum MoveState {
     /// Room is booked; that is not yet durable.
     Booked,
+    /// Taken over from an earlier leader: whether the task was stopped its worker will tell.
+    Inherited,
     /// The task was ordered to stop.
     Stopping,
     /// It was seen saving its progress.
@@ -51,7 +54,7 @@
     PlacedElsewhere,
     /// A step took too long.
     TimedOut,
-    /// It was still where it was when a new leader came.
+    /// An earlier leader began it, and the task runs on where it was.
     LeaderChanged,
 }
 
--- a/crates/balance/tests/moves.rs
+++ b/crates/balance/tests/moves.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use rushyoke_balance::{
-    Balancer, Candidate, FleetView, GiveUp, MachineInfo, MoveEnd, MoveState, Name, OpenMoves, Proposal, Resources,
-    Settings, TaskKey,
+    Balancer, Candidate, FleetView, GiveUp, MachineInfo, MoveEnd, MoveState, Name, OpenMove, OpenMoves, Proposal,
+    Resources, Settings, TaskKey,
 };
 
 const TASK: Resources = Resources { cpus: 1.0, gpus: 0.0, memory_gb: 2.0 };
@@ -239,8 +239,36 @@
     balancer.record_is_stale(parts[1]);
     assert_eq!(balancer.moves().unwritten(), [parts[1]], "a write that failed is made again");
     let mut next = Balancer::new(Settings::default(), [(name("red"), MACHINE)]);
-    next.adopt(now, &named[0], 0, TASK);
+    next.adopt(now, &named[0], 0, TASK, true);
     let key = (name(&named[0].job), named[0].task);
     let open = next.moves().get(&key).expect("taken over");
     assert_eq!((open.state, &*open.to, open.need), (MoveState::Vacated, named[0].to.as_str(), TASK));
 }
+
+#[test]
+fn a_new_leader_finishes_what_was_stopped_and_drops_what_runs_on() {
+    let now = Instant::now();
+    let key = (name("wk-000001"), 3);
+    let open = OpenMove { job: "wk-000001".into(), task: 3, attempt: 7, from: "m0".into(), to: "m1".into() };
+    let inherited = || {
+        let (mut balancer, _) = skewed(100.0, Settings::default(), now);
+        balancer.adopt(now, &open, 0, TASK, false);
+        assert_eq!(balancer.load().booked("m1"), TASK, "its room is not booked");
+        balancer
+    };
+    // Its worker lists it as running: the stop was never sent, or is late. It is not sent again.
+    let mut balancer = inherited();
+    let end = balancer.running(&key).map(|(_, end)| end);
+    assert_eq!(end, Some(MoveEnd::GivenUp(GiveUp::LeaderChanged)));
+    assert!(balancer.load().booked("m1").is_nothing());
+    // It saves, or is gone: the move goes on.
+    for saves in [false, true] {
+        let mut balancer = inherited();
+        if saves {
+            balancer.saving(now, &key);
+        }
+        assert_eq!(balancer.left(now, &key, false), None);
+        balancer.placed(now, &key, &name("m1"), &name("red"), TASK);
+        assert_eq!(balancer.running(&key).map(|(_, end)| end), Some(MoveEnd::Confirmed));
+    }
+}
--- a/crates/core/src/spread.rs
+++ b/crates/core/src/spread.rs
@@ -406,13 +406,14 @@
             && self.booked_room(target, open.need)
     }
 
-    /// Takes over the open moves of an earlier leader: what is vacated is finished, all else dropped.
+    /// Takes over the open moves of an earlier leader. One is finished if its task has left the source, or
+    /// saves there; one whose task runs on is dropped once its worker tells, and any other at once.
     pub fn adopt_moves(&mut self, env: &Env) {
-        let (mut finished, mut dropped) = (0, 0);
+        let (mut taken, mut dropped) = (0, 0);
         for (part, record) in std::mem::take(&mut self.loaded_moves) {
             for open in &record.moves {
                 match self.adopt_move(env, part, open) {
-                    true => finished += 1,
+                    true => taken += 1,
                     false => dropped += 1,
                 }
             }
@@ -420,8 +421,8 @@
                 self.moves_not_written(&[part]);
             }
         }
-        if finished + dropped > 0 {
-            tracing::info!(finished, dropped, "open moves of an earlier leader taken over");
+        if taken + dropped > 0 {
+            tracing::info!(taken, dropped, "open moves of an earlier leader");
         }
         self.vacated_due = true;
     }
@@ -429,14 +430,18 @@
     fn adopt_move(&mut self, env: &Env, part: usize, open: &OpenMove) -> bool {
         let now = env.steady();
         let Some(job) = self.jobs.get_mut(open.job.as_str()) else { return false };
-        // Moved, restarted or ended since, by a leader that knows nothing of moves perhaps.
-        if job.cancelled || !job.restarted.contains(&open.task) || !job.waits(open.task) {
+        let vacated = job.waits(open.task);
+        let at_source = job.places.get(&open.task).is_some_and(|place| place.attempt == open.attempt);
+        // Else it was moved, restarted or ended since, by a leader that knows nothing of moves perhaps.
+        if job.cancelled || !job.restarted.contains(&open.task) || !(vacated || at_source) {
             return false;
         }
-        job.put_back(open.task, now + KNOWN_SOON);
+        if vacated {
+            job.put_back(open.task, now + KNOWN_SOON);
+        }
         let need = Room::of(&job.spec);
         if let Some(balancer) = &mut self.balance {
-            balancer.adopt(now, open, part, need);
+            balancer.adopt(now, open, part, need, vacated);
         }
         true
     }
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -29,7 +29,7 @@
 
 /// A job whose tasks save their progress.
 fn saving(id: u32, tasks: u32) -> JobSpec {
-    JobSpec { checkpoint_s: 10.0, save_s: 0.5, spot: false, estimate_s: 300.0, ..job(id, tasks) }
+    JobSpec { checkpoint_s: 10.0, save_s: 2.0, spot: false, estimate_s: 300.0, ..job(id, tasks) }
 }
 
 /// Where each task ran, one machine after the other.
@@ -129,14 +129,22 @@
     world.store.rows.keys().any(|key| key.starts_with(MOVES))
 }
 
-/// Troubles are over: all runs, each task once, and no task was moved twice.
+/// Whether each task of a job runs or has ended.
+fn is_whole(world: &World, id: u32) -> bool {
+    let job = job_id(id);
+    world.where_runs(&job).len() as u32 + world.rules.finished(&job) == world.specs[&job].tasks
+}
+
+/// Troubles are over: all runs that is wanted, but for what is on its way just then.
 fn ends_well(world: &mut World, paths: &mut Paths) {
     world.calm();
     paths.run(world, &[1, 2, 3], secs(60));
     for id in [1, 2, 3] {
-        let open = world.state(0, &job_id(id)) == Some(JobStatus::Running);
-        let running = world.where_runs(&job_id(id)).len() as u32;
-        assert!(!open || running + world.rules.finished(&job_id(id)) == world.specs[&job_id(id)].tasks, "{id}");
+        let until = world.now + secs(10);
+        while world.state(0, &job_id(id)) == Some(JobStatus::Running) && !is_whole(world, id) {
+            assert!(world.now < until, "{id}: {} tasks run", world.where_runs(&job_id(id)).len());
+            world.run(millis(200));
+        }
     }
     world.check_served();
 }
@@ -172,13 +180,17 @@
 fn the_leader_ends_in_each_state_of_a_move_and_versions_take_turns() {
     // The next leader has load spreading switched off, as the version in production, which does not
     // know of it; the one after has it on again.
-    for (moment, old_between) in [(0, false), (60, true), (150, false), (400, true), (700, false), (1200, true)] {
+    let (mut left, mut finished) = (0, 0);
+    for (moment, old_between) in
+        [(0, false), (60, true), (300, false), (900, true), (1500, false), (2400, true), (3500, false)]
+    {
         let mut world = skewed(4, 8, spreading());
         let mut paths = Paths::default();
         paths.run(&mut world, &[1, 2, 3], millis(200));
         until_moves_open(&mut world, 3);
         paths.run(&mut world, &[1, 2, 3], millis(moment));
         let leader = world.leader().expect("a leader");
+        let open = open_moves(&world);
         if old_between {
             for node in 0..3 {
                 world.policy_of.insert(node, Policy { balance: None, ..spreading() });
@@ -198,22 +210,33 @@
             let stale = open_moves(&world);
             paths.run(&mut world, &[1, 2, 3], secs(10));
             assert_eq!(open_moves(&world), stale, "the old version writes what it does not know");
+            // All that start from now on know of moves again; the old version's leader ends last.
             world.policy_of.clear();
             world.start_node(leader);
+            let third = 3 - next - leader;
+            world.crash(third);
+            world.start_node(third);
             paths.run(&mut world, &[1, 2, 3], secs(1));
             world.crash(next);
-            world.crash((leader + 3 - (next + leader) % 3) % 3);
             paths.run(&mut world, &[1, 2, 3], secs(8));
             assert!(world.leader().is_some(), "no leader");
-            (0..3).filter(|node| *node != leader).for_each(|node| world.start_node(node));
+            world.start_node(next);
         } else {
             world.start_node(leader);
+            let runs: BTreeSet<(String, String)> =
+                [2, 3].iter().flat_map(|id| world.where_runs(&job_id(*id))).collect();
+            for (job, task, from, to) in open {
+                let is_on = |machine: String| runs.contains(&(format!("{job}/{task}"), machine));
+                left += usize::from(!is_on(from));
+                finished += usize::from(is_on(to));
+            }
         }
         paths.run(&mut world, &[1, 2, 3], secs(60));
         assert!(paths.moves().1 <= 1, "at {moment} ms: a task was moved twice");
         assert!(jain(&world, &[1, 2, 3]) > 0.85, "at {moment} ms: {:?}", loads(&world, &[1, 2, 3]));
         ends_well(&mut world, &mut paths);
     }
+    assert!(left > 3 && finished == left, "{left} tasks were stopped, {finished} of them moved");
 }
 
 /// A skewed world in which moves are under way, with tasks that take a while to save; the machines
