--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -1,6 +1,7 @@
-//! Where waiting tasks go: the order of jobs and the choice of a machine.
+//! Where waiting tasks go: the choice of a machine. The order of jobs is in `pass`.
+
+mod pass;
 
-use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
@@ -13,60 +14,12 @@
 use crate::quota::Room;
 use crate::recover::Term;
 
-/// Tasks placed in one pass, or one for each machine if these are more; the rest comes with
-/// the next.
-const PASS_TASKS: u32 = 256;
-/// Jobs looked at in one pass that find no machine.
-const PASS_MISSES: u32 = 64;
-/// Jobs in one pass for which others are stopped: that weighs many machines' tasks.
-const PASS_STOPS: u32 = 4;
-
-/// A job that starves gets its tasks in so many slices.
-const SLICES: u32 = 4;
-/// Machines on which room that comes free is kept for it at a time.
-const STARVED_MACHINES: usize = 16;
-
 /// What a machine that is empty counts for beside one that is full, in seconds: work is packed.
 const PACKING_S: f64 = 2.0;
 /// Share of a machine by which use must differ for its cost to differ, when work is spread.
 const ONE_MORE: f64 = 0.05;
 /// Machines weighed for a service's replica, in samples of a placement.
 const SERVICE_SAMPLES: usize = 8;
-/// What a job within its guarantee may wait if the users do not say.
-const DEFAULT_PATIENCE: Duration = Duration::from_secs(5);
-
-/// The class of jobs beyond their team's guarantee.
-const BEYOND_GUARANTEE: u8 = 2;
-
-/// A job's place in the queue; the smaller goes first.
-struct Turn {
-    job: Name,
-    /// Services of the highest priority never wait behind others; then come jobs that
-    /// starve, the longest first.
-    class: u8,
-    starved: bool,
-    priority: Priority,
-    /// Beyond its guarantee, and its team has more than its fair share of the fleet.
-    over_share: bool,
-    /// Whether no aim of its class can be met any more.
-    hopeless: bool,
-    /// CPU seconds that have no place yet. What runs ends without more room, so a job that
-    /// lacks a task or two goes before one that has just come.
-    work: f64,
-}
-
-impl Turn {
-    fn order(&self, other: &Turn) -> Ordering {
-        self.class
-            .cmp(&other.class)
-            .then(other.starved.cmp(&self.starved))
-            .then(other.priority.cmp(&self.priority))
-            .then(self.over_share.cmp(&other.over_share))
-            .then(self.hopeless.cmp(&other.hopeless))
-            .then(self.work.total_cmp(&other.work))
-            .then_with(|| self.job.cmp(&other.job))
-    }
-}
 
 /// How the tasks of a job are laid out over machines.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -94,154 +47,7 @@
         && spec.zone.as_ref().is_none_or(|zone| *zone == machine.zone)
 }
 
-/// Whether the job is too late for every aim that the users set for its class. Among
-/// the others the one with the least left to do goes first: when more is asked than can
-/// be done, so the most jobs are in time. A deadline counts from the submission, aims from when the
-/// last job that it awaits was done.
-fn hopeless(env: &Env, job: &Job) -> bool {
-    if job.spec.kind == Kind::Service {
-        return false;
-    }
-    let since = |ms: u64| env.now.wall_ms as f64 / 1000.0 - ms as f64 / 1000.0;
-    let end = since(job.from_ms) + job.mean_run_s;
-    let aims = env.facts.objectives.iter().filter(|o| o.kind == "finished");
-    let aims = aims.filter(|o| o.class.as_ref() == Some(&job.spec.class)).filter_map(|o| o.within);
-    let left = aims.map(|within| within.as_secs_f64() - end);
-    let left = left.chain(job.due_ms.map(|due| -since(due) - job.mean_run_s)).reduce(f64::max);
-    left.is_some_and(|left| left < 0.0)
-}
-
-/// Whether a job starves: none of its tasks was placed for so long, while others are. With
-/// more work than room the order of the queue alone would leave large jobs, and those too
-/// late for every aim, waiting for ever. `age` is the time since its submission.
-fn starves(env: &Env, job: &Job, age: Duration) -> bool {
-    let waited = match job.served {
-        Some(at) => env.steady().duration_since(at),
-        None => age,
-    };
-    // The later slices come sooner, so that the last of its tasks starts in time too.
-    waited >= if job.rescued { env.policy.starved / 2 } else { env.policy.starved }
-}
-
 impl Term {
-    /// Gives each job that starves a slice of its tasks, to be placed before all but services.
-    fn mark_starving(&mut self, env: &Env) {
-        for job in self.jobs.values_mut().filter(|job| job.slice == 0 && job.waiting() > 0) {
-            let age = Duration::from_millis(env.now.wall_ms.saturating_sub(job.from_ms));
-            if starves(env, job, age) {
-                tracing::debug!(job = &*job.id, waiting = job.waiting(), "starves; served out of turn");
-                job.slice = job.spec.tasks.div_ceil(SLICES).min(job.waiting());
-                job.rescued = true;
-            }
-        }
-    }
-
-    /// The jobs within their team's guarantee.
-    pub fn within_guarantee(&self) -> BTreeSet<Name> {
-        let mut jobs: Vec<&Job> = self.jobs.values().filter(|job| !job.cancelled && !job.is_blocked()).collect();
-        jobs.sort_by(|a, b| a.from_ms.cmp(&b.from_ms).then_with(|| a.id.cmp(&b.id)));
-        self.quotas.within(jobs.into_iter()).into_iter().collect()
-    }
-
-    /// Starts what can start. Places are planned here and ordered once they are durable.
-    pub fn place_pass(&mut self, env: &mut Env) {
-        let now = env.steady();
-        if self.jobs.values().all(|job| job.peek(now).is_none()) {
-            return;
-        }
-        self.mark_starving(env);
-        let within = self.within_guarantee();
-        let mut turns: Vec<Turn> = Vec::new();
-        for job in self.jobs.values().filter(|job| job.peek(now).is_some()) {
-            let inside = within.contains(&job.id);
-            let class = match (job.spec.kind, job.spec.priority) {
-                (Kind::Service, Priority::Production) => 0,
-                _ if inside => 1,
-                _ => BEYOND_GUARANTEE,
-            };
-            turns.push(Turn {
-                job: job.id.clone(),
-                class: if job.slice > 0 { class.min(1) } else { class },
-                starved: job.slice > 0,
-                priority: job.priority,
-                over_share: class == BEYOND_GUARANTEE && self.over_fair_share(&job.spec.team),
-                hopeless: hopeless(env, job),
-                work: f64::from(job.waiting()) * job.spec.cpus * job.mean_run_s,
-            });
-        }
-        turns.sort_by(Turn::order);
-        let mut left = PASS_TASKS.max(self.machines.len() as u32);
-        let mut misses = 0;
-        let mut stops = PASS_STOPS;
-        // The most room on any machine, for work that may use spot machines and for all:
-        // it only shrinks within a pass, and most jobs that wait in a full fleet need more.
-        let mut most = [Room::default(); 2];
-        for machine in self.machines.values().filter(|m| m.usable(now)) {
-            let free = machine.total.minus(machine.used);
-            let kinds = if machine.spot { &mut most[..1] } else { &mut most[..] };
-            kinds.iter_mut().for_each(|room| room.widen(free));
-        }
-        // Teams at their limit, and the priority of the job that waits for it: what comes
-        // free goes to that job and not to a lesser one of the same pass.
-        let mut held: BTreeMap<String, Priority> = BTreeMap::new();
-        for turn in turns {
-            let team = &self.jobs[&turn.job].spec.team;
-            if held.get(team).is_some_and(|waiting| *waiting > turn.priority) {
-                continue;
-            }
-            if left == 0 || misses > PASS_MISSES {
-                self.place_due = true;
-                break;
-            }
-            let spec = &self.jobs[&turn.job].spec;
-            let need = Room::of(spec);
-            let limited = self.quotas.usage(&spec.team).is_none_or(|usage| usage.headroom(need) == 0);
-            if !limited && most[usize::from(!spec.spot)].holds(need) {
-                let share = if turn.starved { left.min(self.jobs[&turn.job].slice) } else { left };
-                let borrows = turn.class == BEYOND_GUARANTEE && !turn.starved;
-                left -= self.place_job(env, &turn.job, share, borrows);
-            }
-            let job = &self.jobs[&turn.job];
-            if turn.starved {
-                if job.slice > 0 {
-                    // What comes free is kept for it, or smaller tasks would take it all.
-                    if limited {
-                        held.insert(job.spec.team.clone(), Priority::Production);
-                    } else {
-                        self.hold_room(env, &turn.job, (job.slice as usize).min(STARVED_MACHINES));
-                    }
-                }
-                continue;
-            }
-            if job.peek(now).is_some() {
-                misses += 1;
-                let usage = self.quotas.usage(&job.spec.team);
-                if usage.is_some_and(|usage| usage.headroom(need) == 0) {
-                    if !held.contains_key(&job.spec.team) {
-                        held.insert(job.spec.team.clone(), turn.priority);
-                        self.make_quota(env, &turn.job, &within);
-                    }
-                } else if turn.class == 0 || (turn.class == 1 && self.patience_over(env, job)) {
-                    if stops > 0 {
-                        stops -= 1;
-                        self.make_room(env, &turn.job, &within);
-                    }
-                } else if turn.class == 1 {
-                    self.hold_room(env, &turn.job, usize::MAX);
-                }
-            }
-        }
-    }
-
-    /// Work that ends by itself frees room all the time, and a task that is stopped has
-    /// run in vain: others are stopped only for a job that has waited for a good part of
-    /// what the users allow.
-    fn patience_over(&self, env: &Env, job: &Job) -> bool {
-        let allowed = env.facts.objectives.iter().find(|o| o.kind == "guarantee").and_then(|o| o.within);
-        let patience = allowed.unwrap_or(DEFAULT_PATIENCE).mul_f64(env.policy.patience_share);
-        u128::from(env.now.wall_ms.saturating_sub(job.from_ms)) >= patience.as_millis()
-    }
-
     /// Places up to `most` tasks of a job; returns how many. `borrows` if it is beyond its team's guarantee.
     fn place_job(&mut self, env: &mut Env, name: &Name, most: u32, borrows: bool) -> u32 {
         let mut placed = 0;
@@ -313,8 +119,7 @@
         let Some(task) = job.peek(now) else { return false };
         let target = &self.machines[machine];
         let reserved = !target.spot && *reserve < need.cpus;
-        let limited = self.quotas.usage(&job.spec.team).is_none_or(|usage| usage.headroom(need) == 0);
-        if reserved || limited || !self.room_for(target, name).holds(need) {
+        if reserved || self.is_limited(&job.spec.team, need) || !self.room_for(target, name).holds(need) {
             return false;
         }
         let ordinary = !target.spot;
--- a/crates/core/src/spread.rs
+++ b/crates/core/src/spread.rs
@@ -399,8 +399,7 @@
 
     fn takes_moved(&self, target: &Machine, open: &Move) -> bool {
         let job = &self.jobs[&open.key.0];
-        let limited = self.quotas.usage(&job.spec.team).is_none_or(|usage| usage.headroom(open.need) == 0);
-        !limited
+        !self.is_limited(&job.spec.team, open.need)
             && allowed(&job.spec, target)
             && self.zones_for(job).is_none_or(|zones| zones.contains(&target.zone))
             && self.booked_room(target, open.need)
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -48,6 +48,20 @@
     world
 }
 
+/// A large deployment of three teams that each have so many CPUs guaranteed and at the most.
+fn large(cpus: f64, cpus_max: f64) -> Facts {
+    let team = |name: &str| (name.to_owned(), Team { cpus, cpus_max, gpus: 0.0, gpus_max: 0.0 });
+    Facts {
+        teams: BTreeMap::from(["red", "blue", "green"].map(team)),
+        cloud_rps: 10.0,
+        report: secs(5),
+        lease: secs(26),
+        cancel: secs(56),
+        orders_at_once: 300,
+        ..facts(0, 3)
+    }
+}
+
 /// Machines of the last records that run replicas, and how many replicas run.
 fn at_work_on(world: &World, services: u32) -> (BTreeSet<String>, usize) {
     let places: Vec<_> = (0..services).flat_map(|id| world.where_runs(&format!("wk-{id:06}"))).collect();
@@ -114,17 +128,7 @@
 
 #[test]
 fn a_takeover_of_a_large_fleet_with_a_third_of_it_silent_serves_services_first() {
-    let team = |cpus_max| Team { cpus: 6_000.0, cpus_max, gpus: 0.0, gpus_max: 0.0 };
-    let teams = ["red", "blue", "green"].map(|name| (name.to_owned(), team(14_000.0)));
-    let facts = Facts {
-        teams: BTreeMap::from(teams),
-        cloud_rps: 10.0,
-        report: secs(5),
-        lease: secs(26),
-        cancel: secs(56),
-        orders_at_once: 300,
-        ..facts(0, 3)
-    };
+    let facts = large(6_000.0, 14_000.0);
     let mut world = World::deployed(facts, 1900, Policy::default(), &ZONES);
     world.workers.values_mut().for_each(|w| w.run_s = 300.0);
     world.task_s = 300.0;
@@ -197,18 +201,7 @@
 fn four_thousand_machines_boot_lose_their_leader_and_a_zone() {
     // Some of the bounds are for each machine: this is about the size that is run.
     const MACHINES: usize = 4000;
-    let team = |cpus_max| Team { cpus: 12_000.0, cpus_max, gpus: 0.0, gpus_max: 0.0 };
-    let teams = ["red", "blue", "green"].map(|name| (name.to_owned(), team(40_000.0)));
-    let facts = Facts {
-        teams: BTreeMap::from(teams),
-        cloud_rps: 10.0,
-        report: secs(5),
-        lease: secs(26),
-        cancel: secs(56),
-        orders_at_once: 300,
-        job_bytes: 64 << 20,
-        ..facts(0, 3)
-    };
+    let facts = Facts { job_bytes: 64 << 20, ..large(12_000.0, 40_000.0) };
     let mut world = World::deployed(facts, 0, Policy { headroom_share: 0.02, ..Policy::default() }, &ZONES);
     world.task_s = 300.0;
     world.check_every = 50;
