A new segment is begun only when no task that is due finds room

The bound stays as it was. Change: a segment counts as full when a pass could write nothing of what is due.

--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -97,6 +97,8 @@
     number: u64,
     version: u64,
     tasks: BTreeSet<TaskKey>,
+    /// No task that was due found room in it: the next one is begun.
+    full: bool,
 }
 
 /// A segment that is full, or was left by an earlier leader.
--- a/crates/core/src/records/log.rs
+++ b/crates/core/src/records/log.rs
@@ -78,9 +78,9 @@
         let mut whole = Size { bytes: size.bytes, jobs: size.jobs.clone(), machines: size.machines.clone() };
         due.iter().for_each(|key| whole.add(key, place_of(key), addr_len));
         let mut tasks: BTreeSet<TaskKey>;
-        // By the same margin as below: else what fits only without it would wait for ever.
-        let longest = due.iter().map(|key| key.0.len()).max().unwrap_or(0);
-        if whole.bytes + MARGIN + longest > room && !records.doubt && records.last.version > 0 {
+        // What fitted into the last segment but for the margin would wait for ever.
+        let full = whole.bytes > room || records.last.full;
+        if full && !records.doubt && records.last.version > 0 {
             let (number, version) = (records.last.number, records.last.version);
             let sealed = std::mem::take(&mut records.last.tasks);
             tasks = BTreeSet::new();
@@ -105,6 +105,7 @@
             batch.tasks.push((key.clone(), place.map(|place| place.attempt)));
             tasks.insert(key.clone());
         }
+        records.last.full = !due.is_empty() && batch.tasks.is_empty();
         let value = serde_json::to_value(render(jobs, &tasks, |m| {
             machines.get(m).map(|machine| machine.addr.clone()).unwrap_or_default()
         }));
