Readable code: calls and the environment in modules below those that use them

Cause: 16 modules of the core import one another in a circle, tied mostly by Env, Purpose and the call types, which stood in node, recover, records, rent, election and users.

Change: env.rs has the clocks, settings and outgoing calls; calls.rs has every call's purpose with what it carries. TaskKey stands beside the jobs. No behaviour changes.

--- a/crates/core/src/awaits.rs
+++ b/crates/core/src/awaits.rs
@@ -11,9 +11,10 @@
 
 use rushyoke_wire::job::Priority;
 
+use crate::calls::{LoadCall, Purpose};
+use crate::env::Env;
 use crate::io::*;
 use crate::jobs::*;
-use crate::node::{Env, Purpose};
 use crate::recover::Term;
 
 /// Records of awaited jobs that are read at a time.
@@ -167,7 +168,7 @@
             let Some(dep) = self.awaited.unread.pop_first() else { return };
             if self.awaited.reading.insert(dep.clone()) {
                 let op = StoreOp::Get(job_key(&dep));
-                env.store(Purpose::Load(crate::recover::LoadCall::Awaited(dep)), Urgency::High, op);
+                env.store(Purpose::Load(LoadCall::Awaited(dep)), Urgency::High, op);
             }
         }
     }
--- /dev/null
+++ b/crates/core/src/calls.rs
@@ -0,0 +1,150 @@
+//! Why calls are made: a call's purpose is kept until its outcome, which then finds its way.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Instant;
+
+use rushyoke_wire::cloud::Rental;
+use rushyoke_wire::job::JobSpec;
+
+use crate::io::{Answer, Req};
+use crate::jobs::{Name, TaskKey};
+
+/// Why a call was made, so that its outcome finds its way.
+#[derive(Clone, Debug)]
+pub(crate) enum Purpose {
+    Election(ElectionCall),
+    User(UserCall),
+    Load(LoadCall),
+    Record(RecordCall),
+    Rent(RentCall),
+    Order { machine: Name },
+    Types,
+    ReadTypes,
+    KeepTypes,
+    Probe,
+    Relay,
+}
+
+impl Purpose {
+    /// Whether the outcome concerns the present term only.
+    pub fn of_term(&self) -> bool {
+        matches!(self, Purpose::Load(_) | Purpose::Record(_) | Purpose::Rent(_) | Purpose::Order { .. })
+    }
+}
+
+/// Calls to the state service that concern leadership.
+#[derive(Clone, Debug)]
+pub(crate) enum ElectionCall {
+    Read,
+    Watch,
+    DropOwn,
+    Lease { sent: Instant },
+    Claim { lease: u64, sent: Instant },
+    Touch { sent: Instant },
+    End,
+}
+
+/// Reads of the records, and the watch on jobs.
+#[derive(Clone, Debug)]
+pub(crate) enum LoadCall {
+    Jobs,
+    Segments,
+    Pages,
+    OpenMoves,
+    Watch {
+        sent: Instant,
+    },
+    /// The record of a job that others await.
+    Awaited(Name),
+}
+
+/// What one transaction of the records writes.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Batch {
+    /// Tasks, and the attempt of those that have a place.
+    pub tasks: Vec<(TaskKey, Option<u64>)>,
+    /// Whether the last segment is written, and whether with new places.
+    pub segment: bool,
+    pub placed: bool,
+    pub pages: Vec<(Name, u32)>,
+    /// Values of the record of open moves, and the moves that wait for them, with their attempts.
+    pub moves: Vec<usize>,
+    pub booked: Vec<(TaskKey, u64)>,
+    pub closed: Vec<Name>,
+    pub drops: Vec<String>,
+}
+
+/// Calls of the records.
+#[derive(Clone, Debug)]
+pub(crate) enum RecordCall {
+    Write(Batch),
+    ReadSegment,
+    ReadJob(Name),
+}
+
+/// Calls to the cloud.
+#[derive(Clone, Debug)]
+pub(crate) enum RentCall {
+    Rent(Rental),
+    Release(Vec<Name>),
+    List,
+}
+
+/// Calls to the state service on behalf of users.
+#[derive(Clone, Debug)]
+pub(crate) enum UserCall {
+    /// Compares the versions of cached records.
+    Compare {
+        jobs: Vec<String>,
+    },
+    /// Reads a job's record for those who asked about it.
+    Read {
+        job: String,
+        requests: Vec<Req>,
+    },
+    /// Reads the record of a job that others need, for a group of lookups.
+    Refresh {
+        job: String,
+        group: u64,
+    },
+    /// Whether jobs that a submission awaits were accepted.
+    Dependencies {
+        admission: Admission,
+        asked: Vec<String>,
+    },
+    Create(Creation),
+    /// Before a refusal: an accepted job is never refused.
+    Refuse {
+        request: Req,
+        job: String,
+        answer: Answer,
+    },
+    CancelRead {
+        request: Req,
+        job: String,
+    },
+    CancelWrite {
+        request: Req,
+        job: String,
+        tasks: u32,
+    },
+}
+
+/// A submission of which some dependencies are not yet known to have been accepted.
+#[derive(Clone, Debug)]
+pub(crate) struct Admission {
+    pub request: Req,
+    pub spec: Box<JobSpec>,
+    /// Dependencies whose records were seen to exist, and may not be in the cache.
+    pub accepted: BTreeSet<String>,
+}
+
+/// A job whose records are being created.
+#[derive(Clone, Debug)]
+pub(crate) struct Creation {
+    pub request: Req,
+    pub job: String,
+    pub tasks: u32,
+    pub awaits: Arc<[String]>,
+}
--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -10,9 +10,10 @@
 use rushyoke_wire::store::{Event, Item, Txn};
 use serde::{Deserialize, Serialize};
 
+use crate::calls::{ElectionCall, Purpose};
 use crate::facts::Facts;
 use crate::io::{Outcome, StoreAnswer, StoreOp, Urgency};
-use crate::node::{Node, Purpose};
+use crate::node::Node;
 
 pub(crate) const LEADER_KEY: &str = "lead";
 
@@ -42,17 +43,6 @@
     version: u64,
 }
 
-#[derive(Clone, Debug)]
-pub(crate) enum ElectionCall {
-    Read,
-    Watch,
-    DropOwn,
-    Lease { sent: Instant },
-    Claim { lease: u64, sent: Instant },
-    Touch { sent: Instant },
-    End,
-}
-
 #[derive(Debug)]
 enum Phase {
     /// The key must be read (again) from this time on.
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -20,8 +20,8 @@
 use rushyoke_wire::cloud::{Listed, Phase as CloudPhase};
 use serde_json::value::RawValue;
 
+use crate::env::Env;
 use crate::jobs::Name;
-use crate::node::Env;
 use crate::recover::Term;
 pub(crate) use machine::{Claim, Machine};
 pub(crate) use survey::Survey;
@@ -39,8 +39,6 @@
 /// And at least so many for each machine that is there, since whole fleets are replaced.
 const GONE_PER_MACHINE: usize = 4;
 
-/// A job and the number of one of its tasks.
-pub(crate) type TaskKey = (Name, u32);
 /// A task's full name and its attempt.
 type Attempt = (String, u64);
 
--- a/crates/core/src/fleet/machine.rs
+++ b/crates/core/src/fleet/machine.rs
@@ -7,8 +7,8 @@
 use rushyoke_wire::job::{JobSpec, Kind};
 use rushyoke_wire::worker::Report;
 
-use super::{Attempt, LATEST_REPORT, PROMPT, TaskKey, Via};
-use crate::jobs::Name;
+use super::{Attempt, LATEST_REPORT, PROMPT, Via};
+use crate::jobs::{Name, TaskKey};
 use crate::quota::Room;
 
 /// Failed calls in a row from which on a machine that reports all the same is no capacity.
--- a/crates/core/src/fleet/orders.rs
+++ b/crates/core/src/fleet/orders.rs
@@ -8,10 +8,10 @@
 use rushyoke_wire::worker::{Order, Orders, Report};
 
 use super::machine::DirectCall;
-use super::{Attempt, Machine, TaskKey, Via};
+use super::{Attempt, Machine, Via};
+use crate::env::Env;
 use crate::io::*;
 use crate::jobs::*;
-use crate::node::Env;
 use crate::recover::Term;
 
 /// Orders in one message; the rest goes with the next.
--- a/crates/core/src/fleet/reports.rs
+++ b/crates/core/src/fleet/reports.rs
@@ -7,10 +7,10 @@
 
 use rushyoke_wire::worker::{Order, Orders, Report, TaskReport, TaskState};
 
-use super::{Attempt, COPY_PROBE, Machine, RENEWED, TaskKey, Tasks, Via, digest, fence_by_report};
+use super::{Attempt, COPY_PROBE, Machine, RENEWED, Tasks, Via, digest, fence_by_report};
+use crate::env::Env;
 use crate::io::*;
 use crate::jobs::*;
-use crate::node::Env;
 use crate::recover::Term;
 
 impl Term {
--- a/crates/core/src/fleet/silence.rs
+++ b/crates/core/src/fleet/silence.rs
@@ -5,8 +5,8 @@
 
 use super::survey::{ASKED_ALONE, SURVEY_FROM, SURVEYED, Silent};
 use super::{LATEST_REPORT, Machine, fence_by_report};
+use crate::env::Env;
 use crate::jobs::Name;
-use crate::node::Env;
 use crate::recover::Term;
 
 /// Direct calls that an overdue machine may miss before it is given up.
--- a/crates/core/src/fleet/survey.rs
+++ b/crates/core/src/fleet/survey.rs
@@ -11,8 +11,8 @@
 use rand::seq::IteratorRandom;
 
 use super::Machine;
+use crate::env::Env;
 use crate::jobs::Name;
-use crate::node::Env;
 use crate::recover::Term;
 
 /// Machines that must fail to answer for a survey, the machines that it asks, those that a leader
--- a/crates/core/src/fleet/tasks.rs
+++ b/crates/core/src/fleet/tasks.rs
@@ -5,9 +5,8 @@
 use rushyoke_wire::job::Kind;
 use rushyoke_wire::worker::{Cause, TaskReport, TaskState};
 
-use super::TaskKey;
+use crate::env::Env;
 use crate::jobs::*;
-use crate::node::Env;
 use crate::recover::Term;
 
 impl Term {
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -10,6 +10,9 @@
 
 pub type Name = Arc<str>;
 
+/// A job and the number of one of its tasks.
+pub type TaskKey = (Name, u32);
+
 /// Tasks in one record. With every task on a machine of its own a record takes up to 8 KiB; where
 /// the store's values hold less, the tasks are written into the log again instead.
 pub const PAGE: u32 = 80;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,7 +5,9 @@
 #![warn(missing_docs)]
 
 mod awaits;
+mod calls;
 mod election;
+mod env;
 mod facts;
 mod fleet;
 mod io;
@@ -24,6 +26,7 @@
 
 pub use rushyoke_balance::{Settings as BalanceSettings, SettingsError as BalanceSettingsError};
 
+pub use env::Now;
 pub use facts::{Facts, Objective, Policy, Team};
 pub use io::{Answer, Call, CloudAnswer, CloudOp, Input, Outcome, Output, Req, StoreAnswer, StoreOp, Urgency};
-pub use node::{Node, Now};
+pub use node::Node;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -13,103 +13,17 @@
 use rushyoke_wire::worker::{Elsewhere, Report};
 use serde_json::value::RawValue;
 
-use crate::election::{Election, ElectionCall, silence_allowance};
+use crate::calls::{ElectionCall, LoadCall, Purpose};
+use crate::election::{Election, silence_allowance};
+use crate::env::{Env, Now};
 use crate::facts::{Facts, Policy};
 use crate::fleet::Tasks;
 use crate::io::*;
-use crate::jobs::Name;
-use crate::records::RecordCall;
-use crate::recover::{LoadCall, Term};
+use crate::recover::Term;
 use crate::relay::{Relaying, ReportOutcome, no_tasks};
-use crate::rent::RentCall;
-use crate::users::{UserCall, Users};
+use crate::users::Users;
 use peers::Peer;
 
-/// The caller's clocks.
-#[derive(Clone, Copy, Debug)]
-pub struct Now {
-    /// The steady clock.
-    pub steady: Instant,
-    /// Time of day in milliseconds since 1970, for deadlines only.
-    pub wall_ms: u64,
-}
-
-/// Why a call was made, so that its outcome finds its way.
-#[derive(Clone, Debug)]
-pub(crate) enum Purpose {
-    Election(ElectionCall),
-    User(UserCall),
-    Load(LoadCall),
-    Record(RecordCall),
-    Rent(RentCall),
-    Order { machine: Name },
-    Types,
-    ReadTypes,
-    KeepTypes,
-    Probe,
-    Relay,
-}
-
-impl Purpose {
-    /// Whether the outcome concerns the present term only.
-    fn of_term(&self) -> bool {
-        matches!(self, Purpose::Load(_) | Purpose::Record(_) | Purpose::Rent(_) | Purpose::Order { .. })
-    }
-}
-
-/// What all concerns of a node use.
-pub(crate) struct Env {
-    pub now: Now,
-    pub facts: Arc<Facts>,
-    pub policy: Arc<Policy>,
-    pub rng: StdRng,
-    pub types: Arc<Vec<MachineType>>,
-    out: Vec<Output>,
-    pub calls: HashMap<Call, Purpose>,
-    next_call: u64,
-}
-
-impl Env {
-    pub fn steady(&self) -> Instant {
-        self.now.steady
-    }
-
-    fn call(&mut self, purpose: Purpose) -> Call {
-        self.next_call += 1;
-        let call = Call(self.next_call);
-        self.calls.insert(call, purpose);
-        call
-    }
-
-    pub fn store(&mut self, purpose: Purpose, urgency: Urgency, op: StoreOp) {
-        let call = self.call(purpose);
-        self.out.push(Output::Store { call, op, urgency });
-    }
-
-    pub fn cloud(&mut self, purpose: Purpose, op: CloudOp) {
-        let call = self.call(purpose);
-        self.out.push(Output::Cloud { call, op });
-    }
-
-    pub fn order(&mut self, machine: Name, addr: String, orders: rushyoke_wire::worker::Orders) {
-        let call = self.call(Purpose::Order { machine });
-        self.out.push(Output::Order { call, addr, orders });
-    }
-
-    pub fn relay(&mut self, label: String, relay: rushyoke_wire::peer::Relay) {
-        let call = self.call(Purpose::Relay);
-        self.out.push(Output::Relay { call, label, relay });
-    }
-
-    pub fn answer(&mut self, req: Req, answer: Answer) {
-        self.out.push(Output::Answer { req, answer });
-    }
-
-    pub fn type_named(&self, name: &str) -> Option<&MachineType> {
-        self.types.iter().find(|t| t.name == name)
-    }
-}
-
 /// A controller as a state machine.
 pub struct Node {
     pub(crate) env: Env,
--- a/crates/core/src/node/machine_types.rs
+++ b/crates/core/src/node/machine_types.rs
@@ -5,9 +5,10 @@
 
 use rushyoke_wire::cloud::MachineType;
 
+use crate::calls::Purpose;
 use crate::io::*;
 
-use super::{Node, Purpose, TYPES_KEY, TYPES_PERIOD, TYPES_RETRY};
+use super::{Node, TYPES_KEY, TYPES_PERIOD, TYPES_RETRY};
 
 impl Node {
     /// A new set of machine types: the leader leaves it in the state service, so that a
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -8,9 +8,9 @@
 use rand::seq::IteratorRandom;
 use rushyoke_wire::job::{JobSpec, Kind, Priority};
 
+use crate::env::Env;
 use crate::fleet::Machine;
 use crate::jobs::*;
-use crate::node::Env;
 use crate::quota::Room;
 use crate::recover::Term;
 
--- a/crates/core/src/place/pass.rs
+++ b/crates/core/src/place/pass.rs
@@ -6,8 +6,8 @@
 
 use rushyoke_wire::job::{Kind, Priority};
 
+use crate::env::Env;
 use crate::jobs::*;
-use crate::node::Env;
 use crate::quota::Room;
 use crate::recover::Term;
 
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -7,9 +7,9 @@
 use rand::seq::IteratorRandom;
 use rushyoke_wire::job::{Kind, Priority};
 
-use crate::fleet::{Claim, Machine, TaskKey};
+use crate::env::Env;
+use crate::fleet::{Claim, Machine};
 use crate::jobs::*;
-use crate::node::Env;
 use crate::place::{CLAIM_FOR, allowed};
 use crate::quota::Room;
 use crate::recover::Term;
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -22,11 +22,11 @@
 use rushyoke_wire::job::{JobSpec, Kind, Priority};
 use rushyoke_wire::store::Txn;
 
+use crate::calls::{Batch, Purpose, RecordCall};
 use crate::election::LEADER_KEY;
-use crate::fleet::TaskKey;
+use crate::env::Env;
 use crate::io::*;
 use crate::jobs::*;
-use crate::node::{Env, Purpose};
 use crate::recover::Term;
 
 const RETRY: Duration = Duration::from_millis(200);
@@ -69,28 +69,6 @@
     }
 }
 
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Batch {
-    /// Tasks, and the attempt of those that have a place.
-    tasks: Vec<(TaskKey, Option<u64>)>,
-    /// Whether the last segment is written, and whether with new places.
-    segment: bool,
-    placed: bool,
-    pages: Vec<(Name, u32)>,
-    /// Values of the record of open moves, and the moves that wait for them, with their attempts.
-    moves: Vec<usize>,
-    booked: Vec<(TaskKey, u64)>,
-    closed: Vec<Name>,
-    drops: Vec<String>,
-}
-
-#[derive(Clone, Debug)]
-pub(crate) enum RecordCall {
-    Write(Batch),
-    ReadSegment,
-    ReadJob(Name),
-}
-
 /// The segment that is being written.
 #[derive(Default)]
 struct Segment {
--- a/crates/core/src/records/log.rs
+++ b/crates/core/src/records/log.rs
@@ -5,9 +5,8 @@
 use rushyoke_balance::record_key;
 use rushyoke_wire::store::Txn;
 
-use crate::fleet::TaskKey;
+use crate::env::Env;
 use crate::jobs::*;
-use crate::node::Env;
 use crate::recover::Term;
 
 use super::{Batch, GATHERED, LEAST_BYTES, SEGMENTS, SEGMENTS_BYTES, SPARE, Sealed, Segment, TASK_BYTES, TXN_BYTES};
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -12,10 +12,10 @@
 
 use crate::awaits::Awaited;
 use crate::election::silence_allowance;
+use crate::env::Env;
 use crate::facts::{Facts, Policy};
 use crate::fleet::{Machine, Survey};
 use crate::jobs::*;
-use crate::node::Env;
 use crate::quota::Quotas;
 use crate::records::Records;
 use crate::rent::Renting;
@@ -35,19 +35,6 @@
 const LOG: &str = "log/";
 const TASK: &str = "task/";
 
-#[derive(Clone, Debug)]
-pub(crate) enum LoadCall {
-    Jobs,
-    Segments,
-    Pages,
-    OpenMoves,
-    Watch {
-        sent: Instant,
-    },
-    /// The record of a job that others await.
-    Awaited(Name),
-}
-
 #[derive(Debug)]
 enum Load {
     Jobs { after: String },
--- a/crates/core/src/recover/load.rs
+++ b/crates/core/src/recover/load.rs
@@ -6,13 +6,14 @@
 use rushyoke_balance::RECORD_PREFIX;
 use rushyoke_wire::store::{Event, Item, Page};
 
+use crate::calls::{LoadCall, Purpose};
+use crate::env::Env;
 use crate::fleet::Machine;
 use crate::io::*;
 use crate::jobs::*;
-use crate::node::{Env, Purpose};
 use crate::quota::Room;
 
-use super::{LIVE, LOG, Load, LoadCall, RETRY, TASK, Term};
+use super::{LIVE, LOG, Load, RETRY, TASK, Term};
 
 impl Term {
     pub(super) fn read_on(&mut self, env: &mut Env) {
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -10,10 +10,11 @@
 use rushyoke_wire::cloud::{Listing, MachineType, Rental};
 use rushyoke_wire::job::{JobSpec, Kind, Priority};
 
+use crate::calls::{Purpose, RentCall};
+use crate::env::Env;
 use crate::fleet::Machine;
 use crate::io::*;
 use crate::jobs::Name;
-use crate::node::{Env, Purpose};
 use crate::quota::Room;
 use crate::recover::Term;
 use demand::missing;
@@ -46,13 +47,6 @@
 /// Weight of a new job in the mean size of services.
 const LEARN: f64 = 0.2;
 
-#[derive(Clone, Debug)]
-pub(crate) enum RentCall {
-    Rent(Rental),
-    Release(Vec<Name>),
-    List,
-}
-
 /// Type, zone and whether spot.
 type Market = (String, String, bool);
 
--- a/crates/core/src/rent/demand.rs
+++ b/crates/core/src/rent/demand.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use crate::env::Env;
 use crate::jobs::Job;
-use crate::node::Env;
 use crate::quota::Room;
 use crate::recover::Term;
 
--- a/crates/core/src/rent/returns.rs
+++ b/crates/core/src/rent/returns.rs
@@ -5,15 +5,16 @@
 
 use rushyoke_wire::job::Kind;
 
-use crate::fleet::{Claim, Machine, TaskKey};
+use crate::calls::{Purpose, RentCall};
+use crate::env::Env;
+use crate::fleet::{Claim, Machine};
 use crate::io::*;
 use crate::jobs::*;
-use crate::node::{Env, Purpose};
 use crate::place::{CLAIM_FOR, allowed};
 use crate::quota::Room;
 use crate::recover::Term;
 
-use super::{LOST_BOOT, MIN_CHARGE, MOST_RETURNED, MOVE_AFTER_S, MOVED_SHARE, MOVES_SAVED, RentCall, WITH_REPLICAS_S};
+use super::{LOST_BOOT, MIN_CHARGE, MOST_RETURNED, MOVE_AFTER_S, MOVED_SHARE, MOVES_SAVED, WITH_REPLICAS_S};
 
 impl Term {
     /// Chooses machines that can be returned soon: with all others, what is in use, what
--- a/crates/core/src/speculate.rs
+++ b/crates/core/src/speculate.rs
@@ -10,9 +10,9 @@
 use rand::seq::IndexedRandom;
 use rushyoke_wire::job::Kind;
 
-use crate::fleet::{Claim, Machine, TaskKey};
-use crate::jobs::{Job, Name, Stage};
-use crate::node::Env;
+use crate::env::Env;
+use crate::fleet::{Claim, Machine};
+use crate::jobs::{Job, Name, Stage, TaskKey};
 use crate::place::allowed;
 use crate::quota::Room;
 use crate::recover::Term;
--- a/crates/core/src/spread.rs
+++ b/crates/core/src/spread.rs
@@ -12,10 +12,10 @@
 use rushyoke_wire::job::{Kind, Priority};
 use rushyoke_wire::worker::TaskState;
 
+use crate::env::Env;
 use crate::facts::{Facts, Policy};
-use crate::fleet::{Machine, TaskKey};
+use crate::fleet::Machine;
 use crate::jobs::*;
-use crate::node::Env;
 use crate::place::allowed;
 use crate::quota::Room;
 use crate::recover::Term;
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -13,12 +13,12 @@
 use rushyoke_wire::peer::Progress;
 use rushyoke_wire::store::Item;
 
+use crate::calls::UserCall;
 use crate::io::*;
 use crate::jobs::*;
 use crate::node::Node;
 use known::{Ancestors, Known, KnownJobs};
 use lookup::Lookups;
-use submit::{Admission, Creation};
 
 /// Requests that wait for the store; more are turned away.
 const WAITING: usize = 512;
@@ -26,46 +26,6 @@
 const QUERY_LIMIT: Duration = Duration::from_millis(1600);
 const CHANGE_LIMIT: Duration = Duration::from_millis(4000);
 
-/// Calls to the state service on behalf of users.
-#[derive(Clone, Debug)]
-pub(crate) enum UserCall {
-    /// Compares the versions of cached records.
-    Compare {
-        jobs: Vec<String>,
-    },
-    /// Reads a job's record for those who asked about it.
-    Read {
-        job: String,
-        requests: Vec<Req>,
-    },
-    /// Reads the record of a job that others need, for a group of lookups.
-    Refresh {
-        job: String,
-        group: u64,
-    },
-    /// Whether jobs that a submission awaits were accepted.
-    Dependencies {
-        admission: Admission,
-        asked: Vec<String>,
-    },
-    Create(Creation),
-    /// Before a refusal: an accepted job is never refused.
-    Refuse {
-        request: Req,
-        job: String,
-        answer: Answer,
-    },
-    CancelRead {
-        request: Req,
-        job: String,
-    },
-    CancelWrite {
-        request: Req,
-        job: String,
-        tasks: u32,
-    },
-}
-
 /// A node's side of users' requests.
 #[derive(Default)]
 pub(crate) struct Users {
--- a/crates/core/src/users/cancel.rs
+++ b/crates/core/src/users/cancel.rs
@@ -3,10 +3,11 @@
 use rushyoke_wire::store::{Item, Txn};
 
 use super::known::Known;
-use super::{CHANGE_LIMIT, UserCall, store_unsure};
+use super::{CHANGE_LIMIT, store_unsure};
+use crate::calls::{Purpose, UserCall};
 use crate::io::*;
 use crate::jobs::*;
-use crate::node::{Node, Purpose};
+use crate::node::Node;
 
 impl Node {
     pub(crate) fn cancel(&mut self, request: Req, id: String) {
--- a/crates/core/src/users/lookup.rs
+++ b/crates/core/src/users/lookup.rs
@@ -11,10 +11,11 @@
 use rushyoke_wire::store::Txn;
 
 use super::known::{Ancestors, Known};
-use super::{UserCall, store_unsure};
+use super::store_unsure;
+use crate::calls::{Purpose, UserCall};
 use crate::io::*;
 use crate::jobs::*;
-use crate::node::{Node, Purpose};
+use crate::node::Node;
 
 /// Keys compared by one transaction, where the store takes so many conditions.
 const COMPARED: usize = 48;
--- a/crates/core/src/users/submit.rs
+++ b/crates/core/src/users/submit.rs
@@ -5,16 +5,17 @@
 //! awaits is known to have been accepted.
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
 
 use rushyoke_wire::job::{JobSpec, JobStatus, JobView, Kind};
 use rushyoke_wire::store::Txn;
 
 use super::known::Known;
-use super::{CHANGE_LIMIT, UserCall, store_unsure};
+use super::{CHANGE_LIMIT, store_unsure};
+use crate::calls::{Admission, Creation, Purpose, UserCall};
+use crate::env::Env;
 use crate::io::*;
 use crate::jobs::*;
-use crate::node::{Env, Node, Purpose};
+use crate::node::Node;
 use crate::quota::{Room, SLACK};
 
 /// Dependencies looked for by one transaction, where the store takes so many conditions.
@@ -24,24 +25,6 @@
 /// Bytes that a cancellation may add to a job's description.
 const CANCELLATION_BYTES: usize = 16;
 
-/// A submission of which some dependencies are not yet known to have been accepted.
-#[derive(Clone, Debug)]
-pub(crate) struct Admission {
-    request: Req,
-    spec: Box<JobSpec>,
-    /// Dependencies whose records were seen to exist, and may not be in the cache.
-    accepted: BTreeSet<String>,
-}
-
-/// A job whose records are being created.
-#[derive(Clone, Debug)]
-pub(crate) struct Creation {
-    request: Req,
-    job: String,
-    tasks: u32,
-    awaits: Arc<[String]>,
-}
-
 impl Node {
     pub(crate) fn submit(&mut self, request: Req, spec: JobSpec) {
         if let Some(known) = self.users.end_of(&spec.id) {
