Readable code: the stories of load spreading in three files

Change: what the stories share, the bursts and the failures in the midst of moves are modules of one test target.

--- /dev/null
+++ b/crates/core/tests/balance/main.rs
@@ -0,0 +1,5 @@
+//! Stories of load spreading. The world checks the users' rules at every step.
+
+mod bursts;
+mod failures;
+mod support;
