--- a/crates/balance/src/moves.rs
+++ b/crates/balance/src/moves.rs
@@ -56,21 +56,8 @@
     TimedOut,
     /// An earlier leader began it, and the task runs on where it was.
     LeaderChanged,
-}
-
-impl GiveUp {
-    /// All reasons, as counted in the summary.
-    pub const ALL: [GiveUp; 9] = [
-        GiveUp::DestinationFull,
-        GiveUp::DestinationUnfit,
-        GiveUp::DestinationGone,
-        GiveUp::TaskEnded,
-        GiveUp::JobCancelled,
-        GiveUp::LeftEarly,
-        GiveUp::PlacedElsewhere,
-        GiveUp::TimedOut,
-        GiveUp::LeaderChanged,
-    ];
+    /// A zone is being evacuated: its task is placed in the order of tiers.
+    Evacuation,
 }
 
 /// How a move ended.
--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -52,6 +52,7 @@
     Segments,
     Pages,
     OpenMoves,
+    Failover,
     Watch {
         sent: Instant,
     },
@@ -71,6 +72,8 @@
     /// Values of the record of open moves, and the moves that wait for them, with their attempts.
     pub moves: Vec<usize>,
     pub booked: Vec<(TaskKey, u64)>,
+    /// Whether the record of zones is written.
+    pub failover: bool,
     pub closed: Vec<Name>,
     pub drops: Vec<String>,
 }
--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -13,7 +13,7 @@
 use crate::calls::{ElectionCall, Purpose};
 use crate::facts::Facts;
 use crate::io::{Outcome, StoreAnswer, StoreOp, Urgency};
-use crate::node::Node;
+use crate::node::{Node, REST};
 
 pub(crate) const LEADER_KEY: &str = "lead";
 
@@ -21,7 +21,6 @@
 const RETRY: Duration = Duration::from_millis(300);
 const HEARD: Duration = Duration::from_secs(8);
 const COURTESY: Duration = Duration::from_millis(200);
-const REST: Duration = Duration::from_secs(6);
 
 /// How long a leader goes on answering reports after the older of two moments: the last confirmed
 /// renewal of its lease, and the last up to which it surely knows all cancellations. One
@@ -106,8 +105,8 @@
         (holder.record.label != self.me.label).then_some(holder.version)
     }
 
-    pub fn rest(&mut self, now: Instant) {
-        self.rests_until = Some(now + REST);
+    pub fn rest(&mut self, now: Instant, rest: Duration) {
+        self.rests_until = Some(now + rest);
     }
 
     fn read_at(&mut self, from: Instant) {
@@ -243,7 +242,7 @@
                     && term.lease_renewed(sent, ttl, &self.env.facts)
                 {
                     self.step_down("the lease is renewed, but what users cancel is not heard");
-                    self.election.rest(now);
+                    self.election.rest(now, REST);
                 }
             }
             Outcome::Answered(StoreAnswer::NoSuchLease) => self.step_down("the lease has ended"),
--- a/crates/core/src/facts.rs
+++ b/crates/core/src/facts.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rushyoke_balance::Settings as BalanceSettings;
+use rushyoke_failover::Settings as FailoverSettings;
 
 /// A team's guarantee and limit.
 #[derive(Clone, Debug, Default)]
@@ -36,6 +37,8 @@
     pub label: String,
     /// The other nodes' labels.
     pub others: Vec<String>,
+    /// Zones of the nodes by their labels, as far as the platform tells.
+    pub locations: BTreeMap<String, String>,
     /// Teams by name.
     pub teams: BTreeMap<String, Team>,
     /// The users' aims.
@@ -100,6 +103,8 @@
     pub sample: usize,
     /// Load spreading; off if there is none.
     pub balance: Option<BalanceSettings>,
+    /// Zone failover; off if there is none.
+    pub failover: Option<FailoverSettings>,
 }
 
 impl Default for Policy {
@@ -122,6 +127,7 @@
             known_jobs: 20_000,
             sample: 32,
             balance: None,
+            failover: None,
         }
     }
 }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -86,9 +86,13 @@
             return;
         };
         for key in machine.places.clone() {
+            self.displaced(&key, name);
             self.place_empty(env, &key, now);
         }
         self.machines.remove(name);
+        if let Some(failover) = &mut self.failover {
+            failover.forget_drain(name);
+        }
         self.destination_gone(name);
         self.renting.gone(name, GONE_KEPT.max(GONE_PER_MACHINE * self.machines.len()));
         self.place_due = true;
--- a/crates/core/src/fleet/machine.rs
+++ b/crates/core/src/fleet/machine.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
+use rushyoke_failover::{Access, Drain};
 use rushyoke_wire::cloud::MachineType;
 use rushyoke_wire::job::{JobSpec, Kind};
 use rushyoke_wire::worker::Report;
@@ -13,6 +14,8 @@
 
 /// Failed calls in a row from which on a machine that reports all the same is no capacity.
 const FAILED_CALLS: u32 = 3;
+/// For so long a worker waits for the answer to a report.
+const ANSWER_LIMIT: Duration = Duration::from_secs(4);
 /// Allowance for clocks that drift apart, beside the published bound.
 const DRIFT: f64 = 1.002;
 const LAPSE_MARGIN: Duration = Duration::from_millis(250);
@@ -74,6 +77,8 @@
     pub heard: Instant,
     /// The last report, or when this leader came to know the machine.
     pub(super) reported: Instant,
+    /// Time between the last two reports.
+    pub(super) report_gap: Option<Duration>,
     pub(super) answered: Option<Instant>,
     pub taken_at: Option<Instant>,
     pub(super) direct: Option<DirectCall>,
@@ -109,6 +114,11 @@
     /// When its straggler value was last too high.
     pub straggler_at: Option<Instant>,
     pub level: usize,
+    /// Whether its zone takes new work.
+    pub access: Access,
+    /// Its zone is not healthy: what it was drained for when that was seen still holds.
+    pub zone_unhealthy: bool,
+    pub drain: Drain,
 }
 
 impl Machine {
@@ -137,6 +147,7 @@
             fenced: None,
             heard: now,
             reported: now,
+            report_gap: None,
             answered: None,
             taken_at: None,
             direct: None,
@@ -161,6 +172,9 @@
             straggler: false,
             straggler_at: None,
             level: 0,
+            access: Access::Open,
+            zone_unhealthy: false,
+            drain: Drain::default(),
         }
     }
 
@@ -235,6 +249,7 @@
             && self.failed_calls == 0
             && !self.unreporting
             && !self.quarantined
+            && matches!(self.access, Access::Open | Access::Ramped)
             && self.taken_at.is_none()
             && self.full_until.is_none_or(|t| t <= now)
     }
@@ -243,7 +258,34 @@
     /// is overdue is, until a call to it fails.
     pub fn counts(&self) -> bool {
         let silent = (self.suspect && self.probes_failed > 0) || self.failed_calls >= FAILED_CALLS || self.unreporting;
-        !self.leaving && !silent && !self.quarantined && self.taken_at.is_none() && !self.unproven
+        let takes_tasks = !silent && !self.quarantined && self.access != Access::Closed;
+        !self.leaving && takes_tasks && self.taken_at.is_none() && !self.unproven
+    }
+
+    /// Whether it was being drained for a reason when its zone was suspected.
+    pub fn was_drained(&self, reason: fn(Drain) -> bool) -> bool {
+        self.zone_unhealthy && reason(self.drain)
+    }
+
+    /// Direct calls in a row that failed.
+    pub fn failed_calls(&self) -> u32 {
+        self.failed_calls
+    }
+
+    /// Whether its worker surely hears the answers to its reports: it keeps one in flight at a time, and waits
+    /// for an answer for longer than passed between the last two.
+    pub fn hears_answers(&self) -> bool {
+        self.report_gap.is_some_and(|gap| gap < ANSWER_LIMIT)
+    }
+
+    /// Whether it answers calls while its reports come no more.
+    pub fn is_unreporting(&self) -> bool {
+        self.unreporting
+    }
+
+    /// Whether its zone takes all work that fits.
+    pub fn in_open_zone(&self) -> bool {
+        self.access == Access::Open
     }
 
     pub fn replicas(&self) -> u32 {
@@ -302,15 +344,27 @@
     pub(super) fn unresolved(&self, attempt: &Attempt) -> bool {
         self.unresolved.contains(attempt) || self.on_its_way(attempt)
     }
+}
+
+/// What bounds the leases of all workers in a term. Asked here alone when a lease has surely ended, which
+/// proves the places on a machine empty.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LeaseBounds {
+    /// From then on no earlier leader answers any worker.
+    pub(super) old_silent: Instant,
+    /// When a report was last answered before the tables were filled: it may have been any worker's.
+    pub(super) unnoted: Option<Instant>,
+    pub(super) lease: Duration,
+}
 
-    /// When the worker's lease has surely ended if nothing more is answered. Before the tables
-    /// were filled any worker may have been answered, last at `unnoted`.
-    pub(super) fn lapse_at(&self, old_silent: Instant, unnoted: Option<Instant>, lease: Duration) -> Instant {
-        let base = match (self.fenced, self.answered) {
+impl LeaseBounds {
+    /// When a worker's lease has surely ended if nothing more is answered.
+    pub(super) fn end(&self, machine: &Machine) -> Instant {
+        let base = match (machine.fenced, machine.answered) {
             // Once it has seen our token no answer of an earlier leader counts.
             (Some(fenced), answered) => answered.map_or(fenced, |a| a.max(fenced)),
-            (None, answered) => answered.map_or(old_silent, |a| a.max(old_silent)),
+            (None, answered) => answered.map_or(self.old_silent, |a| a.max(self.old_silent)),
         };
-        unnoted.map_or(base, |t| base.max(t)) + lease.mul_f64(DRIFT) + LAPSE_MARGIN
+        self.unnoted.map_or(base, |t| base.max(t)) + self.lease.mul_f64(DRIFT) + LAPSE_MARGIN
     }
 }
--- a/crates/core/src/fleet/reports.rs
+++ b/crates/core/src/fleet/reports.rs
@@ -49,6 +49,7 @@
             if let Some(machine) = self.machines.get_mut(&name) {
                 machine.report_seen = machine.report_seen.max(seen);
                 machine.answered = Some(now);
+                machine.report_gap = Some(now.duration_since(machine.reported));
                 machine.reported = now;
             }
             orders
@@ -247,6 +248,7 @@
         tracing::info!(machine = &**name, session = machine.session, tasks = machine.places.len(), "new session");
         for key in machine.places.clone() {
             if self.jobs[&key.0].places[&key.1].sent {
+                self.displaced(&key, name);
                 self.place_empty(env, &key, now);
             }
         }
--- a/crates/core/src/fleet/silence.rs
+++ b/crates/core/src/fleet/silence.rs
@@ -1,12 +1,17 @@
 //! Machines that fall silent: leases that have ended, machines that are given up, and a leader that
 //! finds itself cut off.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::survey::{ASKED_ALONE, SURVEY_FROM, SURVEYED, Silent};
+use rushyoke_failover::{Silent, ZoneView};
+
+use super::machine::LeaseBounds;
+use super::survey::{ASKED_ALONE, SURVEY_FROM, SURVEYED};
 use super::{LATEST_REPORT, Machine, fence_by_report};
 use crate::env::Env;
-use crate::jobs::Name;
+use crate::failover::note_machine;
+use crate::jobs::{Name, TaskKey};
 use crate::recover::Term;
 
 /// Direct calls that an overdue machine may miss before it is given up.
@@ -41,6 +46,8 @@
     silent: Vec<Name>,
     all: Silent,
     quiet: Silent,
+    /// What is seen of each zone, if zones are judged.
+    zones: BTreeMap<String, ZoneView>,
 }
 
 impl Findings {
@@ -71,6 +78,8 @@
             false => usize::from(alone && findings.call_failed) * ASKED_ALONE,
         };
         self.survey(env, asked, findings.quiet, findings.all);
+        let settling = now.duration_since(self.since) < fence_by_report(env.facts.report) + PROBE * 2;
+        self.judge_zones(env, std::mem::take(&mut findings.zones), settling);
         if !spared {
             findings.silent.iter().for_each(|name| self.give_up(env, name));
         }
@@ -82,10 +91,12 @@
         let late = overdue_after(env);
         let give_up = env.facts.report.mul_f64(env.policy.silent_reports);
         let fence_all = now.duration_since(self.since) >= fence_by_report(env.facts.report);
+        let leases = self.lease_bounds(env);
+        let judged = self.failover.is_some();
         let mut findings = Findings::default();
         for machine in self.machines.values_mut().filter(|m| m.up) {
             findings.up += 1;
-            findings.all.note(machine);
+            findings.all.note(machine.spot);
             if machine.claim.as_ref().is_some_and(|claim| claim.until <= now) {
                 machine.claim = None;
             }
@@ -97,7 +108,7 @@
             findings.failing += usize::from(machine.probes_failed > 0 && !machine.leaving);
             findings.call_failed |= machine.failed_calls > 0 && !machine.leaving;
             if quiet > late || unreached {
-                findings.quiet.note(machine);
+                findings.quiet.note(machine.spot);
             }
             if now.duration_since(machine.reported) > late + PROBE {
                 findings.unreporting.push(machine.name.clone());
@@ -114,13 +125,16 @@
                 machine.direct_from = None;
                 tracing::debug!(machine = &*machine.name, "its report is overdue");
             }
-            let lapsed = now > machine.lapse_at(self.old_silent, self.unnoted, env.facts.lease);
-            if lapsed && quiet > env.facts.lease && !machine.places.is_empty() {
+            if now > leases.end(machine) && quiet > env.facts.lease && !machine.places.is_empty() {
                 findings.lapsed.push(machine.name.clone());
             }
             if is_silent(machine, quiet, late, give_up) {
                 findings.silent.push(machine.name.clone());
             }
+            if judged && machine.release_sent.is_none() {
+                let in_time = machine.reports_to_us(now, env.facts.report) && !machine.suspect;
+                note_machine(findings.zones.entry(machine.zone.clone()).or_default(), machine, quiet > late, in_time);
+            }
         }
         findings
     }
@@ -154,7 +168,9 @@
     fn give_up(&mut self, env: &Env, name: &Name) {
         let now = env.steady();
         let machine = &self.machines[name];
-        if self.parted(machine) && now < self.spared_until(env, machine) {
+        let spared_until = self.spared_until(env, machine);
+        let cut_off = self.parted(machine) && now < spared_until;
+        if cut_off || self.kept_with_zone(now, machine, spared_until) {
             return;
         }
         let machine = self.machines.get_mut(name).expect("listed");
@@ -182,15 +198,28 @@
 
     fn lease_lapsed(&mut self, env: &mut Env, name: &Name) {
         let now = env.steady();
+        let machine = &self.machines[name];
+        let (waiting, lost): (Vec<TaskKey>, Vec<TaskKey>) =
+            machine.places.iter().cloned().partition(|key| self.waits_for_word(key, &machine.zone));
+        let noted = machine.lapsed == Some(machine.session);
+        if lost.is_empty() && noted {
+            return;
+        }
+        tracing::info!(machine = &**name, tasks = lost.len(), waiting = waiting.len(), "its lease has ended");
         let machine = self.machines.get_mut(name).expect("listed");
-        tracing::info!(machine = &**name, tasks = machine.places.len(), "its lease has ended");
         machine.lapsed = Some(machine.session);
         machine.unresolved.clear();
         machine.exited.clear();
-        for key in machine.places.clone() {
+        for key in lost {
+            self.displaced(&key, name);
             self.place_empty(env, &key, now);
         }
     }
+
+    /// What bounds the leases of all workers now.
+    pub(super) fn lease_bounds(&self, env: &Env) -> LeaseBounds {
+        LeaseBounds { old_silent: self.old_silent, unnoted: self.unnoted, lease: env.facts.lease }
+    }
 }
 
 /// How long after the last report the next one is overdue.
--- a/crates/core/src/fleet/survey.rs
+++ b/crates/core/src/fleet/survey.rs
@@ -5,10 +5,11 @@
 //! leases end, and against renting by what a leader does not know. Nothing here proves a place
 //! empty: it only says how long to wait before a machine is returned.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use rand::seq::IteratorRandom;
+use rushyoke_failover::{Silent, SurveySample};
 
 use super::Machine;
 use crate::env::Env;
@@ -27,20 +28,6 @@
 const PARTED: usize = 12;
 const PARTED_SHARE: usize = 6;
 
-/// Machines, and the ordinary ones among them.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(super) struct Silent {
-    all: usize,
-    firm: usize,
-}
-
-impl Silent {
-    pub(super) fn note(&mut self, machine: &Machine) {
-        self.all += 1;
-        self.firm += usize::from(!machine.spot);
-    }
-}
-
 /// What a sample of the machines told when some fell silent.
 #[derive(Default)]
 pub(crate) struct Survey {
@@ -55,6 +42,13 @@
     parted_at: Option<Instant>,
 }
 
+impl Survey {
+    /// Zones of which most of the sample did not answer.
+    pub fn sampled_cut(&self) -> &BTreeSet<String> {
+        &self.cut_zones
+    }
+}
+
 impl Term {
     /// Some machines fail to answer: asks a sample of the others, to tell the end of a few
     /// machines from a cut of the network, long before most of their reports are overdue.
@@ -76,31 +70,15 @@
             (self.survey.asked, self.survey.sample) = (Some(now), sample);
         }
         if self.survey.asked.is_some_and(|t| now.duration_since(t) >= SURVEY_ANSWERED) {
-            let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
-            let (mut asked, mut failed, mut mute) = (Silent::default(), Silent::default(), 0);
-            for machine in self.survey.sample.iter().filter_map(|name| self.machines.get(name)) {
-                let zone = zones.entry(&machine.zone).or_default();
-                *zone = (zone.0 + 1, zone.1 + usize::from(machine.probes_failed > 0));
-                asked.note(machine);
-                mute += usize::from(machine.failed_calls > 0);
-                if machine.probes_failed > 0 {
-                    failed.note(machine);
-                }
-            }
-            let (cut, whole): (Vec<_>, Vec<_>) = zones.iter().partition(|(_, (asked, failed))| failed * 2 > *asked);
-            let cut = cut.into_iter().filter(|(_, (asked, _))| *asked >= PARTED / 2 && !whole.is_empty());
-            self.survey.cut_zones = cut.map(|(zone, _)| (*zone).to_owned()).collect();
-            let part = |failed: usize, asked: usize, up: usize| failed * up / asked.max(1);
-            let firm = part(failed.firm, asked.firm, up.firm);
-            self.survey.silent = Silent { all: part(failed.all, asked.all, up.all), firm };
-            // Be they heard or not: other nodes may hand their reports on.
-            self.survey.most = mute * 5 >= asked.all * 4 && asked.all > 0;
+            self.judge_sample(up);
         }
         let known = self.survey.silent;
-        let silent = Silent { all: silent.all.max(known.all), firm: silent.firm.max(known.firm) };
+        let silent = Silent { all: silent.all.max(known.all), ordinary: silent.ordinary.max(known.ordinary) };
         // Spot machines alone are more likely taken back.
         let many = |silent: usize, up: usize| silent * PARTED_SHARE > up;
-        let parted = silent.all >= PARTED && many(silent.all, up.all) && (up.firm == 0 || many(silent.firm, up.firm));
+        let parted = silent.all >= PARTED
+            && many(silent.all, up.all)
+            && (up.ordinary == 0 || many(silent.ordinary, up.ordinary));
         if parted {
             if self.survey.parted_at.is_none() {
                 let (silent, of) = (silent.all, up.all);
@@ -113,6 +91,18 @@
         }
     }
 
+    /// What the sample shows, now that its answers are in.
+    fn judge_sample(&mut self, up: Silent) {
+        let mut sample = SurveySample::default();
+        for machine in self.survey.sample.iter().filter_map(|name| self.machines.get(name)) {
+            sample.note(&machine.zone, machine.spot, machine.probes_failed > 0, machine.failed_calls > 0);
+        }
+        self.survey.cut_zones = sample.cut_zones();
+        self.survey.silent = sample.silent_of(up);
+        // Be they heard or not: other nodes may hand their reports on.
+        self.survey.most = sample.most_are_mute();
+    }
+
     /// Whether answers of a sample are still to come: it may be this node that is out of reach.
     pub(super) fn asking(&self, now: Instant) -> bool {
         let pending = |name| self.machines.get(name).is_some_and(|m: &Machine| m.direct.is_some());
@@ -122,7 +112,7 @@
 
     /// Whether a silent machine is likely cut off, with many others, and not dead.
     pub fn parted(&self, machine: &Machine) -> bool {
-        machine.probes_failed > 0 && (self.survey.parted_at.is_some() || self.survey.cut_zones.contains(&machine.zone))
+        machine.probes_failed > 0 && (self.survey.parted_at.is_some() || self.zone_is_cut(&machine.zone))
     }
 
     /// When the lease of a machine that is cut off has likely ended. An earlier leader that is
@@ -133,7 +123,7 @@
         match machine.fenced {
             Some(_) => machine.heard + lease,
             None if self.old_known => self.since + lease.saturating_sub(env.policy.lead_ttl),
-            None => machine.lapse_at(self.old_silent, self.unnoted, lease),
+            None => self.lease_bounds(env).end(machine),
         }
     }
 
@@ -149,9 +139,4 @@
     pub fn survey_suspects(&self) -> bool {
         self.survey.asked.is_some() || self.survey.parted_at.is_some()
     }
-
-    /// Whether a zone's machines are out of reach: new ones would be too.
-    pub fn zone_is_cut(&self, zone: &str) -> bool {
-        self.survey.cut_zones.contains(zone)
-    }
 }
--- a/crates/core/src/fleet/tasks.rs
+++ b/crates/core/src/fleet/tasks.rs
@@ -15,6 +15,7 @@
         let job = self.jobs.get_mut(&key.0).expect("placed");
         let place = job.places.get_mut(&key.1).expect("placed");
         let before = place.stage;
+        let began = report.state == TaskState::Running && place.running.is_none();
         match report.state {
             TaskState::Fetching => place.stage = Stage::Fetching,
             TaskState::Saving => place.stage = Stage::Saving,
@@ -40,6 +41,10 @@
             }
             self.note_progress(&key.0);
             self.move_seen(now, key, report.state);
+            if began {
+                let machine = self.jobs[&key.0].places[&key.1].machine.clone();
+                self.runs_in_zone(&machine);
+            }
         }
     }
 
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -78,6 +78,9 @@
     /// Those among them that were restarted once by the eSplash step.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub again: Vec<u32>,
+    /// How often those among them began anew because of their zone.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub zone_reruns: Vec<(u32, u32)>,
 }
 
 /// What stands under `task/<id>/<page>`.
@@ -88,6 +91,9 @@
     /// Tasks that were restarted once by the eSplash step, counted within the page.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub again: Vec<u32>,
+    /// How often tasks began anew because of their zone, counted within the page.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub zone_reruns: Vec<(u32, u32)>,
     /// Machines named by `places`, with their addresses.
     pub machines: Vec<(String, String)>,
     /// Task within the page, index of its machine, attempt.
@@ -191,6 +197,8 @@
     /// Tasks that wait for another attempt, and from when on.
     returned: BTreeMap<u32, Instant>,
     pub restarted: BTreeSet<u32>,
+    /// How often tasks began anew because of their zone.
+    pub zone_reruns: BTreeMap<u32, u32>,
     /// Pages that stand in the store, with their versions.
     pub pages: BTreeMap<u32, u64>,
     /// Machines on which a task of this job failed.
@@ -244,6 +252,7 @@
             next: 0,
             returned: BTreeMap::new(),
             restarted: BTreeSet::new(),
+            zone_reruns: BTreeMap::new(),
             pages: BTreeMap::new(),
             failed_on: BTreeSet::new(),
             failures: 0,
@@ -338,6 +347,7 @@
         }
         record.done = bits.iter().map(|b| format!("{b:02x}")).collect();
         record.again = self.restarted.range(first..end).map(|t| t - first).collect();
+        record.zone_reruns = self.zone_reruns.range(first..end).map(|(t, count)| (t - first, *count)).collect();
         for (task, place) in self.places.range(first..end) {
             let known = record.machines.iter().position(|(name, _)| **name == *place.machine);
             let index = known.unwrap_or_else(|| {
@@ -363,6 +373,7 @@
             }
         }
         self.restarted.extend(record.again.iter().map(|t| first + t));
+        self.zone_reruns.extend(record.zone_reruns.iter().map(|(t, count)| (first + t, *count)));
         for (task, index, attempt) in &record.places {
             if let Some((machine, _)) = record.machines.get(*index) {
                 self.adopt_place(first + task, machine, *attempt, now);
@@ -389,6 +400,7 @@
             }
         }
         self.restarted.extend(changed.again.iter().copied().filter(|t| newer(*t)));
+        self.zone_reruns.extend(changed.zone_reruns.iter().copied().filter(|(t, _)| newer(*t)));
     }
 
     fn adopt_place(&mut self, task: u32, machine: &str, attempt: u64, now: Instant) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 mod election;
 mod env;
 mod facts;
+mod failover;
 mod fleet;
 mod io;
 mod jobs;
@@ -25,6 +26,7 @@
 mod users;
 
 pub use rushyoke_balance::{Settings as BalanceSettings, SettingsError as BalanceSettingsError};
+pub use rushyoke_failover::{Settings as FailoverSettings, SettingsError as FailoverSettingsError, Tier};
 
 pub use env::Now;
 pub use facts::{Facts, Objective, Policy, Team};
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -40,6 +40,8 @@
     pub(crate) relaying: Relaying,
     /// How much of its time the processor is busy.
     busy: f64,
+    /// When this node last gave way since it seemed to be cut off.
+    gave_way: Option<Instant>,
 }
 
 /// How the state service has answered lately.
@@ -76,6 +78,12 @@
 const TYPES_KEY: &str = "types";
 /// A leader that is busy for more of its time than this sends workers to other nodes.
 const BUSY: f64 = 0.5;
+/// How long a node that gave way lets the others compete first, and that for which the others are likely
+/// out of reach.
+pub(crate) const REST: Duration = Duration::from_secs(6);
+const SHORT_REST: Duration = Duration::from_millis(1500);
+/// A node that gave way and leads again soon after is not cut off: the others are.
+const GAVE_WAY_LATELY: Duration = Duration::from_secs(60);
 /// If these are less busy by so many percent.
 const MUCH_LESS: f64 = 15.0;
 
@@ -106,6 +114,7 @@
             probed: None,
             relaying: Relaying::default(),
             busy: 0.0,
+            gave_way: None,
         }
     }
 
@@ -151,13 +160,20 @@
         self.types_tick();
         self.peers_tick();
         self.relay_tick();
+        let controllers = self.controllers_seen();
         if let Some(term) = &mut self.term {
+            term.controllers = controllers;
             term.tick(&mut self.env);
             // While the store is silent workers are turned away on purpose, and no other
             // node could take over.
             if term.cut_off && !self.store.down(self.env.now.steady) {
                 self.step_down("hardly any worker reaches this node");
-                self.election.rest(self.env.now.steady);
+                self.election.rest(self.env.now.steady, REST);
+            } else if term.in_minority && !self.store.down(self.env.now.steady) {
+                // If no other can lead, this node is back before its workers' leases end.
+                self.gave_way = Some(self.env.steady());
+                self.step_down("most machines and all other controllers are out of reach");
+                self.election.rest(self.env.now.steady, SHORT_REST);
             }
         }
     }
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -1,14 +1,18 @@
 //! What controllers tell one another: progress for display, who leads, and how busy they are.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rushyoke_wire::peer::{PeerRequest, PeerResponse};
 
+use crate::failover::ControllersSeen;
 use crate::io::*;
 use crate::jobs::Job;
 use crate::recover::Term;
 
-use super::{BUSY, MUCH_LESS, Node, PEER_PERIOD};
+use super::{BUSY, GAVE_WAY_LATELY, MUCH_LESS, Node, PEER_PERIOD};
+
+/// A node whose answer to a question of this age is the last one still counts as answering.
+const PEER_ANSWERS: Duration = Duration::from_secs(5);
 
 /// What is known of another controller.
 #[derive(Clone, Debug, Default)]
@@ -99,6 +103,20 @@
         term.old_leader_silent(self.env.now.steady.max(latest));
     }
 
+    /// Which other nodes answer, and from where.
+    pub(super) fn controllers_seen(&self) -> ControllersSeen {
+        let now = self.env.steady();
+        let lately = |at: Instant, limit| now.duration_since(at) < limit;
+        let answers = |peer: &Peer| peer.told.as_ref().is_some_and(|(asked, _)| lately(*asked, PEER_ANSWERS));
+        let answering = || self.peers.iter().filter(|(_, peer)| answers(peer)).map(|(label, _)| label);
+        ControllersSeen {
+            others: self.peers.len(),
+            answering: answering().count(),
+            zones: answering().filter_map(|label| self.env.facts.locations.get(label).cloned()).collect(),
+            gave_way: self.gave_way.is_some_and(|at| lately(at, GAVE_WAY_LATELY)),
+        }
+    }
+
     /// The other node that has most time to spare, if it is much less busy than this one.
     pub(crate) fn idlest_follower(&self) -> Option<String> {
         let now = self.env.steady();
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -59,7 +59,8 @@
             let round = Round { job: name, most: most - placed, borrows, way };
             let count = self.place_round(env.steady(), &round, ranked, &mut reserve);
             placed += count;
-            if count == 0 || way == Way::Filling {
+            // A sample of the machines is filled: while a zone is evacuated no later tier goes before the rest.
+            if count == 0 || way == Way::Filling && !self.evacuates() {
                 break;
             }
         }
@@ -119,11 +120,12 @@
         let Some(task) = job.peek(now) else { return false };
         let target = &self.machines[machine];
         let reserved = !target.spot && *reserve < need.cpus;
-        if reserved || self.is_limited(&job.spec.team, need) || !self.room_for(target, name).holds(need) {
+        let admitted = self.zone_admits(target, need);
+        if reserved || !admitted || self.is_limited(&job.spec.team, need) || !self.room_for(target, name).holds(need) {
             return false;
         }
         let ordinary = !target.spot;
-        if round.borrows && !self.may_borrow(now, name) {
+        if round.borrows && !self.evacuates() && !self.may_borrow(now, name) {
             return false;
         }
         if ordinary {
@@ -164,6 +166,7 @@
         }
         tracing::debug!(job = &**name, task, machine = &**machine, attempt, "placed");
         self.task_placed(now, &(name.clone(), task), machine);
+        self.placed_in_zone(now, &(name.clone(), task), machine);
         let turn = crate::records::Turn::of(&self.jobs[name].spec);
         self.records.changed((name.clone(), task), Some(turn));
     }
@@ -191,9 +194,11 @@
                 return Some(used);
             }
             let need = Room::of(&job.spec);
-            let room = |zone: &String| -> u32 {
+            // A zone that takes no work is chosen only if there is no other.
+            let room = |zone: &String| -> (bool, u32) {
                 let there = self.machines.values().filter(|m| m.zone == *zone && allowed(&job.spec, m));
-                there.map(|m| m.total.minus(m.used).times(need)).sum()
+                let room = there.map(|m| m.total.minus(m.used).times(need)).sum();
+                (!self.zone_is_closed(zone), room)
             };
             return counts.into_keys().max_by_key(|zone| room(zone)).map(|zone| BTreeSet::from([zone]));
         }
@@ -210,7 +215,7 @@
             .values()
             .filter(|m| m.usable(now) && allowed(&job.spec, m))
             .filter(|m| zones.as_ref().is_none_or(|zones| zones.contains(&m.zone)))
-            .filter(|m| self.room_for(m, &job.id).holds(need))
+            .filter(|m| self.room_for(m, &job.id).holds(need) && self.zone_admits(m, need))
             .filter(|m| !job.shuns(&m.name))
             .collect();
         // With more machines than can be weighed for every task, a sample does; a larger one
@@ -240,7 +245,8 @@
         let kind = if job.spec.spot && !machine.spot { 3.0 } else { 0.0 };
         let doubt = if job.failed_on.contains(&machine.name) { 60.0 } else { 0.0 };
         let slow = if machine.straggler { 30.0 } else { 0.0 };
-        self.fetch_s(env, job, machine) + crowding + hosting + mates + retiring + kind + doubt + slow
+        let probation = self.probation_cost_s(job, machine);
+        self.fetch_s(env, job, machine) + crowding + hosting + mates + retiring + kind + doubt + slow + probation
     }
 
     /// What the use of a machine counts for, in seconds. With load spreading a run takes longer among
@@ -290,6 +296,7 @@
         let mut room = self.free_room(machine);
         if let Some(claim) = &machine.claim
             && claim.job != *job
+            && !self.passes_before(job, &claim.job)
         {
             room.sub(claim.room);
         }
--- a/crates/core/src/place/pass.rs
+++ b/crates/core/src/place/pass.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use rushyoke_wire::job::{Kind, Priority};
@@ -40,6 +41,8 @@
 /// A job's place in the queue; the smaller goes first.
 struct Turn {
     job: Name,
+    /// While a zone is evacuated; else all are of one.
+    tier: usize,
     class: Class,
     starved: bool,
     priority: Priority,
@@ -54,8 +57,9 @@
 
 impl Turn {
     fn order(&self, other: &Turn) -> Ordering {
-        self.class
-            .cmp(&other.class)
+        self.tier
+            .cmp(&other.tier)
+            .then(self.class.cmp(&other.class))
             .then(other.starved.cmp(&self.starved))
             .then(other.priority.cmp(&self.priority))
             .then(self.over_share.cmp(&other.over_share))
@@ -145,6 +149,9 @@
         }
         self.mark_starving(env);
         let within = self.within_guarantee();
+        if self.failover.is_some() {
+            self.guaranteed = Arc::new(within.clone());
+        }
         let turns = self.turns(env, &within);
         let mut pass = Pass {
             within,
@@ -155,7 +162,8 @@
             held: BTreeMap::new(),
         };
         for turn in turns {
-            if pass.is_held(&self.jobs[&turn.job].spec.team, turn.priority) {
+            let job = &self.jobs[&turn.job];
+            if pass.is_held(&job.spec.team, turn.priority) || self.is_bound_to_closed(now, job) {
                 continue;
             }
             if pass.left == 0 || pass.misses > PASS_MISSES {
@@ -183,6 +191,7 @@
         };
         Turn {
             job: job.id.clone(),
+            tier: if self.evacuates() { self.tier_of(job) } else { 0 },
             class: if job.slice > 0 { class.min(Class::Guaranteed) } else { class },
             starved: job.slice > 0,
             priority: job.priority,
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -184,6 +184,7 @@
         let fits = |machine: &&Machine| {
             let taken = machine.claim.as_ref().is_some_and(|claim| claim.job != *name || claim.made);
             machine.usable(now)
+                && machine.in_open_zone()
                 && !taken
                 && allowed(&job.spec, machine)
                 && zones.as_ref().is_none_or(|zones| zones.contains(&machine.zone))
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -191,6 +191,7 @@
         self.close_jobs(&mut txn, &mut batch, &mut conditioned, ops.saturating_sub(2).max(2));
         self.write_segment(env, &mut txn, &mut batch, &mut conditioned);
         self.write_moves(env, &mut txn, &mut batch);
+        self.write_zones(env, &mut txn, &mut batch);
         self.gather(env, &mut txn, &mut batch);
         while txn.writes.len() < ops {
             let Some(key) = self.records.drops.pop_front() else {
@@ -215,7 +216,12 @@
         let since = |gap: Duration| records.sent.is_none_or(|t| now.duration_since(t) >= gap);
         let awaited = !records.placed.is_empty() || !records.closing.is_empty();
         let moves = since(MOVES_GAP) && !self.moves_unwritten().is_empty();
-        let any = awaited || moves || records.doubt || !records.changed.is_empty() || !records.drops.is_empty();
+        let any = awaited
+            || moves
+            || self.zones_unwritten()
+            || records.doubt
+            || !records.changed.is_empty()
+            || !records.drops.is_empty();
         let gap = GAP.max(Duration::from_secs_f64(1.0 / (write_rps * LOG_SHARE).max(0.1)));
         any && since(if awaited { gap } else { LAZY_GAP })
     }
@@ -342,6 +348,9 @@
         }
         self.records.drops.extend(batch.drops);
         self.moves_not_written(&batch.moves);
+        if batch.failover {
+            self.zones_not_written();
+        }
     }
 
     fn refused(&mut self, batch: Batch, failed: &[String]) {
--- a/crates/core/src/records/log.rs
+++ b/crates/core/src/records/log.rs
@@ -13,6 +13,8 @@
 
 /// What one more task may take of a segment at the most, beside its job's name.
 const MARGIN: usize = 200;
+/// What a count of reruns takes at the most, beside the name of its list.
+const RERUNS_BYTES: usize = 24;
 
 fn segments_kept(value_bytes: usize) -> usize {
     SEGMENTS.max(SEGMENTS_BYTES / value_bytes.max(1))
@@ -27,12 +29,12 @@
 }
 
 impl<'a> Size<'a> {
-    fn add(&mut self, key: &'a TaskKey, place: Option<&'a Place>, addr_len: impl Fn(&Name) -> usize) {
+    fn add(&mut self, key: &'a TaskKey, place: Option<&'a Place>, reruns: bool, addr_len: impl Fn(&Name) -> usize) {
         if self.jobs.insert(&key.0) {
             self.bytes += 64 + key.0.len();
         }
         // A task's number twice, an attempt and the index of a machine.
-        self.bytes += 16;
+        self.bytes += 16 + if reruns { RERUNS_BYTES } else { 0 };
         if let Some(place) = place {
             self.bytes += 28;
             if self.machines.insert(&place.machine) {
@@ -59,23 +61,24 @@
         let waiting = self.records.placed.iter().map(|(_, key)| key).chain(&self.records.changed);
         let looked_at: Vec<TaskKey> = waiting.take(env.facts.value_bytes / LEAST_BYTES).cloned().collect();
         let (due, over): (Vec<_>, Vec<_>) = looked_at.into_iter().partition(|key| open(&key.0).is_some());
-        let moves_unwritten = !self.moves_unwritten().is_empty();
+        let others_unwritten = self.zones_unwritten() || !self.moves_unwritten().is_empty();
         let records = &mut self.records;
         // What is over needs no record.
         over.iter().for_each(|key| records.settled(key));
-        if due.is_empty() && !records.doubt && !moves_unwritten {
+        if due.is_empty() && !records.doubt && !others_unwritten {
             return;
         }
         let jobs = &self.jobs;
         let machines = &self.machines;
         let addr_len = |name: &Name| machines.get(name).map_or(0, |m| m.addr.len());
         let place_of = |key: &TaskKey| jobs.get(&key.0).and_then(|job| job.places.get(&key.1));
+        let reran = |key: &TaskKey| jobs.get(&key.0).is_some_and(|job| job.zone_reruns.contains_key(&key.1));
         records.last.tasks.retain(|key| jobs.get(&key.0).is_some_and(|job| !job.closing));
         let mut size = Size::default();
         let kept: Vec<&TaskKey> = records.last.tasks.iter().filter(|key| records.durable(key)).collect();
-        kept.iter().for_each(|key| size.add(key, place_of(key), addr_len));
+        kept.iter().for_each(|key| size.add(key, place_of(key), reran(key), addr_len));
         let mut whole = Size { bytes: size.bytes, jobs: size.jobs.clone(), machines: size.machines.clone() };
-        due.iter().for_each(|key| whole.add(key, place_of(key), addr_len));
+        due.iter().for_each(|key| whole.add(key, place_of(key), reran(key), addr_len));
         let mut tasks: BTreeSet<TaskKey>;
         // What fitted into the last segment but for the margin would wait for ever.
         let full = whole.bytes > room || records.last.full;
@@ -96,7 +99,7 @@
             if size.bytes + MARGIN + key.0.len() > room || (planned && full && !conditioned.contains(&key.0)) {
                 continue;
             }
-            size.add(key, place, addr_len);
+            size.add(key, place, reran(key), addr_len);
             batch.placed |= planned;
             if planned && conditioned.insert(key.0.clone()) {
                 *txn = std::mem::take(txn).when(job_key(&key.0), jobs[&key.0].version);
@@ -248,6 +251,9 @@
         if job.restarted.contains(task) {
             changed.again.push(*task);
         }
+        if let Some(count) = job.zone_reruns.get(task) {
+            changed.zone_reruns.push((*task, *count));
+        }
     }
     record
 }
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -5,15 +5,18 @@
 mod load;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use rushyoke_balance::{Balancer, OpenMoves};
+use rushyoke_failover::Failover;
 use rushyoke_wire::peer::Progress;
 
 use crate::awaits::Awaited;
 use crate::election::silence_allowance;
 use crate::env::Env;
 use crate::facts::{Facts, Policy};
+use crate::failover::ControllersSeen;
 use crate::fleet::{Machine, Survey};
 use crate::jobs::*;
 use crate::quota::Quotas;
@@ -41,6 +44,7 @@
     Segments { after: String },
     Pages { after: String },
     OpenMoves { after: String },
+    Failover,
     Ready,
 }
 
@@ -107,6 +111,14 @@
     pub awaited: Awaited,
     /// Load spreading, if it is switched on.
     pub balance: Option<Balancer>,
+    /// Zone failover, if it is switched on.
+    pub failover: Option<Failover>,
+    /// What is known of the other controllers.
+    pub controllers: ControllersSeen,
+    /// Likely this node is cut off from most of the fleet, and another controller could lead.
+    pub in_minority: bool,
+    /// The jobs within their team's guarantee, as of the last pass.
+    pub guaranteed: Arc<BTreeSet<Name>>,
     /// A task of an open move may be vacated.
     pub vacated_due: bool,
     pub summarized: Option<Instant>,
@@ -156,6 +168,10 @@
             survey: Survey::default(),
             awaited: Awaited::default(),
             balance: crate::spread::balancer(facts, policy),
+            failover: policy.failover.clone().map(Failover::new),
+            controllers: ControllersSeen::default(),
+            in_minority: false,
+            guaranteed: Arc::default(),
             vacated_due: false,
             summarized: None,
         }
@@ -256,6 +272,9 @@
         if let Some(balancer) = &mut self.balance {
             balancer.job_over(name);
         }
+        if let Some(failover) = &mut self.failover {
+            failover.job_over(name);
+        }
         self.progress.remove(name);
     }
 
--- a/crates/core/src/recover/load.rs
+++ b/crates/core/src/recover/load.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use rushyoke_balance::RECORD_PREFIX;
+use rushyoke_failover::RECORD_KEY;
 use rushyoke_wire::store::{Event, Item, Page};
 
 use crate::calls::{LoadCall, Purpose};
@@ -30,6 +31,7 @@
             Load::OpenMoves { after } => {
                 (LoadCall::OpenMoves, StoreOp::List { prefix: RECORD_PREFIX.into(), after: after.clone() })
             }
+            Load::Failover => (LoadCall::Failover, StoreOp::Get(RECORD_KEY.into())),
             Load::Ready => {
                 self.waiting = false;
                 return;
@@ -57,6 +59,11 @@
         match (call, outcome) {
             (LoadCall::Watch { sent }, outcome) => self.watched(env, sent, outcome),
             (LoadCall::Awaited(job), outcome) => self.awaited_read(env, job, outcome),
+            (LoadCall::Failover, Outcome::Answered(StoreAnswer::Item(item))) => {
+                self.waiting = false;
+                self.zones_read(env, item);
+                self.complete_load(env);
+            }
             (call, Outcome::Answered(StoreAnswer::Page(page))) => {
                 self.waiting = false;
                 match call {
@@ -120,7 +127,7 @@
                 self.load = Load::OpenMoves { after: String::new() };
                 self.read_on(env);
             }
-            None => self.complete_load(env),
+            None => self.read_zones(env),
         }
     }
 
@@ -132,10 +139,20 @@
                 self.load = Load::OpenMoves { after };
                 self.read_on(env);
             }
-            None => self.complete_load(env),
+            None => self.read_zones(env),
         }
     }
 
+    /// The last of the records: what an earlier leader knew of zones.
+    fn read_zones(&mut self, env: &mut Env) {
+        if self.failover.is_none() {
+            self.complete_load(env);
+            return;
+        }
+        self.load = Load::Failover;
+        self.read_on(env);
+    }
+
     fn watched(&mut self, env: &mut Env, sent: Instant, outcome: Outcome<StoreAnswer>) {
         self.watching = false;
         match outcome {
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -173,7 +173,8 @@
                 for zone in kind.zones.iter().filter(|z| within.is_none_or(|w| w.contains(z))) {
                     let market = (kind.name.clone(), zone.clone(), spot);
                     let busy = self.renting.refused.contains_key(&market);
-                    if price.is_finite() && !busy && !self.zone_is_cut(zone) {
+                    let closed = self.zone_is_cut(zone) || self.zone_is_closed(zone);
+                    if price.is_finite() && !busy && !closed {
                         options.push((price * count, count, market));
                     }
                 }
--- a/crates/core/src/rent/demand.rs
+++ b/crates/core/src/rent/demand.rs
@@ -1,6 +1,6 @@
 //! What waits, what runs and what must be kept free, against the machines that are there or come.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::env::Env;
 use crate::jobs::Job;
@@ -87,16 +87,10 @@
     /// Demand that has no room yet, and what must be kept free, by kind of machine.
     pub(super) fn rent_what_is_missing(&mut self, env: &mut Env) {
         self.renting.calls = (env.facts.cloud_rps * RENTAL_SHARE).max(LEAST_RENTALS) as usize;
-        let mut demand = self.demand();
+        self.rent_by_tiers(env);
+        let mut demand = self.demand(|_| true);
         let supply = self.supply(env);
-        for (binding, need) in std::mem::take(&mut demand.bound) {
-            let gap = missing(need, supply.within(&binding));
-            if !gap.is_nothing() {
-                self.rent_kind(env, gap, binding.spot, Some(&binding.zones));
-            }
-            // It takes its part of what is free, wherever that is.
-            demand.add(binding.spot, need.minus(gap));
-        }
+        self.rent_bound(env, &mut demand, &supply);
         let policy = env.policy.clone();
         let largest = env.types.iter().map(|t| t.cpus).fold(0.0, f64::max);
         let headroom = (supply.in_use * policy.headroom_share).max(policy.headroom_machines * largest);
@@ -112,11 +106,49 @@
         self.rent_kind(env, missing(demand.spot, supply.spot), true, None);
     }
 
-    /// Room for what waits and may start, and for what will have to start elsewhere.
-    fn demand(&self) -> Demand {
+    /// While a zone is evacuated, what each tier and those before it lack is asked for before anything of
+    /// a later one: the cloud's calls and machines may not do for all.
+    fn rent_by_tiers(&mut self, env: &mut Env) {
+        if !self.evacuates() {
+            return;
+        }
+        let tiers: BTreeSet<usize> = self.jobs.values().map(|job| self.tier_of(job)).collect();
+        let last = tiers.last().copied();
+        for tier in tiers.into_iter().filter(|tier| Some(*tier) != last) {
+            let mut demand = self.demand(|earlier| earlier <= tier);
+            let supply = self.supply(env);
+            self.rent_bound(env, &mut demand, &supply);
+            let left_over = (supply.ordinary.cpus - demand.ordinary.cpus).max(0.0);
+            demand.spot.cpus = (demand.spot.cpus - left_over).max(0.0);
+            self.rent_kind(env, missing(demand.ordinary, supply.ordinary), false, None);
+            self.rent_kind(env, missing(demand.spot, supply.spot), true, None);
+        }
+    }
+
+    /// Rents for work that is bound to zones, and leaves in the demand what has room there: it takes its
+    /// part of what is free, wherever that is.
+    fn rent_bound(&mut self, env: &mut Env, demand: &mut Demand, supply: &Supply) {
+        for (binding, need) in std::mem::take(&mut demand.bound) {
+            let gap = missing(need, supply.within(&binding));
+            if !gap.is_nothing() {
+                self.rent_kind(env, gap, binding.spot, Some(&binding.zones));
+            }
+            demand.add(binding.spot, need.minus(gap));
+        }
+    }
+
+    /// Room for what waits and may start, and for what will have to start elsewhere, of the tiers that
+    /// are wanted. Earlier tiers use up their teams' limits first.
+    fn demand(&self, wanted: impl Fn(usize) -> bool) -> Demand {
         let mut demand = Demand::default();
         let mut team_left = BTreeMap::new();
-        for job in self.jobs.values() {
+        let evacuates = self.evacuates();
+        let tier = |job: &Job| if evacuates { self.tier_of(job) } else { 0 };
+        let mut jobs: Vec<(usize, &Job)> = self.jobs.values().map(|job| (tier(job), job)).collect();
+        if evacuates {
+            jobs.sort_by_key(|(tier, _)| *tier);
+        }
+        for (_, job) in jobs.into_iter().filter(|(tier, _)| wanted(*tier)) {
             let tasks = self.startable(job, &mut team_left);
             if tasks == 0.0 {
                 continue;
@@ -128,10 +160,14 @@
             }
         }
         // What runs on machines that are cut off will want room elsewhere when their leases end.
-        for machine in self.machines.values().filter(|m| m.suspect && !m.leaving && self.parted(m)) {
-            for (job, _) in &machine.places {
-                let spec = &self.jobs[job].spec;
-                demand.add(spec.spot, Room::of(spec));
+        for machine in self.machines.values().filter(|m| self.will_lose_work(m)) {
+            for (name, _) in &machine.places {
+                let job = &self.jobs[name];
+                // What is bound to its zone waits for it.
+                let elsewhere = job.spec.zone.as_ref() != Some(&machine.zone);
+                if elsewhere && wanted(tier(job)) {
+                    demand.add(job.spec.spot, Room::of(&job.spec));
+                }
             }
         }
         demand
@@ -161,7 +197,7 @@
     }
 
     /// The only zones where a job's next task may go, if not everywhere.
-    pub(super) fn bound_to(&self, job: &Job) -> Option<Vec<String>> {
+    pub fn bound_to(&self, job: &Job) -> Option<Vec<String>> {
         let zones = self.zones_for(job);
         match (&job.spec.zone, zones) {
             (Some(zone), None) => Some(vec![zone.clone()]),
--- a/crates/core/src/rent/returns.rs
+++ b/crates/core/src/rent/returns.rs
@@ -58,7 +58,7 @@
             retiring.insert(name);
         }
         for machine in self.machines.values_mut() {
-            machine.retiring = retiring.contains(&machine.name);
+            machine.retiring = retiring.contains(&machine.name) || machine.was_drained(|drain| drain.retiring);
         }
     }
 
@@ -72,7 +72,8 @@
     /// empties it: one machine at a time, while nothing waits and the others have the room.
     pub(super) fn empty_retiring(&mut self, env: &mut Env) {
         let now = env.steady();
-        if self.jobs.values().any(|job| self.could_start(job)) {
+        // What runs well is not moved because a zone is back.
+        if self.zones_unhealthy() || self.jobs.values().any(|job| self.could_start(job)) {
             return;
         }
         let replicas: u32 = self.machines.values().map(Machine::replicas).sum();
--- a/crates/core/src/speculate.rs
+++ b/crates/core/src/speculate.rs
@@ -362,7 +362,7 @@
                     "straggler value"
                 );
             }
-            machine.straggler = straggler;
+            machine.straggler = straggler || machine.was_drained(|drain| drain.straggling);
         }
     }
 
@@ -431,6 +431,7 @@
                 && m.level >= minimum
                 && m.claim.is_none()
                 && m.usable(now)
+                && m.in_open_zone()
                 && allowed(&job.spec, m)
                 && zones.as_ref().is_none_or(|zones| zones.contains(&m.zone))
                 && self.room_for(m, &job.id).holds(need)
--- a/crates/core/src/spread.rs
+++ b/crates/core/src/spread.rs
@@ -46,7 +46,12 @@
 /// leader, and what was moved there with it.
 fn is_destination(machine: &Machine, env: &Env) -> bool {
     let now = env.steady();
-    machine.usable(now) && machine.reports_to_us(now, env.facts.report) && !machine.retiring && !machine.straggler
+    let settled = machine.in_open_zone() && !machine.zone_unhealthy;
+    settled
+        && machine.usable(now)
+        && machine.reports_to_us(now, env.facts.report)
+        && !machine.retiring
+        && !machine.straggler
 }
 
 /// Run time that a task has left, as far as is known.
@@ -227,7 +232,10 @@
         }
         let overdue = balancer.tick(now);
         // While bookings wait to be durable the state service is slow or silent: more would be no use.
-        if !self.survey_suspects() && !balancer.moves().waits_longer(now, MoveState::Booked, BOOKED_SOON) {
+        if !self.survey_suspects()
+            && !self.evacuates()
+            && !balancer.moves().waits_longer(now, MoveState::Booked, BOOKED_SOON)
+        {
             self.begin_moves(env, &mut balancer);
         }
         if now.duration_since(self.summarized.unwrap_or(self.since)) >= SUMMARY_PERIOD {
@@ -381,6 +389,8 @@
         let waits = self.jobs.get(name).is_some_and(|job| job.waits(*task));
         let reason = match self.machines.get(&open.to) {
             _ if !waits => Some(GiveUp::PlacedElsewhere),
+            // Placement goes by tiers.
+            _ if self.evacuates() => Some(GiveUp::Evacuation),
             // A new leader may not know it yet, or not have reached it.
             Some(target) if !target.is_known() && now.duration_since(open.since) < KNOWN_SOON => return,
             None if now.duration_since(open.since) < KNOWN_SOON => return,
--- /dev/null
+++ b/crates/core/tests/failover/evacuation.rs
@@ -0,0 +1,253 @@
+//! Zones that are lost: the verdict, the order of placement, and what waits.
+
+use std::collections::BTreeMap;
+
+use rushyoke_core::{FailoverSettings, Policy, Tier};
+use rushyoke_testkit::{World, job, job_id, millis, secs, service};
+use rushyoke_wire::job::{JobSpec, JobStatus, Priority};
+
+use crate::support::*;
+
+#[test]
+fn a_lost_zone_is_judged_within_seconds_and_its_work_runs_elsewhere() {
+    for policy in [on(), off()] {
+        let judged = policy.failover.is_some();
+        let mut world = at_work(12, policy);
+        let zone = zone_without_leader(&world);
+        cut(&mut world, zone);
+        if judged {
+            let took = until_state(&mut world, zone, "lost", secs(7));
+            // Overdue after 2.8 s, a call that fails after 1.5 s, and the time to confirm.
+            assert!(took > secs(3), "judged too early: {took:?}");
+        }
+        let all = running(&world);
+        world.run(secs(35));
+        assert!(running(&world) >= all, "{} of {all} run", running(&world));
+        assert_eq!(world.store.rows.contains_key(RECORD), judged);
+        restore(&mut world);
+        ends_well(&mut world);
+    }
+}
+
+#[test]
+fn single_machines_that_die_and_a_half_cut_zone_are_not_lost() {
+    let mut world = at_work(24, on());
+    let zone = zone_without_leader(&world);
+    let there = machines_in(&world, ZONES[zone]);
+    world.workers.remove(&there[0]);
+    world.run(secs(20));
+    assert_eq!(recorded_state(&world, zone), "healthy");
+    // Five of the seven that are left: suspected, but what answers keeps its work.
+    world.cut.extend(there[1..6].iter().cloned());
+    world.run(secs(9));
+    assert_eq!(recorded_state(&world, zone), "suspect");
+    let kept: Vec<&String> = there[6..].iter().collect();
+    assert!(kept.iter().all(|name| world.workers[*name].session == 1), "a machine in reach lost its lease");
+    ends_well(&mut world);
+    assert_eq!(recorded(&world, zone), None);
+}
+
+#[test]
+fn a_deployment_of_one_zone_and_a_leader_cut_off_from_most_judge_nothing() {
+    let mut world = World::deployed(deployment(), 6, on(), &["a"]);
+    world.run(secs(6));
+    assert_eq!(world.submit(0, service(1, 12)), Some(201));
+    world.run(secs(3));
+    let machines: Vec<String> = world.workers.keys().cloned().collect();
+    world.cut.extend(machines);
+    world.run(secs(9));
+    assert!(!world.store.rows.contains_key(RECORD), "a fleet of one zone was judged");
+    ends_well(&mut world);
+}
+
+/// A zone of three is lost while elsewhere there is room for a part of its work only.
+fn short_of_room(policy: Policy, classes: &[(u32, &str, Priority)]) -> (World, Starts, usize) {
+    let mut world = fleet(12, policy);
+    for (id, class, priority) in classes {
+        let team = if *id % 2 == 0 { "red" } else { "blue" }.to_owned();
+        assert_eq!(world.submit(0, JobSpec { class: (*class).into(), team, ..long(*id, 40, *priority) }), Some(201));
+    }
+    world.run(secs(8));
+    let zone = zone_without_leader(&world);
+    cut(&mut world, zone);
+    let starts = watching(&mut world);
+    (world, starts, zone)
+}
+
+/// Starts of a lower tier while a higher one waited: all tasks here fit on any machine.
+fn inversions(starts: &Starts, tiers: &[u32], lost: &BTreeMap<u32, usize>) -> usize {
+    let mut inverted = 0;
+    for (n, higher) in tiers.iter().enumerate() {
+        // Until this moment some of it waited.
+        let waited_until = starts.span(*higher).map(|(_, last)| last).filter(|_| starts.of(*higher) >= lost[higher]);
+        for lower in &tiers[n + 1..] {
+            let early = |at: &std::time::Duration| lost[higher] > 0 && waited_until.is_none_or(|until| *at < until);
+            let prefix = format!("{}/", job_id(*lower));
+            inverted += starts.began.iter().filter(|(at, task, _)| task.starts_with(&prefix) && early(at)).count();
+        }
+    }
+    inverted
+}
+
+#[test]
+fn work_of_a_lost_zone_is_placed_by_tiers_with_room_for_a_part_only() {
+    // By priority, and by the tiers that operators name, against the priorities.
+    let named = |name: &str, class: &str| Tier { name: name.into(), classes: vec![class.into()] };
+    let tiers = vec![named("first", "reruns"), named("second", "sheets")];
+    let by_name = FailoverSettings { tiers, ..FailoverSettings::default() };
+    let classes = [(3, "sheets", Priority::High), (4, "reruns", Priority::Normal), (5, "lab", Priority::BestEffort)];
+    for (policy, order) in [(on(), [3, 4, 5]), (with(by_name), [4, 3, 5])] {
+        let (mut world, mut starts, zone) = short_of_room(policy, &classes);
+        let before: BTreeMap<u32, usize> = order.iter().map(|id| (*id, count(&world, *id))).collect();
+        // The leases end; a burst of the last tier comes just then.
+        starts.watch(&mut world, secs(9));
+        assert_eq!(world.submit(world.leader().expect("a leader"), long(6, 60, Priority::BestEffort)), Some(201));
+        starts.watch(&mut world, secs(22));
+        let lost: BTreeMap<u32, usize> = order.iter().map(|id| (*id, starts.of(*id))).collect();
+        assert!(lost[&order[0]] >= 4, "{lost:?} of {before:?} began anew in zone {zone}");
+        assert_eq!(count(&world, order[0]), 40, "the first tier is whole");
+        assert_eq!(inversions(&starts, &order, &lost), 0, "{:?}", starts.began);
+        restore(&mut world);
+        ends_well(&mut world);
+    }
+}
+
+#[test]
+fn what_cannot_go_elsewhere_waits_in_nobodys_way_and_is_not_lost() {
+    let mut world = fleet(12, on());
+    let zone = zone_without_leader(&world);
+    let bound = JobSpec { zone: Some(ZONES[zone].into()), ..long(3, 12, Priority::High) };
+    assert_eq!(world.submit(0, bound.clone()), Some(201));
+    assert_eq!(world.submit(0, long(4, 40, Priority::BestEffort)), Some(201));
+    // So many more that their turns alone would use up a pass.
+    world.run(secs(6));
+    cut(&mut world, zone);
+    let leader = world.leader().expect("a leader");
+    for id in 100..180 {
+        let one = JobSpec { zone: Some(ZONES[zone].into()), cpus: 0.5, ..long(id, 1, Priority::High) };
+        assert_eq!(world.submit(leader, one), Some(201));
+    }
+    world.run(secs(20));
+    assert_eq!(count(&world, 4), 40, "the lower tier waits behind what is bound to the lost zone");
+    assert_eq!(count(&world, 3), 0);
+    let fresh = JobSpec { one_zone: true, ..long(5, 20, Priority::Normal) };
+    assert_eq!(world.submit(leader, fresh), Some(201));
+    world.run(secs(4));
+    assert_eq!(count(&world, 5), 20, "a job that must be together chose the lost zone");
+    restore(&mut world);
+    world.run(secs(25));
+    assert_eq!(count(&world, 3), 12, "it is not lost");
+    ends_well(&mut world);
+}
+
+#[test]
+fn machines_are_rented_when_the_zone_is_lost_and_no_more_once_it_is_back() {
+    for (cut_s, expected) in [(7, false), (30, true)] {
+        let mut world = at_work(12, on());
+        world.cloud.capacity = 40;
+        let zone = zone_without_leader(&world);
+        let before = world.cloud.machines.len();
+        cut(&mut world, zone);
+        world.run(secs(cut_s));
+        let during = world.cloud.machines.len();
+        assert!(during > before || !expected, "no machines were rented in {cut_s} s");
+        let elsewhere = world.cloud.machines.iter().skip(before).all(|(_, rented)| rented.zone != ZONES[zone]);
+        assert!(elsewhere, "machines were rented in the lost zone");
+        restore(&mut world);
+        world.run(secs(12));
+        assert!(world.cloud.machines.len() <= during, "machines were rented after the return");
+        ends_well(&mut world);
+    }
+}
+
+#[test]
+fn a_task_at_its_bound_waits_for_the_word_of_its_zone_or_a_confirmed_return() {
+    let settings = FailoverSettings {
+        max_reruns: BTreeMap::from([("settlement".to_owned(), 0)]),
+        keep_machines: secs(40),
+        ..FailoverSettings::default()
+    };
+    for returns in [true, false] {
+        let mut world = fleet(12, with(settings.clone()));
+        let settlement = JobSpec { class: "settlement".into(), ..long(3, 36, Priority::Normal) };
+        assert_eq!(world.submit(0, settlement), Some(201));
+        assert_eq!(world.submit(1, long(4, 36, Priority::Normal)), Some(201));
+        world.run(secs(6));
+        let zone = zone_without_leader(&world);
+        let there = machines_in(&world, ZONES[zone]);
+        let lost = world.where_runs(&job_id(3)).iter().filter(|(_, machine)| there.contains(machine)).count();
+        assert!(lost > 0);
+        cut(&mut world, zone);
+        world.run(secs(30));
+        // The leases are over, and there is room elsewhere.
+        assert_eq!((count(&world, 3), count(&world, 4)), (36 - lost, 36), "begun anew beyond the bound");
+        if returns {
+            restore(&mut world);
+            world.run(secs(12));
+        } else {
+            // The machines are returned to the cloud in the end, which proves them empty.
+            world.run(secs(40));
+        }
+        assert_eq!(count(&world, 3), 36, "returns: {returns}");
+        ends_well(&mut world);
+    }
+}
+
+#[test]
+fn counts_of_reruns_outlive_leaders() {
+    let settings = FailoverSettings {
+        max_reruns: BTreeMap::from([("settlement".to_owned(), 1)]),
+        keep_machines: secs(60),
+        ..FailoverSettings::default()
+    };
+    let mut world = fleet(12, with(settings));
+    assert_eq!(world.submit(0, JobSpec { class: "settlement".into(), ..long(3, 60, Priority::Normal) }), Some(201));
+    world.run(secs(6));
+    let mut starts = watching(&mut world);
+    for round in 0..3 {
+        let leader = world.leader().expect("a leader");
+        let zone = (leader + 1 + round % 2) % 3;
+        cut(&mut world, zone);
+        starts.watch(&mut world, secs(20));
+        world.crash(leader);
+        starts.watch(&mut world, secs(8));
+        world.start_node(leader);
+        restore(&mut world);
+        starts.watch(&mut world, secs(30));
+    }
+    // Each task may begin once before a bound holds; beyond it the machine's own word lets it begin.
+    assert_eq!(count(&world, 3), 60);
+    let counted = world.store.rows.iter().filter(|(key, _)| key.starts_with("log/") || key.starts_with("task/"));
+    let counted = counted.filter(|(_, row)| row.0.to_string().contains("zone_reruns")).count();
+    assert!(counted > 0, "no count is durable");
+    ends_well(&mut world);
+}
+
+#[test]
+fn cancellations_and_kept_results_among_the_cut_are_settled() {
+    let mut world = at_work(12, on());
+    // A job whose tasks end while their zone is cut off: its results are kept and taken.
+    for worker in world.workers.values_mut() {
+        worker.run_s = 14.0;
+    }
+    assert_eq!(world.submit(0, JobSpec { estimate_s: 14.0, ..job(5, 24) }), Some(201));
+    world.run(secs(11));
+    let zone = zone_without_leader(&world);
+    let leader = world.leader().expect("a leader");
+    let began = world.started;
+    cut(&mut world, zone);
+    world.run(secs(2));
+    assert_eq!(
+        world.cancel(leader, &job_id(3)).and_then(|(_, view)| view).map(|view| view.state),
+        Some(JobStatus::Cancelled)
+    );
+    // Shorter than it takes for a lease to end.
+    world.run(millis(2500));
+    restore(&mut world);
+    world.run(secs(12));
+    assert_eq!(world.state(0, &job_id(5)), Some(JobStatus::Done), "a kept result was not taken");
+    assert_eq!(world.started, began, "what had ended was run again");
+    assert_eq!(count(&world, 3), 0);
+    world.run(millis(100));
+    ends_well(&mut world);
+}
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use rushyoke_core::{Facts, Policy, Team};
+use rushyoke_core::{Facts, FailoverSettings, Policy, Team};
 use rushyoke_testkit::{World, facts, job, secs, service};
 use rushyoke_wire::job::JobSpec;
 
@@ -199,10 +199,22 @@
 
 #[test]
 fn four_thousand_machines_boot_lose_their_leader_and_a_zone() {
-    // Some of the bounds are for each machine: this is about the size that is run.
+    four_thousand_machines(Policy::default());
+}
+
+#[test]
+fn four_thousand_machines_boot_lose_their_leader_and_a_zone_with_failover() {
+    let world = four_thousand_machines(Policy { failover: Some(FailoverSettings::default()), ..Policy::default() });
+    let record = &world.store.rows["failover/zones"].0["zones"][0];
+    assert_eq!((record["zone"].as_str(), record["episode"].as_u64()), (Some(ZONES[0]), Some(1)), "{record}");
+}
+
+/// Boots a fleet of about the size that is run, ends its leader and cuts a zone off.
+fn four_thousand_machines(policy: Policy) -> World {
+    // Some of the bounds are for each machine.
     const MACHINES: usize = 4000;
     let facts = Facts { job_bytes: 64 << 20, ..large(12_000.0, 40_000.0) };
-    let mut world = World::deployed(facts, 0, Policy { headroom_share: 0.02, ..Policy::default() }, &ZONES);
+    let mut world = World::deployed(facts, 0, Policy { headroom_share: 0.02, ..policy }, &ZONES);
     world.task_s = 300.0;
     world.check_every = 50;
     world.cloud.capacity = MACHINES as u32 + 1400;
@@ -254,4 +266,5 @@
     let [Some(services), Some(arrays)] = whole else { panic!("not all is back: {whole:?}") };
     assert!(services <= secs(45) && arrays <= secs(90), "back after {services:?}, {arrays:?}");
     assert!(world.most_orders <= 300, "{} direct calls at a time", world.most_orders);
+    world
 }
--- a/crates/rushyoke/src/settings.rs
+++ b/crates/rushyoke/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings: the platform's TOML file, and the operators' YAML file.
 
 mod balance;
+mod failover;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -10,6 +11,7 @@
 use rushyoke_core::{Facts, Objective, Policy, Team};
 
 use balance::FileBalance;
+use failover::FileFailover;
 use serde::Deserialize;
 
 /// All that a node starts with.
@@ -62,6 +64,8 @@
 #[derive(Deserialize)]
 struct File {
     label: String,
+    /// The zone of this node.
+    location: Option<String>,
     public_addr: SocketAddr,
     peer_bind: SocketAddr,
     #[serde(default)]
@@ -73,6 +77,7 @@
 #[derive(Deserialize)]
 struct Other {
     label: String,
+    location: Option<String>,
     endpoint: SocketAddr,
 }
 
@@ -209,6 +214,7 @@
     known_jobs: Option<usize>,
     sample: Option<usize>,
     balance: Option<FileBalance>,
+    failover: Option<FileFailover>,
 }
 
 /// Reads and checks both files; an error is one line that names the file, the field
@@ -217,6 +223,7 @@
     let in_config = |reason: String| format!("{}: {reason}", config.display());
     let text = std::fs::read_to_string(config).map_err(|e| in_config(e.to_string()))?;
     let file: File = toml::from_str(&text).map_err(|e| in_config(toml_reason(&text, &e)))?;
+    let policy_path = policy;
     let policy = match policy {
         None => Policy::default(),
         Some(path) => {
@@ -225,7 +232,11 @@
             parse_policy(&text).map_err(in_policy)?
         }
     };
-    build(file, policy).map_err(in_config)
+    let settings = build(file, policy).map_err(in_config)?;
+    if let (Some(failover), Some(path)) = (&settings.policy.failover, policy_path) {
+        failover::check_names(failover, &settings.facts).map_err(|error| format!("{}: {error}", path.display()))?;
+    }
+    Ok(settings)
 }
 
 /// The error's line, with the field that stands there, and its reason.
@@ -271,9 +282,12 @@
         Some(mb) => (count("facts.quota.mem_mb", mb)?.min(1e6) * 1e6) as usize,
     };
     let sockets = Sockets::divide(facts.quota.max_sockets);
+    let others = file.others.iter().map(|other| (&other.label, &other.location));
+    let locations = others.chain([(&file.label, &file.location)]);
     let core = Facts {
         label: file.label.clone(),
         others: peers.keys().cloned().collect(),
+        locations: locations.filter_map(|(label, zone)| Some((label.clone(), zone.clone()?))).collect(),
         teams,
         objectives: objectives.collect(),
         report: positive("facts.workers.report_s", facts.workers.report_s)?,
@@ -355,5 +369,6 @@
     whole("known_jobs", file.known_jobs, 100, 10_000_000, &mut policy.known_jobs)?;
     whole("sample", file.sample, 1, 100_000, &mut policy.sample)?;
     policy.balance = file.balance.map(FileBalance::into_settings).transpose()?.flatten();
+    policy.failover = file.failover.map(FileFailover::into_settings).transpose()?.flatten();
     Ok(policy)
 }
--- /dev/null
+++ b/crates/rushyoke/src/settings/failover.rs
@@ -0,0 +1,100 @@
+//! The section `failover:` of the operators' file: zone failover.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use rushyoke_core::{Facts, FailoverSettings, FailoverSettingsError, Tier};
+use serde::Deserialize;
+
+/// The most seconds that any setting here is read as, so that all fit a duration.
+const MOST_S: f64 = 1e9;
+
+/// What operators set; what is left out keeps its default. Off unless `enabled` is true.
+#[derive(Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(super) struct FileFailover {
+    enabled: bool,
+    tiers: Vec<FileTier>,
+    careful_tiers: Vec<String>,
+    least_machines: Option<usize>,
+    suspect_share: Option<f64>,
+    lost_share: Option<f64>,
+    confirm_s: Option<f64>,
+    return_share: Option<f64>,
+    probation_s: Option<f64>,
+    longest_probation_s: Option<f64>,
+    half_life_s: Option<f64>,
+    ramp_share: Option<f64>,
+    ramp_step_s: Option<f64>,
+    keep_machines_s: Option<f64>,
+    evacuation_s: Option<f64>,
+    max_reruns: BTreeMap<String, u32>,
+    held_out: Vec<String>,
+    admitted: Vec<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FileTier {
+    name: String,
+    classes: Vec<String>,
+}
+
+impl FileFailover {
+    /// The checked settings, if failover is on. They are checked also while it is off.
+    pub(super) fn into_settings(self) -> Result<Option<FailoverSettings>, String> {
+        let enabled = self.enabled;
+        let settings = self.read()?;
+        settings.check().map_err(|error| error.to_string())?;
+        Ok(enabled.then_some(settings))
+    }
+
+    fn read(self) -> Result<FailoverSettings, String> {
+        let mut settings = FailoverSettings::default();
+        settings.least_machines = self.least_machines.unwrap_or(settings.least_machines);
+        let shares = [
+            (self.suspect_share, &mut settings.suspect_share),
+            (self.lost_share, &mut settings.lost_share),
+            (self.return_share, &mut settings.return_share),
+            (self.ramp_share, &mut settings.ramp_share),
+        ];
+        for (value, target) in shares {
+            *target = value.unwrap_or(*target);
+        }
+        let times = [
+            ("confirm_s", self.confirm_s, &mut settings.confirm),
+            ("probation_s", self.probation_s, &mut settings.probation),
+            ("longest_probation_s", self.longest_probation_s, &mut settings.longest_probation),
+            ("half_life_s", self.half_life_s, &mut settings.half_life),
+            ("ramp_step_s", self.ramp_step_s, &mut settings.ramp_step),
+            ("keep_machines_s", self.keep_machines_s, &mut settings.keep_machines),
+            ("evacuation_s", self.evacuation_s, &mut settings.evacuation),
+        ];
+        for (name, value, target) in times {
+            *target = value.map_or(Ok(*target), |value| seconds(name, value))?;
+        }
+        settings.tiers = self.tiers.into_iter().map(|FileTier { name, classes }| Tier { name, classes }).collect();
+        settings.max_reruns = self.max_reruns;
+        let names = |setting, what, listed: &[String]| {
+            FailoverSettings::names(setting, what, listed).map_err(|error| error.to_string())
+        };
+        settings.careful_tiers = names("careful_tiers", "tier", &self.careful_tiers)?;
+        settings.held_out = names("held_out", "zone", &self.held_out)?;
+        settings.admitted = names("admitted", "zone", &self.admitted)?;
+        Ok(settings)
+    }
+}
+
+/// Checks the names of classes and zones against those that the platform tells.
+pub(super) fn check_names(settings: &FailoverSettings, facts: &Facts) -> Result<(), FailoverSettingsError> {
+    let classes: BTreeSet<String> = facts.objectives.iter().filter_map(|objective| objective.class.clone()).collect();
+    let zones: BTreeSet<String> = facts.locations.values().cloned().collect();
+    settings.check_names(&classes, &zones)
+}
+
+fn seconds(name: &str, value: f64) -> Result<Duration, String> {
+    match (0.0..=MOST_S).contains(&value) {
+        true => Ok(Duration::from_secs_f64(value)),
+        false => Err(format!("failover.{name}: must be a number of seconds from 0 on")),
+    }
+}
--- a/crates/rushyoke/tests/check.rs
+++ b/crates/rushyoke/tests/check.rs
@@ -68,9 +68,18 @@
 
 /// The exit code, and what is printed on standard error, with an operators' file.
 fn with_policy(name: &str, policy: &str, arguments: &[&str]) -> (Option<i32>, String) {
+    run_with(name, SETTINGS, policy, arguments)
+}
+
+/// What `check` says of both files.
+fn with_files(name: &str, platform: &str, policy: &str) -> (Option<i32>, String) {
+    run_with(name, platform, policy, &["check"])
+}
+
+fn run_with(name: &str, platform: &str, policy: &str, arguments: &[&str]) -> (Option<i32>, String) {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
     let (config, file) = (folder.join(format!("{name}.toml")), folder.join(format!("{name}.yaml")));
-    std::fs::write(&config, SETTINGS).expect("the folder for tests can be written to");
+    std::fs::write(&config, platform).expect("the folder for tests can be written to");
     std::fs::write(&file, policy).expect("the folder for tests can be written to");
     let mut command = Command::new(env!("CARGO_BIN_EXE_rushyoke"));
     let out = command.arg("--config").arg(&config).arg("--policy").arg(&file).args(arguments).output();
@@ -122,3 +131,69 @@
         }
     }
 }
+
+#[test]
+fn failover_is_switched_on_by_its_file_and_may_be_left_out() {
+    let deployed = include_str!("../../../deploy/failover.yaml");
+    let named = "failover:\n  enabled: true\n  tiers: [{ name: urgent, classes: [sheets] }]\n  \
+                 careful_tiers: [urgent]\n  max_reruns: { settlement: 1 }\n  held_out: [south]\n";
+    for (name, policy) in
+        [("failover-deployed", deployed), ("failover-off", "failover:\n  enabled: false\n"), ("failover-named", named)]
+    {
+        let (code, said) = with_policy(name, policy, &["check"]);
+        assert_eq!(code, Some(0), "{name}: {said}");
+    }
+}
+
+#[test]
+fn nonsense_in_failover_is_one_clear_line() {
+    for (field, line) in [
+        ("failover.suspect_share", "suspect_share: 0"),
+        ("failover.lost_share", "lost_share: .nan"),
+        ("failover.lost_share", "lost_share: 0.2"),
+        ("failover.least_machines", "least_machines: 0"),
+        ("failover.confirm_s", "confirm_s: -1"),
+        ("failover.half_life_s", "half_life_s: 0"),
+        ("failover.probation_s", "probation_s: .inf"),
+        ("failover.longest_probation_s", "longest_probation_s: 5"),
+        ("failover.evacuation_s", "evacuation_s: 1000"),
+        ("failover.tiers", "tiers: [{ name: ' ', classes: [sheets] }]"),
+        ("failover.tiers", "tiers: [{ name: one, classes: [] }]"),
+        ("failover.tiers", "tiers: [{ name: one, classes: [x] }, { name: one, classes: [y] }]"),
+        ("failover.tiers", "tiers: [{ name: one, classes: [x] }, { name: two, classes: [x] }]"),
+        ("failover.careful_tiers", "careful_tiers: [urgent]"),
+        ("failover.held_out", "held_out: [north, north]"),
+        ("failover.admitted", "admitted: ['']"),
+        ("failover.admitted", "{ admitted: [north], held_out: [north] }"),
+        ("max_reruns", "max_reruns: { settlement: -1 }"),
+        ("unknown field", "zones: 3"),
+    ] {
+        for arguments in [&["check"][..], &[]] {
+            let policy =
+                if line.starts_with('{') { format!("failover: {line}\n") } else { format!("failover:\n  {line}\n") };
+            let (code, said) = with_policy("failover-bad", &policy, arguments);
+            assert_eq!(code, Some(2), "{line}: {said}");
+            assert_eq!(said.trim().lines().count(), 1, "{said}");
+            assert!(said.contains(field), "{line}: {said}");
+        }
+    }
+}
+
+#[test]
+fn names_in_failover_that_the_platform_does_not_know_are_one_clear_line() {
+    let platform = format!(
+        "location = \"north\"\n{SETTINGS}[[facts.objectives]]\nkind = \"finished\"\nclass = \"sheets\"\nwithin_s = 9.0\n"
+    );
+    for (field, line) in [
+        ("failover.tiers: unknown class lab", "tiers: [{ name: one, classes: [lab] }]"),
+        ("failover.max_reruns: unknown class lab", "max_reruns: { lab: 1 }"),
+        ("failover.held_out: unknown zone south", "held_out: [south]"),
+        ("failover.admitted: unknown zone south", "admitted: [south]"),
+    ] {
+        let (code, said) = with_files("failover-names", &platform, &format!("failover:\n  enabled: true\n  {line}\n"));
+        assert_eq!((code, said.trim().lines().count()), (Some(2), 1), "{said}");
+        assert!(said.contains(field), "{line}: {said}");
+    }
+    let known = "failover:\n  enabled: true\n  tiers: [{ name: one, classes: [sheets] }]\n  held_out: [north]\n";
+    assert_eq!(with_files("failover-known", &platform, known).0, Some(0));
+}
--- a/crates/testkit/src/deployment.rs
+++ b/crates/testkit/src/deployment.rs
@@ -13,6 +13,7 @@
     Facts {
         label: label(node),
         others: (0..nodes).filter(|n| *n != node).map(label).collect(),
+        locations: BTreeMap::new(),
         teams: BTreeMap::from([("red".into(), team(32.0, 64.0)), ("blue".into(), team(32.0, 64.0))]),
         objectives: Vec::new(),
         report: Duration::from_secs(2),
