A worker that still looks for the leader is not said to report no more

A machine that the cloud lists as running counts as reported from then on, though its worker may still try other controllers; and the stand-in waited a whole report interval after a refusal, not 1 s.

Change: one that never reported to this leader gets the time that a worker takes to find it; the stand-in tries the next controller after 1 s, as the protocol says. The settings' errors of load spreading come from thiserror, as those of failover do.

--- a/crates/balance/src/settings.rs
+++ b/crates/balance/src/settings.rs
@@ -1,7 +1,6 @@
 //! What operators set for load spreading, with units, defaults and checks.
 
 use std::collections::BTreeSet;
-use std::fmt;
 use std::time::Duration;
 
 /// The operators' settings; all times are expected times, all shares are parts of one.
@@ -64,7 +63,8 @@
 pub const LONGEST_HOLD: Duration = Duration::from_secs(60);
 
 /// A setting that makes no sense.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+#[error("balance.{setting}: must be {low} to {high}{unit}")]
 pub struct SettingsError {
     /// The setting's name in the operators' file.
     pub setting: &'static str,
@@ -76,15 +76,6 @@
     pub unit: &'static str,
 }
 
-impl fmt::Display for SettingsError {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let SettingsError { setting, low, high, unit } = self;
-        write!(formatter, "balance.{setting}: must be {low} to {high}{unit}")
-    }
-}
-
-impl std::error::Error for SettingsError {}
-
 impl Settings {
     /// Checks every setting; the error names the first that makes no sense.
     pub fn check(&self) -> Result<(), SettingsError> {
--- a/crates/core/src/fleet/silence.rs
+++ b/crates/core/src/fleet/silence.rs
@@ -93,6 +93,7 @@
         let fence_all = now.duration_since(self.since) >= fence_by_report(env.facts.report);
         let leases = self.lease_bounds(env);
         let judged = self.failover.is_some();
+        let find_after = SETTLING * env.facts.others.len() as u32;
         let mut findings = Findings::default();
         for machine in self.machines.values_mut().filter(|m| m.up) {
             findings.up += 1;
@@ -110,7 +111,9 @@
             if quiet > late || unreached {
                 findings.quiet.note(machine.spot);
             }
-            if now.duration_since(machine.reported) > late + PROBE {
+            // One that never reported here may still look for this node.
+            let looking = if machine.answered.is_some() { Duration::ZERO } else { find_after };
+            if now.duration_since(machine.reported) > late + PROBE + looking {
                 findings.unreporting.push(machine.name.clone());
             }
             if machine.direct.is_none() && machine.direct_from.is_none_or(|t| t <= now) {
--- a/crates/core/tests/machines.rs
+++ b/crates/core/tests/machines.rs
@@ -252,3 +252,22 @@
     world.run(secs(20));
     assert_eq!(world.where_runs("wk-000001").len(), 8);
 }
+
+#[test]
+fn a_machine_whose_worker_still_looks_for_the_leader_gets_work() {
+    // Found on loopback with 4,000 machines: healthy ones that had come up were said to report no more,
+    // although they had not reported yet, and got no work.
+    let mut world = World::settled(1);
+    world.cloud.capacity = 2;
+    let name = world.cloud.add(world.now, "a", false);
+    world.mute.insert(name.clone());
+    world.boot = secs(1);
+    // The cloud lists it as running, and it answers calls.
+    world.run(secs(8));
+    assert_eq!(world.submit(0, service(1, 24)), Some(201));
+    world.run(secs(2));
+    assert!(world.where_runs("wk-000001").iter().any(|(_, machine)| *machine == name), "it got no work");
+    world.mute.clear();
+    world.run(secs(20));
+    assert_eq!(world.where_runs("wk-000001").len(), 24);
+}
--- a/crates/testkit/examples/support/mod.rs
+++ b/crates/testkit/examples/support/mod.rs
@@ -30,6 +30,8 @@
 
 /// Controllers of a deployment.
 pub const NODES: usize = 3;
+/// After this time a worker tries the next controller.
+const NEXT_NODE: Duration = Duration::from_secs(1);
 const STATE: &str = "127.0.0.1:23790";
 const CLOUD: &str = "127.0.0.1:23791";
 
@@ -284,6 +286,8 @@
     async fn reports_of(self: &Rc<Self>, name: &str, worker: Rc<RefCell<Worker>>) {
         let spread = name.bytes().last().map_or(0, usize::from) % NODES;
         let (mut node, mut kept, mut last) = (spread, None, Instant::now() - self.setup.report);
+        // After a refusal the next node is tried soon, not after a whole interval.
+        let mut soon = None;
         while self.workers.borrow().contains_key(name) {
             sleep(Duration::from_millis(50)).await;
             let changed = {
@@ -292,7 +296,8 @@
                 let is_service = |task: &str| task.split_once('/').is_some_and(|(id, _)| !specs.contains_key(id));
                 worker.borrow_mut().pass(self.now(), self.setup.lease, is_service) || token != worker.borrow().token
             };
-            let wait = if changed { Duration::from_millis(500) } else { self.setup.report };
+            let usual = if changed { Duration::from_millis(500) } else { self.setup.report };
+            let wait = std::mem::take(&mut soon).unwrap_or(usual);
             if last.elapsed() < wait {
                 sleep(wait - last.elapsed()).await;
             }
@@ -309,9 +314,13 @@
                 Some((421, body)) => {
                     let other: Elsewhere = serde_json::from_slice(&body).expect("a node");
                     let named = other.report_to.and_then(|label| label.strip_prefix("node-")?.parse().ok());
+                    soon = Some(if named.is_some() { Duration::ZERO } else { NEXT_NODE });
                     (node, kept) = (named.unwrap_or((node + 1) % NODES), None);
                 }
-                _ => (node, kept) = ((node + 1) % NODES, None),
+                _ => {
+                    soon = Some(NEXT_NODE);
+                    (node, kept) = ((node + 1) % NODES, None);
+                }
             }
         }
     }
