Readable code: tables of a term below what uses them; tiers hold against preemption

Cause: the core's modules imported one another in one circle of 16, and Term stood among what uses it. Breaking the guards of failover showed that the story of tiers had room for all, and reading it that a later tier could stop tasks of an earlier one while a zone is evacuated.

The circle that is left has the node, election, relay and users. Preemption passes over earlier tiers while a zone is evacuated. The story has room for a part only and few machines weighed at a time; inversions count from the end of the leases.

--- a/crates/core/src/awaits.rs
+++ b/crates/core/src/awaits.rs
@@ -6,8 +6,10 @@
 //! a job that is left waiting for one that was cancelled. Only accepted jobs can be named, so
 //! there are no cycles; chains may be long, so nothing here recurs.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::time::{Duration, Instant};
+pub(crate) mod state;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
 
 use rushyoke_wire::job::Priority;
 
@@ -15,22 +17,12 @@
 use crate::env::Env;
 use crate::io::*;
 use crate::jobs::*;
-use crate::recover::Term;
+use crate::term::Term;
 
 /// Records of awaited jobs that are read at a time.
 const READING: usize = 8;
 const RETRY: Duration = Duration::from_millis(400);
 
-#[derive(Default)]
-pub(crate) struct Awaited {
-    /// The jobs that await each job.
-    dependents: BTreeMap<Name, BTreeSet<Name>>,
-    /// Awaited jobs that are not unfinished, as far as is known: how they ended must be read.
-    unread: BTreeSet<Name>,
-    reading: BTreeSet<Name>,
-    retry: Option<Instant>,
-}
-
 /// The more urgent of two deadlines.
 fn earlier(one: Option<u64>, other: Option<u64>) -> Option<u64> {
     one.into_iter().chain(other).min()
--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -22,14 +22,6 @@
 const HEARD: Duration = Duration::from_secs(8);
 const COURTESY: Duration = Duration::from_millis(200);
 
-/// How long a leader goes on answering reports after the older of two moments: the last confirmed
-/// renewal of its lease, and the last up to which it surely knows all cancellations. One
-/// that was told elsewhere must still be over in time once it falls silent.
-pub(crate) fn silence_allowance(facts: &Facts) -> Duration {
-    let margin = Duration::from_secs(2) + facts.cancel / 100;
-    facts.cancel.saturating_sub(facts.lease).saturating_sub(margin)
-}
-
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 struct HolderRecord {
     label: String,
@@ -88,7 +80,7 @@
     /// Whether a leader may still answer reports.
     pub fn entitled(&self, now: Instant, facts: &Facts) -> bool {
         match &self.phase {
-            Some(Phase::Leading { confirmed, .. }) => now.duration_since(*confirmed) <= silence_allowance(facts),
+            Some(Phase::Leading { confirmed, .. }) => now.duration_since(*confirmed) <= facts.silence_allowance(),
             _ => false,
         }
     }
--- a/crates/core/src/facts.rs
+++ b/crates/core/src/facts.rs
@@ -65,6 +65,16 @@
     pub job_bytes: usize,
 }
 
+impl Facts {
+    /// How long a leader goes on answering reports after the older of two moments: the last confirmed
+    /// renewal of its lease, and the last up to which it surely knows all cancellations. One
+    /// that was told elsewhere must still be over in time once it falls silent.
+    pub(crate) fn silence_allowance(&self) -> Duration {
+        let margin = Duration::from_secs(2) + self.cancel / 100;
+        self.cancel.saturating_sub(self.lease).saturating_sub(margin)
+    }
+}
+
 /// The operators' own settings, with the defaults of the design.
 #[derive(Clone, Debug)]
 pub struct Policy {
--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -4,7 +4,7 @@
 //! rentals and returns. A task of a lost zone gets a new place only when its old one is proven empty, by the
 //! same proofs as ever (`fleet`).
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Instant;
 
 use rushyoke_failover::{Access, Drain, Evacuation, Failover, FleetView, TierQuery, Transition, ZoneState, ZoneView};
@@ -15,25 +15,13 @@
 use crate::fleet::Machine;
 use crate::jobs::*;
 use crate::quota::Room;
-use crate::recover::Term;
+use crate::term::Term;
 
 /// What speaks against a machine in a zone on probation for careful work, in seconds.
 const PROBATION_COST_S: f64 = 60.0;
 /// Bytes of the record of zones that stay unused.
 const RECORD_SPARE: usize = 256;
 
-/// What is known of the other controllers.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct ControllersSeen {
-    /// How many others there are, and how many of them answer.
-    pub others: usize,
-    pub answering: usize,
-    /// Zones from which one answers.
-    pub zones: BTreeSet<String>,
-    /// This node gave way lately since it seemed to be cut off, and leads again.
-    pub gave_way: bool,
-}
-
 /// Adds a machine to what is seen of its zone.
 pub(crate) fn note_machine(view: &mut ZoneView, machine: &Machine, overdue: bool, in_time: bool) {
     let unreachable = machine.failed_calls() > 0;
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -7,11 +7,11 @@
 //! went out directly and was not answered may still run late, so the exited entry that
 //! would stop it is kept until the order is resolved.
 
-mod machine;
+pub(crate) mod machine;
 mod orders;
 mod reports;
 mod silence;
-mod survey;
+pub(crate) mod survey;
 mod tasks;
 
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -22,9 +22,8 @@
 
 use crate::env::Env;
 use crate::jobs::Name;
-use crate::recover::Term;
+use crate::term::Term;
 pub(crate) use machine::{Claim, Machine};
-pub(crate) use survey::Survey;
 
 /// Reports come at their interval, give or take a quarter.
 const LATEST_REPORT: f64 = 1.25;
--- a/crates/core/src/fleet/orders.rs
+++ b/crates/core/src/fleet/orders.rs
@@ -12,7 +12,7 @@
 use crate::env::Env;
 use crate::io::*;
 use crate::jobs::*;
-use crate::recover::Term;
+use crate::term::Term;
 
 /// Orders in one message; the rest goes with the next.
 const MAX_ORDERS: usize = 200;
--- a/crates/core/src/fleet/reports.rs
+++ b/crates/core/src/fleet/reports.rs
@@ -11,7 +11,7 @@
 use crate::env::Env;
 use crate::io::*;
 use crate::jobs::*;
-use crate::recover::Term;
+use crate::term::Term;
 
 impl Term {
     /// A worker's report that this leader answers; `None` if its tasks must be told.
--- a/crates/core/src/fleet/silence.rs
+++ b/crates/core/src/fleet/silence.rs
@@ -12,7 +12,7 @@
 use crate::env::Env;
 use crate::failover::note_machine;
 use crate::jobs::{Name, TaskKey};
-use crate::recover::Term;
+use crate::term::Term;
 
 /// Direct calls that an overdue machine may miss before it is given up.
 const PROBES: u32 = 2;
--- a/crates/core/src/fleet/survey.rs
+++ b/crates/core/src/fleet/survey.rs
@@ -5,7 +5,8 @@
 //! leases end, and against renting by what a leader does not know. Nothing here proves a place
 //! empty: it only says how long to wait before a machine is returned.
 
-use std::collections::BTreeSet;
+pub(crate) mod state;
+
 use std::time::{Duration, Instant};
 
 use rand::seq::IteratorRandom;
@@ -14,7 +15,7 @@
 use super::Machine;
 use crate::env::Env;
 use crate::jobs::Name;
-use crate::recover::Term;
+use crate::term::Term;
 
 /// Machines that must fail to answer for a survey, the machines that it asks, those that a leader
 /// without workers of its own asks, how often it is made, and when its answers are in.
@@ -28,26 +29,7 @@
 const PARTED: usize = 12;
 const PARTED_SHARE: usize = 6;
 
-/// What a sample of the machines told when some fell silent.
-#[derive(Default)]
-pub(crate) struct Survey {
-    asked: Option<Instant>,
-    sample: Vec<Name>,
-    /// Machines that seem to be out of reach, and the ordinary ones among them.
-    silent: Silent,
-    cut_zones: BTreeSet<String>,
-    /// Most are out of reach: this node is, rather than they.
-    pub(super) most: bool,
-    /// When they were last so many that a cut of the network is more likely than their end.
-    parted_at: Option<Instant>,
-}
-
-impl Survey {
-    /// Zones of which most of the sample did not answer.
-    pub fn sampled_cut(&self) -> &BTreeSet<String> {
-        &self.cut_zones
-    }
-}
+use state::Survey;
 
 impl Term {
     /// Some machines fail to answer: asks a sample of the others, to tell the end of a few
--- a/crates/core/src/fleet/tasks.rs
+++ b/crates/core/src/fleet/tasks.rs
@@ -7,7 +7,7 @@
 
 use crate::env::Env;
 use crate::jobs::*;
-use crate::recover::Term;
+use crate::term::Term;
 
 impl Term {
     pub(super) fn task_seen(&mut self, env: &mut Env, key: &TaskKey, report: &TaskReport) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 mod rent;
 pub mod speculate;
 mod spread;
+mod term;
 mod users;
 
 pub use rushyoke_balance::{Settings as BalanceSettings, SettingsError as BalanceSettingsError};
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -14,13 +14,13 @@
 use serde_json::value::RawValue;
 
 use crate::calls::{ElectionCall, LoadCall, Purpose};
-use crate::election::{Election, silence_allowance};
+use crate::election::Election;
 use crate::env::{Env, Now};
 use crate::facts::{Facts, Policy};
 use crate::fleet::Tasks;
 use crate::io::*;
-use crate::recover::Term;
 use crate::relay::{Relaying, ReportOutcome, no_tasks};
+use crate::term::Term;
 use crate::users::Users;
 use peers::Peer;
 
@@ -332,7 +332,7 @@
     pub(crate) fn begin_term(&mut self, token: u64) {
         let facts = &self.env.facts;
         tracing::info!(token, "leading from now on");
-        let silent = self.env.steady() + silence_allowance(facts);
+        let silent = self.env.steady() + facts.silence_allowance();
         let mut term = Term::new(token, self.env.steady(), silent, facts, &self.env.policy);
         term.begin(&mut self.env);
         self.term = Some(term);
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -4,10 +4,9 @@
 
 use rushyoke_wire::peer::{PeerRequest, PeerResponse};
 
-use crate::failover::ControllersSeen;
 use crate::io::*;
 use crate::jobs::Job;
-use crate::recover::Term;
+use crate::term::{ControllersSeen, Term};
 
 use super::{BUSY, GAVE_WAY_LATELY, MUCH_LESS, Node, PEER_PERIOD};
 
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -12,7 +12,7 @@
 use crate::fleet::Machine;
 use crate::jobs::*;
 use crate::quota::Room;
-use crate::recover::Term;
+use crate::term::Term;
 
 /// What a machine that is empty counts for beside one that is full, in seconds: work is packed.
 const PACKING_S: f64 = 2.0;
@@ -167,7 +167,7 @@
         tracing::debug!(job = &**name, task, machine = &**machine, attempt, "placed");
         self.task_placed(now, &(name.clone(), task), machine);
         self.placed_in_zone(now, &(name.clone(), task), machine);
-        let turn = crate::records::Turn::of(&self.jobs[name].spec);
+        let turn = crate::records::state::Turn::of(&self.jobs[name].spec);
         self.records.changed((name.clone(), task), Some(turn));
     }
 
--- a/crates/core/src/place/pass.rs
+++ b/crates/core/src/place/pass.rs
@@ -10,7 +10,7 @@
 use crate::env::Env;
 use crate::jobs::*;
 use crate::quota::Room;
-use crate::recover::Term;
+use crate::term::Term;
 
 /// Tasks placed in one pass, or one for each machine if these are more; the rest comes with
 /// the next.
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -12,7 +12,7 @@
 use crate::jobs::*;
 use crate::place::{CLAIM_FOR, allowed};
 use crate::quota::Room;
-use crate::recover::Term;
+use crate::term::Term;
 
 /// How long room that comes free is kept for a job.
 const HOLD_FOR: Duration = Duration::from_secs(3);
@@ -135,7 +135,7 @@
             for (task, place) in &other.places {
                 if place.stop.is_some() {
                     have.add(room);
-                } else if outranks(job, other, within) {
+                } else if outranks(job, other, within) && !self.passes_before(&other.id, &job.id) {
                     victims.push((lost_s(now, other, place), (other.id.clone(), *task), room));
                 }
             }
@@ -166,6 +166,10 @@
         if victim.spec.kind == Kind::Service && victim.spec.priority == Priority::Production {
             return false;
         }
+        // Placement goes by tiers: a later one takes no room from an earlier one.
+        if self.passes_before(&victim.id, &job.id) {
+            return false;
+        }
         let lower = outranks(job, victim, within);
         let borrowed = inside
             && !victim_inside
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -15,11 +15,11 @@
 //! and only then a new segment is begun.
 
 mod log;
+pub(crate) mod state;
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use rushyoke_wire::job::{JobSpec, Kind, Priority};
 use rushyoke_wire::store::Txn;
 
 use crate::calls::{Batch, Purpose, RecordCall};
@@ -27,7 +27,9 @@
 use crate::env::Env;
 use crate::io::*;
 use crate::jobs::*;
-use crate::recover::Term;
+use crate::term::Term;
+
+use state::Turn;
 
 const RETRY: Duration = Duration::from_millis(200);
 /// Least time from one transaction to the next: what gathers meanwhile shares a change.
@@ -52,127 +54,6 @@
 /// The least that a task takes of a segment.
 const LEAST_BYTES: usize = 16;
 
-/// When a new place is written.
-#[derive(Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Turn {
-    /// A production service's: before all others.
-    First,
-    Rest,
-}
-
-impl Turn {
-    pub fn of(spec: &JobSpec) -> Turn {
-        match (spec.kind, spec.priority) {
-            (Kind::Service, Priority::Production) => Turn::First,
-            _ => Turn::Rest,
-        }
-    }
-}
-
-/// The segment that is being written.
-#[derive(Default)]
-struct Segment {
-    number: u64,
-    version: u64,
-    tasks: BTreeSet<TaskKey>,
-    /// No task that was due found room in it: the next one is begun.
-    full: bool,
-}
-
-/// A segment that is full, or was left by an earlier leader.
-struct Sealed {
-    number: u64,
-    version: u64,
-    /// Tasks of which no later segment has a newer state.
-    tasks: BTreeSet<TaskKey>,
-}
-
-#[derive(Default)]
-pub(crate) struct Records {
-    /// Tasks whose new place waits to be durable, those of production services first.
-    placed: BTreeSet<(bool, TaskKey)>,
-    /// Tasks with other changes.
-    changed: BTreeSet<TaskKey>,
-    flying: BTreeSet<TaskKey>,
-    last: Segment,
-    sealed: VecDeque<Sealed>,
-    closing: VecDeque<Name>,
-    /// The same jobs, to be found at once among thousands.
-    to_close: BTreeSet<Name>,
-    drops: VecDeque<String>,
-    in_flight: bool,
-    sent: Option<Instant>,
-    retry: Option<Instant>,
-    /// A transaction may still be applied: the last segment is read, then written.
-    doubt: bool,
-    read_segment: bool,
-    read_jobs: BTreeSet<Name>,
-    reading: usize,
-}
-
-impl Records {
-    pub fn changed(&mut self, key: TaskKey, placed: Option<Turn>) {
-        match placed {
-            Some(turn) => {
-                self.changed.remove(&key);
-                self.placed.insert((turn == Turn::Rest, key));
-            }
-            None if self.waits(&key) => {}
-            None => {
-                self.changed.insert(key);
-            }
-        }
-    }
-
-    /// Whether a new place of the task waits to be durable.
-    fn waits(&self, key: &TaskKey) -> bool {
-        [false, true].into_iter().any(|rest| self.placed.contains(&(rest, key.clone())))
-    }
-
-    fn settled(&mut self, key: &TaskKey) {
-        self.changed.remove(key);
-        self.placed.remove(&(false, key.clone()));
-        self.placed.remove(&(true, key.clone()));
-    }
-
-    /// Whether a task's state is durable as it is.
-    pub fn durable(&self, key: &TaskKey) -> bool {
-        !self.changed.contains(key) && !self.waits(key) && !self.flying.contains(key)
-    }
-
-    pub fn close(&mut self, job: &Name) {
-        if self.to_close.insert(job.clone()) {
-            self.closing.push_back(job.clone());
-        }
-    }
-
-    fn next_to_close(&mut self) -> Option<Name> {
-        let name = self.closing.pop_front()?;
-        self.to_close.remove(&name);
-        Some(name)
-    }
-
-    pub fn drop_key(&mut self, key: String) {
-        self.drops.push_back(key);
-    }
-
-    /// Takes over a segment that an earlier leader left; they come in the order of writing.
-    pub fn inherit(&mut self, number: u64, version: u64, tasks: BTreeSet<TaskKey>) {
-        self.last.number = self.last.number.max(number + 1);
-        self.newer(tasks.iter());
-        self.sealed.push_back(Sealed { number, version, tasks });
-    }
-
-    /// States of these tasks stand in a later segment now.
-    fn newer<'a>(&mut self, tasks: impl Iterator<Item = &'a TaskKey>) {
-        for key in tasks {
-            for sealed in &mut self.sealed {
-                sealed.tasks.remove(key);
-            }
-        }
-    }
-}
-
 impl Term {
     /// Sends the next transaction, if anything is to be written and none is under way.
     pub fn flush(&mut self, env: &mut Env) {
--- a/crates/core/src/records/log.rs
+++ b/crates/core/src/records/log.rs
@@ -7,9 +7,10 @@
 
 use crate::env::Env;
 use crate::jobs::*;
-use crate::recover::Term;
+use crate::term::Term;
 
-use super::{Batch, GATHERED, LEAST_BYTES, SEGMENTS, SEGMENTS_BYTES, SPARE, Sealed, Segment, TASK_BYTES, TXN_BYTES};
+use super::state::{Sealed, Segment};
+use super::{Batch, GATHERED, LEAST_BYTES, SEGMENTS, SEGMENTS_BYTES, SPARE, TASK_BYTES, TXN_BYTES};
 
 /// What one more task may take of a segment at the most, beside its job's name.
 const MARGIN: usize = 200;
--- a/crates/core/src/recover/load.rs
+++ b/crates/core/src/recover/load.rs
@@ -14,7 +14,8 @@
 use crate::jobs::*;
 use crate::quota::Room;
 
-use super::{LIVE, LOG, Load, RETRY, TASK, Term};
+use super::{LIVE, LOG, RETRY, TASK};
+use crate::term::{Load, Term};
 
 impl Term {
     pub(super) fn read_on(&mut self, env: &mut Env) {
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -2,13 +2,13 @@
 //! back when it stands idle. Request names never repeat, since each holds the token.
 
 mod demand;
+pub(crate) mod renting;
 mod returns;
 
-use std::collections::{BTreeMap, HashSet, VecDeque};
-use std::time::{Duration, Instant};
+use std::collections::BTreeMap;
+use std::time::Duration;
 
 use rushyoke_wire::cloud::{Listing, MachineType, Rental};
-use rushyoke_wire::job::{JobSpec, Kind, Priority};
 
 use crate::calls::{Purpose, RentCall};
 use crate::env::Env;
@@ -16,8 +16,9 @@
 use crate::io::*;
 use crate::jobs::Name;
 use crate::quota::Room;
-use crate::recover::Term;
+use crate::term::Term;
 use demand::missing;
+use renting::Market;
 
 /// Most machines in one rental, and in one return.
 const MOST_RENTED: u32 = 50;
@@ -44,73 +45,6 @@
 const WITH_REPLICAS_S: f64 = 1e6;
 /// Moves that may be saved up.
 const MOVES_SAVED: f64 = 8.0;
-/// Weight of a new job in the mean size of services.
-const LEARN: f64 = 0.2;
-
-/// Type, zone and whether spot.
-type Market = (String, String, bool);
-
-#[derive(Default)]
-pub(crate) struct Renting {
-    serial: u64,
-    /// Rentals without an answer; repeated under their name until there is one.
-    open: Vec<(Rental, Instant)>,
-    refused: BTreeMap<Market, Instant>,
-    returning: VecDeque<Name>,
-    return_retry: Option<Instant>,
-    return_open: bool,
-    gone: VecDeque<Name>,
-    gone_names: HashSet<Name>,
-    listing: bool,
-    listed_at: Option<Instant>,
-    list_after: Option<String>,
-    /// A whole list has been read.
-    pub listed: bool,
-    /// CPUs needed in all, over the last while.
-    needs: VecDeque<(Instant, f64)>,
-    /// Replicas that may be moved now.
-    moves: f64,
-    /// Mean CPUs of a production service, learnt from those seen.
-    service_cpus: f64,
-    /// Rentals that may still be sent in this round.
-    calls: usize,
-}
-
-impl Renting {
-    pub fn is_gone(&self, name: &Name) -> bool {
-        self.gone_names.contains(name)
-    }
-
-    pub fn gone(&mut self, name: &Name, keep: usize) {
-        if self.gone_names.insert(name.clone()) {
-            self.gone.push_back(name.clone());
-        }
-        while self.gone.len() > keep {
-            if let Some(oldest) = self.gone.pop_front() {
-                self.gone_names.remove(&oldest);
-            }
-        }
-    }
-
-    pub fn release_later(&mut self, name: Name) {
-        if !self.returning.contains(&name) {
-            self.returning.push_back(name);
-        }
-    }
-
-    pub fn saw_job(&mut self, spec: &JobSpec) {
-        if spec.kind == Kind::Service && spec.priority == Priority::Production {
-            let cpus = f64::from(spec.tasks) * spec.cpus;
-            let weight = if self.service_cpus == 0.0 { 1.0 } else { LEARN };
-            self.service_cpus += (cpus - self.service_cpus) * weight;
-        }
-    }
-
-    /// CPUs on ordinary machines that stay free for services.
-    pub fn service_reserve(&self, env: &Env) -> f64 {
-        self.service_cpus * env.policy.service_reserve
-    }
-}
 
 /// What is wanted or had of one kind, in machines of a type.
 fn machines_of(room: Room, kind: &MachineType) -> f64 {
--- a/crates/core/src/rent/demand.rs
+++ b/crates/core/src/rent/demand.rs
@@ -5,7 +5,7 @@
 use crate::env::Env;
 use crate::jobs::Job;
 use crate::quota::Room;
-use crate::recover::Term;
+use crate::term::Term;
 
 use super::{LATE_BOOT, LEAST_RENTALS, RENTAL_SHARE};
 
--- a/crates/core/src/rent/returns.rs
+++ b/crates/core/src/rent/returns.rs
@@ -12,7 +12,7 @@
 use crate::jobs::*;
 use crate::place::{CLAIM_FOR, allowed};
 use crate::quota::Room;
-use crate::recover::Term;
+use crate::term::Term;
 
 use super::{LOST_BOOT, MIN_CHARGE, MOST_RETURNED, MOVE_AFTER_S, MOVED_SHARE, MOVES_SAVED, WITH_REPLICAS_S};
 
--- a/crates/core/src/spread.rs
+++ b/crates/core/src/spread.rs
@@ -13,12 +13,11 @@
 use rushyoke_wire::worker::TaskState;
 
 use crate::env::Env;
-use crate::facts::{Facts, Policy};
 use crate::fleet::Machine;
 use crate::jobs::*;
 use crate::place::allowed;
 use crate::quota::Room;
-use crate::recover::Term;
+use crate::term::Term;
 
 /// From a direct order to stop until the worker's report shows that the task is gone, beside the time
 /// to save: workers report changes at most each half second.
@@ -31,16 +30,6 @@
 const BOOKED_SOON: Duration = Duration::from_secs(2);
 const SUMMARY_PERIOD: Duration = Duration::from_secs(60);
 
-/// The balancer of a new term, if the operators switched load spreading on.
-pub(crate) fn balancer(facts: &Facts, policy: &Policy) -> Option<Balancer> {
-    let settings = policy.balance.clone()?;
-    let teams = facts.teams.iter().map(|(name, team)| {
-        let guarantee = Room { cpus: team.cpus, gpus: team.gpus, memory_gb: 0.0 };
-        (Name::from(name.as_str()), guarantee)
-    });
-    Some(Balancer::new(settings, teams))
-}
-
 /// Whether work may be moved to a machine: it takes tasks, is to stay, and this leader renews its
 /// lease. One that only answers calls, as after a takeover, may lose its lease before it finds the
 /// leader, and what was moved there with it.
--- a/crates/core/tests/failover/evacuation.rs
+++ b/crates/core/tests/failover/evacuation.rs
@@ -60,30 +60,21 @@
     ends_well(&mut world);
 }
 
-/// A zone of three is lost while elsewhere there is room for a part of its work only.
-fn short_of_room(policy: Policy, classes: &[(u32, &str, Priority)]) -> (World, Starts, usize) {
-    let mut world = fleet(12, policy);
-    for (id, class, priority) in classes {
-        let team = if *id % 2 == 0 { "red" } else { "blue" }.to_owned();
-        assert_eq!(world.submit(0, JobSpec { class: (*class).into(), team, ..long(*id, 40, *priority) }), Some(201));
-    }
-    world.run(secs(8));
-    let zone = zone_without_leader(&world);
-    cut(&mut world, zone);
-    let starts = watching(&mut world);
-    (world, starts, zone)
-}
-
-/// Starts of a lower tier while a higher one waited: all tasks here fit on any machine.
-fn inversions(starts: &Starts, tiers: &[u32], lost: &BTreeMap<u32, usize>) -> usize {
+/// Starts of a later tier while an earlier one waited: all tasks here fit on any machine. `lost` has what each
+/// job lost with the zone.
+fn inversions(starts: &Starts, order: &[u32], lost: &BTreeMap<u32, usize>) -> usize {
     let mut inverted = 0;
-    for (n, higher) in tiers.iter().enumerate() {
-        // Until this moment some of it waited.
-        let waited_until = starts.span(*higher).map(|(_, last)| last).filter(|_| starts.of(*higher) >= lost[higher]);
-        for lower in &tiers[n + 1..] {
-            let early = |at: &std::time::Duration| lost[higher] > 0 && waited_until.is_none_or(|until| *at < until);
-            let prefix = format!("{}/", job_id(*lower));
-            inverted += starts.began.iter().filter(|(at, task, _)| task.starts_with(&prefix) && early(at)).count();
+    // Nothing waits before the leases end.
+    let ended =
+        order.iter().filter(|id| lost.contains_key(id)).filter_map(|id| starts.span(*id)).map(|(at, _)| at).min();
+    for (n, earlier) in order.iter().enumerate().filter(|(_, id)| lost.get(id).is_some_and(|tasks| *tasks > 0)) {
+        let whole = starts.of(*earlier) >= lost[earlier];
+        let waited_until = starts.span(*earlier).map(|(_, last)| last).filter(|_| whole);
+        for later in &order[n + 1..] {
+            let prefix = format!("{}/", job_id(*later));
+            let began = starts.began.iter().filter(|(_, task, _)| task.starts_with(&prefix));
+            let began = began.filter(|(at, ..)| Some(*at) >= ended);
+            inverted += began.filter(|(at, ..)| waited_until.is_none_or(|until| *at < until)).count();
         }
     }
     inverted
@@ -95,18 +86,34 @@
     let named = |name: &str, class: &str| Tier { name: name.into(), classes: vec![class.into()] };
     let tiers = vec![named("first", "reruns"), named("second", "sheets")];
     let by_name = FailoverSettings { tiers, ..FailoverSettings::default() };
-    let classes = [(3, "sheets", Priority::High), (4, "reruns", Priority::Normal), (5, "lab", Priority::BestEffort)];
+    let jobs = [(3, "sheets", Priority::High), (4, "reruns", Priority::Normal), (5, "lab", Priority::BestEffort)];
     for (policy, order) in [(on(), [3, 4, 5]), (with(by_name), [4, 3, 5])] {
-        let (mut world, mut starts, zone) = short_of_room(policy, &classes);
-        let before: BTreeMap<u32, usize> = order.iter().map(|id| (*id, count(&world, *id))).collect();
+        // Few machines are weighed at a time, as in a large fleet.
+        let mut world = fleet(12, Policy { sample: 2, ..policy });
+        for (id, class, priority) in jobs {
+            let team = if id == 4 { "red" } else { "blue" }.to_owned();
+            let spec = JobSpec { class: class.into(), team, ..long(id, 60, priority) };
+            assert_eq!(world.submit(0, spec), Some(201));
+        }
+        world.run(secs(10));
+        let zone = zone_without_leader(&world);
+        let there = machines_in(&world, ZONES[zone]);
+        let inside = |id: u32| world.where_runs(&job_id(id)).iter().filter(|(_, on)| there.contains(on)).count();
+        let lost: BTreeMap<u32, usize> = order.iter().map(|id| (*id, inside(*id))).collect();
+        cut(&mut world, zone);
+        let mut starts = watching(&mut world);
         // The leases end; a burst of the last tier comes just then.
         starts.watch(&mut world, secs(9));
         assert_eq!(world.submit(world.leader().expect("a leader"), long(6, 60, Priority::BestEffort)), Some(201));
         starts.watch(&mut world, secs(22));
-        let lost: BTreeMap<u32, usize> = order.iter().map(|id| (*id, starts.of(*id))).collect();
-        assert!(lost[&order[0]] >= 4, "{lost:?} of {before:?} began anew in zone {zone}");
-        assert_eq!(count(&world, order[0]), 40, "the first tier is whole");
+        let all: usize = order.iter().map(|id| count(&world, *id)).sum();
+        assert_eq!((count(&world, order[0]), all), (60, 128), "{lost:?} were lost");
         assert_eq!(inversions(&starts, &order, &lost), 0, "{:?}", starts.began);
+        let with_burst = [order[0], order[1], 6];
+        assert_eq!(inversions(&starts, &with_burst, &lost), 0, "a burst of the last tier went first");
+        // There is no room for all of it in the whole fleet.
+        let leader = world.leader().expect("a leader");
+        assert!(world.cancel(leader, &job_id(6)).is_some());
         restore(&mut world);
         ends_well(&mut world);
     }
--- a/crates/failover/src/failover.rs
+++ b/crates/failover/src/failover.rs
@@ -7,7 +7,8 @@
 use crate::ramp::Ramp;
 use crate::record::{Drain, DrainedMachines, FailoverRecord};
 use crate::settings::Settings;
-use crate::zone::{Surroundings, Transition, Zone, ZoneState, share};
+use crate::state::ZoneState;
+use crate::zone::{Surroundings, Transition, Zone, share};
 use crate::{Name, TaskKey};
 
 /// How long after a suspicion a zone gets no new work: by then it is lost, or it was a false alarm or a part
--- a/crates/failover/src/lib.rs
+++ b/crates/failover/src/lib.rs
@@ -14,6 +14,7 @@
 mod record;
 mod sample;
 mod settings;
+mod state;
 mod tiers;
 mod zone;
 
@@ -25,9 +26,10 @@
 pub use ramp::Ramp;
 pub use record::{Drain, DrainedMachines, FailoverRecord, PREFIX as RECORD_PREFIX, RECORD_KEY, ZoneRecord};
 pub use sample::{Silent, SurveySample};
-pub use settings::{Settings, SettingsError};
-pub use tiers::{Tier, TierQuery};
-pub use zone::{Transition, Zone, ZoneState};
+pub use settings::{Settings, SettingsError, Tier};
+pub use state::ZoneState;
+pub use tiers::TierQuery;
+pub use zone::{Transition, Zone};
 
 /// The name of a job, machine or zone.
 pub type Name = Arc<str>;
--- a/crates/failover/src/record.rs
+++ b/crates/failover/src/record.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::zone::ZoneState;
+use crate::state::ZoneState;
 
 /// What the key begins with.
 pub const PREFIX: &str = "failover/";
--- a/crates/failover/src/settings.rs
+++ b/crates/failover/src/settings.rs
@@ -3,7 +3,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use crate::tiers::Tier;
+/// Classes of jobs that are placed together, before all later tiers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tier {
+    /// Its name.
+    pub name: String,
+    /// The classes.
+    pub classes: Vec<String>,
+}
 
 /// The operators' settings; all shares are parts of one.
 #[derive(Clone, Debug)]
--- a/crates/failover/src/tiers.rs
+++ b/crates/failover/src/tiers.rs
@@ -2,16 +2,7 @@
 
 use rushyoke_wire::job::Priority;
 
-use crate::settings::Settings;
-
-/// Classes of jobs that are placed together, before all later tiers.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Tier {
-    /// Its name.
-    pub name: String,
-    /// The classes.
-    pub classes: Vec<String>,
-}
+use crate::settings::{Settings, Tier};
 
 /// What decides a job's tier.
 #[derive(Clone, Copy, Debug)]
--- a/crates/failover/src/zone.rs
+++ b/crates/failover/src/zone.rs
@@ -10,13 +10,12 @@
 
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
-
 use crate::evidence::{Evidence, ZoneView};
 use crate::penalty::Penalty;
 use crate::ramp::Ramp;
 use crate::record::ZoneRecord;
 use crate::settings::Settings;
+use crate::state::ZoneState;
 
 /// Machines to which calls must have failed for a verdict, if half of those out of reach are more.
 const ENOUGH_CALLS: usize = 8;
@@ -27,21 +26,6 @@
 /// A penalty below this is forgotten.
 const FORGOTTEN: f64 = 0.1;
 
-/// What is held of a zone.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
-#[serde(rename_all = "snake_case")]
-#[strum(serialize_all = "snake_case")]
-pub enum ZoneState {
-    /// Its machines are in reach.
-    Healthy,
-    /// A good part of them may be out of reach.
-    Suspect,
-    /// It is out of reach: its work is to be placed elsewhere as its places are proven empty.
-    Lost,
-    /// It is in reach again, on probation: it is filled by and by.
-    Returning,
-}
-
 /// A change of a zone's state.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Transition {
