--- a/crates/testkit/examples/support/mod.rs
+++ b/crates/testkit/examples/support/mod.rs
@@ -2,7 +2,7 @@
 //! workers are the stand-ins, the controllers are processes.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -30,6 +30,8 @@
 
 /// Controllers of a deployment.
 pub const NODES: usize = 3;
+/// For so long a worker waits for the answer to a report.
+const REPORT_LIMIT: Duration = Duration::from_secs(4);
 /// After this time a worker tries the next controller.
 const NEXT_NODE: Duration = Duration::from_secs(1);
 const STATE: &str = "127.0.0.1:23790";
@@ -69,6 +71,8 @@
     pub reports: Cell<u64>,
     pub orders: Cell<u64>,
     pub users: Cell<u64>,
+    /// Zones whose workers no packet reaches or leaves.
+    pub cut_zones: RefCell<BTreeSet<String>>,
 }
 
 type Reply = Result<Response<Full<Bytes>>, Infallible>;
@@ -131,6 +135,7 @@
             reports: Cell::new(0),
             orders: Cell::new(0),
             users: Cell::new(0),
+            cut_zones: RefCell::default(),
         });
         tokio::task::spawn_local(serve(STATE.parse().expect("fixed"), world.clone(), World::state));
         tokio::task::spawn_local(serve(CLOUD.parse().expect("fixed"), world.clone(), World::clouded));
@@ -264,6 +269,7 @@
                     let worker = direct.clone();
                     async move {
                         world.orders.set(world.orders.get() + 1);
+                        world.out_of_reach(&worker).await;
                         let body = request.into_body().collect().await.expect("a body").to_bytes();
                         let orders: Orders = serde_json::from_slice(&body).expect("orders");
                         let status = worker.borrow_mut().direct(world.now(), &orders);
@@ -283,6 +289,17 @@
         }
     }
 
+    fn is_cut(&self, worker: &RefCell<Worker>) -> bool {
+        self.cut_zones.borrow().contains(&worker.borrow().zone)
+    }
+
+    /// A call to a worker that is cut off is never answered; its caller gives it up.
+    async fn out_of_reach(&self, worker: &RefCell<Worker>) {
+        if self.is_cut(worker) {
+            std::future::pending::<()>().await;
+        }
+    }
+
     async fn reports_of(self: &Rc<Self>, name: &str, worker: Rc<RefCell<Worker>>) {
         let spread = name.bytes().last().map_or(0, usize::from) % NODES;
         let (mut node, mut kept, mut last) = (spread, None, Instant::now() - self.setup.report);
@@ -305,8 +322,17 @@
             let (sent, session) = (self.now(), worker.borrow().session);
             let mut report = worker.borrow_mut().report();
             report.addr = address(name).to_string();
+            if self.is_cut(&worker) {
+                // Its lease runs out meanwhile.
+                while self.is_cut(&worker) && last.elapsed() < REPORT_LIMIT {
+                    sleep(Duration::from_millis(50)).await;
+                    worker.borrow_mut().pass(self.now(), self.setup.lease, |_| false);
+                }
+                (node, kept, soon) = ((node + 1) % NODES, None, Some(NEXT_NODE));
+                continue;
+            }
             self.reports.set(self.reports.get() + 1);
-            match call(&mut kept, public(node), "POST", "/v1/report", &report, Duration::from_secs(4)).await {
+            match call(&mut kept, public(node), "POST", "/v1/report", &report, REPORT_LIMIT).await {
                 Some((200, body)) => {
                     let orders: Orders = serde_json::from_slice(&body).expect("orders");
                     worker.borrow_mut().answered(self.now(), sent, session, &orders);
