A wave that takes a zone's spot machines is no loss of the zone

Change: where a zone has ordinary machines their share out of reach counts if it is less than that of all. A method that nothing used is gone.

--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -32,6 +32,8 @@
     view.overdue += usize::from(overdue);
     view.unreachable += usize::from(unreachable);
     view.out += usize::from(out);
+    view.ordinary += usize::from(!machine.spot);
+    view.ordinary_out += usize::from(out && !machine.spot);
     view.in_time += usize::from(in_time && !out);
     if out {
         view.tasks_out += machine.places.len();
--- a/crates/failover/src/evidence.rs
+++ b/crates/failover/src/evidence.rs
@@ -13,6 +13,10 @@
     pub unreachable: usize,
     /// Machines that are overdue, unreachable, or answer calls while their reports do not come.
     pub out: usize,
+    /// Machines that the cloud does not take back.
+    pub ordinary: usize,
+    /// Ordinary machines that are out.
+    pub ordinary_out: usize,
     /// Machines whose reports come in time and are answered.
     pub in_time: usize,
     /// Tasks placed on machines that are out.
@@ -23,6 +27,20 @@
     pub largest_machine: f64,
 }
 
+impl ZoneView {
+    /// Share of the machines that is out of reach, or of the ordinary ones if that is less: the cloud takes
+    /// spot machines back in waves, which is no loss of their zone.
+    pub fn share_out(&self) -> f64 {
+        let of_all = share(self.out, self.machines);
+        if self.ordinary == 0 { of_all } else { of_all.min(share(self.ordinary_out, self.ordinary)) }
+    }
+}
+
+/// A part of a whole; of nothing, none.
+pub(crate) fn share(part: usize, of: usize) -> f64 {
+    part as f64 / of.max(1) as f64
+}
+
 /// What is seen of the fleet at one moment.
 #[derive(Clone, Debug, Default)]
 pub struct FleetView {
@@ -43,8 +61,7 @@
 }
 
 /// Why a zone's state changed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Evidence {
     /// Reports of this many machines are overdue, or they do not answer calls.
     MachinesOut {
--- a/crates/failover/src/failover.rs
+++ b/crates/failover/src/failover.rs
@@ -3,12 +3,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use crate::evidence::FleetView;
+use crate::evidence::{FleetView, ZoneView};
 use crate::ramp::Ramp;
 use crate::record::{Drain, DrainedMachines, FailoverRecord};
 use crate::settings::Settings;
 use crate::state::ZoneState;
-use crate::zone::{Surroundings, Transition, Zone, share};
+use crate::zone::{Surroundings, Transition, Zone};
 use crate::{Name, TaskKey};
 
 /// How long after a suspicion a zone gets no new work: by then it is lost, or it was a false alarm or a part
@@ -121,10 +121,10 @@
         if fleet.zones.len() < 2 || populated == 0 {
             return observation;
         }
-        let silent = |out: usize, of: usize| share(out, of) >= self.settings.suspect_share;
-        let whole = fleet.zones.values().any(|view| view.machines > 0 && !silent(view.out, view.machines));
+        let silent = |view: &&ZoneView| view.share_out() >= self.settings.suspect_share;
+        let whole = fleet.zones.values().filter(|view| view.machines > 0).any(|view| !silent(&view));
         let all: usize = fleet.zones.values().map(|view| view.machines).sum();
-        let silent_machines: usize = fleet.zones.values().filter(|v| silent(v.out, v.machines)).map(|v| v.out).sum();
+        let silent_machines: usize = fleet.zones.values().filter(silent).map(|view| view.out).sum();
         let alone = fleet.controllers > 0 && fleet.controllers_answering == 0;
         let minority = silent_machines * 2 > all && alone && !fleet.settling;
         observation.minority = minority && !fleet.gave_way;
@@ -185,11 +185,6 @@
         self.evacuation.is_some()
     }
 
-    /// Tasks that lost their place with a zone and wait for another one.
-    pub fn displaced(&self) -> usize {
-        self.displaced.len()
-    }
-
     /// A task lost its place with a zone.
     pub fn task_displaced(&mut self, key: &TaskKey, tier: usize) {
         if self.displaced.insert(key.clone(), tier).is_none()
--- a/crates/failover/src/zone.rs
+++ b/crates/failover/src/zone.rs
@@ -10,7 +10,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::evidence::{Evidence, ZoneView};
+use crate::evidence::{Evidence, ZoneView, share};
 use crate::penalty::Penalty;
 use crate::ramp::Ramp;
 use crate::record::ZoneRecord;
@@ -157,12 +157,12 @@
         settings: &Settings,
     ) -> Option<(ZoneState, Evidence)> {
         let ZoneView { machines: of, out, unreachable: failed, .. } = *view;
-        if share(out, of) < settings.suspect_share / HYSTERESIS && !around.sampled_cut {
+        if view.share_out() < settings.suspect_share / HYSTERESIS && !around.sampled_cut {
             return Some((ZoneState::Healthy, Evidence::MachinesBack { out, of }));
         }
         // Reports that are late alone may be a slow network: calls must have failed too.
         let called = failed >= out.div_ceil(2).min(ENOUGH_CALLS);
-        let beyond_reach = out >= settings.least_machines && share(out, of) >= settings.lost_share;
+        let beyond_reach = out >= settings.least_machines && view.share_out() >= settings.lost_share;
         if !(called && beyond_reach && around.may_judge) {
             self.out_since = None;
             return None;
@@ -204,13 +204,13 @@
         settings: &Settings,
     ) -> Option<(ZoneState, Evidence)> {
         let ZoneView { machines: of, out, in_time, .. } = *view;
-        let gone = out >= settings.least_machines && share(out, of) >= settings.suspect_share;
+        let gone = out >= settings.least_machines && view.share_out() >= settings.suspect_share;
         if gone && share(in_time, of) < settings.return_share / HYSTERESIS && around.may_judge {
             return Some((ZoneState::Lost, Evidence::MachinesOut { out, of }));
         }
         let passed = now.saturating_duration_since(self.since) >= self.probation(settings);
         let open = self.ramp.as_ref().is_none_or(Ramp::is_open);
-        let whole = share(out, of) < settings.suspect_share / HYSTERESIS;
+        let whole = view.share_out() < settings.suspect_share / HYSTERESIS;
         (passed && open && whole).then_some((ZoneState::Healthy, Evidence::ProbationPassed))
     }
 
@@ -291,13 +291,8 @@
     if !around.may_judge {
         return None;
     }
-    if out >= settings.least_machines && share(out, of) >= settings.suspect_share {
+    if out >= settings.least_machines && view.share_out() >= settings.suspect_share {
         return Some(Evidence::MachinesOut { out, of });
     }
     around.sampled_cut.then_some(Evidence::SampleFailed)
 }
-
-/// A part of a whole; of nothing, none.
-pub(crate) fn share(part: usize, of: usize) -> f64 {
-    part as f64 / of.max(1) as f64
-}
--- a/crates/failover/tests/zones.rs
+++ b/crates/failover/tests/zones.rs
@@ -22,7 +22,8 @@
 fn view(out: usize, failed: usize) -> ZoneView {
     let (machines, cpus) = (10, 16.0 * (10 - out) as f64);
     let in_time = machines - out;
-    ZoneView { machines, overdue: out, unreachable: failed, out, in_time, tasks_out: out, cpus, largest_machine: 16.0 }
+    let zone = ZoneView { machines, overdue: out, unreachable: failed, out, in_time, ..ZoneView::default() };
+    ZoneView { tasks_out: out, cpus, largest_machine: 16.0, ..zone }
 }
 
 impl Story {
@@ -92,6 +93,17 @@
     assert_eq!(story.state("b"), ZoneState::Healthy);
 }
 
+#[test]
+fn a_wave_that_takes_a_zones_spot_machines_is_no_loss_of_the_zone() {
+    let mut story = Story::new();
+    story.fleet.zones.insert("b".into(), ZoneView { ordinary: 2, ordinary_out: 0, ..view(8, 8) });
+    story.pass(6000);
+    assert_eq!(story.state("b"), ZoneState::Healthy);
+    story.fleet.zones.insert("b".into(), ZoneView { ordinary: 2, ordinary_out: 2, ..view(10, 10) });
+    story.pass(2100);
+    assert_eq!(story.state("b"), ZoneState::Lost);
+}
+
 #[test]
 fn a_node_that_seems_cut_off_judges_nothing_and_gives_way_once() {
     let mut story = Story::new();
