Later tiers make way first; the state of election, relay and users below the node

The last circle of imports tied node, election, relay and users.

Change: while a zone is evacuated victims count by their tier first. What a node holds of leadership, reports handed on, lookups and users' requests are modules of their own; no imports go in a circle any more.

--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -5,107 +5,22 @@
 //! version, workers drop older tokens, and a leader that the store no longer confirms
 //! stops answering reports after a known time (`silence_allowance`).
 
+pub(crate) mod state;
+
 use std::time::{Duration, Instant};
 
 use rushyoke_wire::store::{Event, Item, Txn};
-use serde::{Deserialize, Serialize};
 
 use crate::calls::{ElectionCall, Purpose};
-use crate::facts::Facts;
 use crate::io::{Outcome, StoreAnswer, StoreOp, Urgency};
 use crate::node::{Node, REST};
-
-pub(crate) const LEADER_KEY: &str = "lead";
+use state::{Holder, LEADER_KEY, Phase};
 
 const WATCH_MS: u64 = 20_000;
 const RETRY: Duration = Duration::from_millis(300);
 const HEARD: Duration = Duration::from_secs(8);
 const COURTESY: Duration = Duration::from_millis(200);
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct HolderRecord {
-    label: String,
-    incarnation: u64,
-}
-
-#[derive(Clone, Debug)]
-struct Holder {
-    record: HolderRecord,
-    version: u64,
-}
-
-#[derive(Debug)]
-enum Phase {
-    /// The key must be read (again) from this time on.
-    Unread { from: Instant },
-    /// A call is under way.
-    Busy,
-    /// Another node holds the key; a watch is open.
-    Following,
-    Leading {
-        lease: u64,
-        confirmed: Instant,
-        /// When the newest renewal that is not answered yet was sent.
-        touching: Option<Instant>,
-        next_touch: Instant,
-    },
-}
-
-pub(crate) struct Election {
-    me: HolderRecord,
-    phase: Option<Phase>,
-    holder: Option<Holder>,
-    watching: bool,
-    /// The newest change that a watch has told: an answer to a read may be older.
-    seen: u64,
-    /// After giving way the node lets the others compete first.
-    rests_until: Option<Instant>,
-    /// The last report of a worker to this node.
-    pub worker_seen: Option<Instant>,
-}
-
-impl Election {
-    pub fn new(label: String, incarnation: u64) -> Election {
-        Election {
-            me: HolderRecord { label, incarnation },
-            phase: None,
-            holder: None,
-            watching: false,
-            seen: 0,
-            rests_until: None,
-            worker_seen: None,
-        }
-    }
-
-    /// Whether a leader may still answer reports.
-    pub fn entitled(&self, now: Instant, facts: &Facts) -> bool {
-        match &self.phase {
-            Some(Phase::Leading { confirmed, .. }) => now.duration_since(*confirmed) <= facts.silence_allowance(),
-            _ => false,
-        }
-    }
-
-    /// The label of the node to which workers should go.
-    pub fn other_holder(&self) -> Option<String> {
-        let holder = self.holder.as_ref()?;
-        (holder.record.label != self.me.label).then(|| holder.record.label.clone())
-    }
-
-    /// The token of the other node that leads.
-    pub fn other_token(&self) -> Option<u64> {
-        let holder = self.holder.as_ref()?;
-        (holder.record.label != self.me.label).then_some(holder.version)
-    }
-
-    pub fn rest(&mut self, now: Instant, rest: Duration) {
-        self.rests_until = Some(now + rest);
-    }
-
-    fn read_at(&mut self, from: Instant) {
-        self.phase = Some(Phase::Unread { from });
-    }
-}
-
 impl Node {
     pub(crate) fn election_lost(&mut self) {
         let now = self.env.steady();
--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -19,6 +19,8 @@
 
 /// What speaks against a machine in a zone on probation for careful work, in seconds.
 const PROBATION_COST_S: f64 = 60.0;
+/// What one tier counts for in the choice of the tasks that make way, in CPU seconds.
+const TIER_WEIGHT: f64 = 10_000.0;
 /// Bytes of the record of zones that stay unused.
 const RECORD_SPARE: usize = 256;
 
@@ -130,6 +132,17 @@
         failover.settings().tier_of(&TierQuery { class: &job.spec.class, priority: job.priority, guaranteed })
     }
 
+    /// What stopping a task of a job counts for beside the work that is lost, in CPU seconds: while a zone is
+    /// evacuated the latest tier makes way first, though tasks of an earlier one have just begun.
+    pub fn tier_weight(&self, job: &Job) -> f64 {
+        match &self.failover {
+            Some(failover) if failover.evacuates() => {
+                (failover.settings().tier_count() - self.tier_of(job)) as f64 * TIER_WEIGHT
+            }
+            _ => 0.0,
+        }
+    }
+
     /// Whether a job passes over room that is kept for another, since it is of an earlier tier.
     pub fn passes_before(&self, job: &Name, other: &Name) -> bool {
         if !self.evacuates() {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -14,14 +14,14 @@
 use serde_json::value::RawValue;
 
 use crate::calls::{ElectionCall, LoadCall, Purpose};
-use crate::election::Election;
+use crate::election::state::{Election, LEADER_KEY};
 use crate::env::{Env, Now};
 use crate::facts::{Facts, Policy};
 use crate::fleet::Tasks;
 use crate::io::*;
-use crate::relay::{Relaying, ReportOutcome, no_tasks};
+use crate::relay::state::{Relaying, ReportOutcome, no_tasks};
 use crate::term::Term;
-use crate::users::Users;
+use crate::users::state::Users;
 use peers::Peer;
 
 /// A controller as a state machine.
@@ -227,7 +227,7 @@
         let now = self.env.steady();
         if self.store.down(now) && self.probed.is_none_or(|t| now.duration_since(t) >= PROBE_PERIOD) {
             self.probed = Some(now);
-            self.env.store(Purpose::Probe, Urgency::Leadership, StoreOp::Get(crate::election::LEADER_KEY.into()));
+            self.env.store(Purpose::Probe, Urgency::Leadership, StoreOp::Get(LEADER_KEY.into()));
         }
     }
 
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -136,7 +136,8 @@
                 if place.stop.is_some() {
                     have.add(room);
                 } else if outranks(job, other, within) && !self.passes_before(&other.id, &job.id) {
-                    victims.push((lost_s(now, other, place), (other.id.clone(), *task), room));
+                    let lost = lost_s(now, other, place) + self.tier_weight(other);
+                    victims.push((lost, (other.id.clone(), *task), room));
                 }
             }
         }
@@ -210,7 +211,8 @@
                     // Its room comes free by itself.
                     freed.add(Room::of(&owner.spec));
                 } else if self.may_stop(owner, job, within) {
-                    victims.push((lost_s(now, owner, place), key.clone(), Room::of(&owner.spec)));
+                    let lost = lost_s(now, owner, place) + self.tier_weight(owner);
+                    victims.push((lost, key.clone(), Room::of(&owner.spec)));
                 }
             }
             if freed.holds(need) {
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -23,7 +23,7 @@
 use rushyoke_wire::store::Txn;
 
 use crate::calls::{Batch, Purpose, RecordCall};
-use crate::election::LEADER_KEY;
+use crate::election::state::LEADER_KEY;
 use crate::env::Env;
 use crate::io::*;
 use crate::jobs::*;
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -5,20 +5,19 @@
 mod cancel;
 mod known;
 mod lookup;
+mod lookups;
+pub(crate) mod state;
 mod submit;
 
-use std::collections::{BTreeMap, HashMap};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use rushyoke_wire::peer::Progress;
 use rushyoke_wire::store::Item;
 
 use crate::calls::UserCall;
 use crate::io::*;
 use crate::jobs::*;
 use crate::node::Node;
-use known::{Ancestors, Known, KnownJobs};
-use lookup::Lookups;
+use known::Known;
 
 /// Requests that wait for the store; more are turned away.
 const WAITING: usize = 512;
@@ -26,48 +25,6 @@
 const QUERY_LIMIT: Duration = Duration::from_millis(1600);
 const CHANGE_LIMIT: Duration = Duration::from_millis(4000);
 
-/// A node's side of users' requests.
-#[derive(Default)]
-pub(crate) struct Users {
-    known: KnownJobs,
-    lookups: Lookups,
-    /// Tasks done and running by job, from the leader, for display.
-    progress: HashMap<String, (u32, u32)>,
-    /// The leader holds as many unfinished jobs as it can.
-    pub full: bool,
-    /// Requests not yet answered, and when to give up on them.
-    open: BTreeMap<Req, Instant>,
-}
-
-impl Users {
-    /// A job that needs a cancelled one is cancelled, whatever its own record still says.
-    fn conclude(&mut self, id: &str, known: Known) -> Known {
-        if known.state != RecordState::Open || !matches!(self.known.ancestors(&known), Ancestors::Cancelled) {
-            return known;
-        }
-        self.known.cancel_with_ancestor(id, known.version);
-        self.progress.remove(id);
-        Known::over(RecordState::Cancelled, known.tasks, known.version)
-    }
-
-    /// What is known of a job for good.
-    fn end_of(&mut self, id: &str) -> Option<Known> {
-        let known = self.known.get(id).cloned()?;
-        Some(self.conclude(id, known)).filter(|known| known.state != RecordState::Open)
-    }
-
-    pub fn take_progress(&mut self, progress: Vec<Progress>, most: usize) {
-        if self.progress.len() > most {
-            self.progress.clear();
-        }
-        for p in progress {
-            if self.known.get(&p.job).is_none_or(|known| known.state == RecordState::Open) {
-                self.progress.insert(p.job, (p.done, p.running));
-            }
-        }
-    }
-}
-
 fn store_unsure() -> Answer {
     Answer::later(503, "the state service did not answer")
 }
--- a/crates/core/src/users/lookup.rs
+++ b/crates/core/src/users/lookup.rs
@@ -5,12 +5,13 @@
 //! another node told since may be newer. An unknown job is reported missing only after a comparison
 //! that found it absent. However many jobs one needs, all are compared before it is called open.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use rushyoke_wire::job::{JobStatus, JobView};
 use rushyoke_wire::store::Txn;
 
 use super::known::{Ancestors, Known};
+use super::lookups::{Lookup, Refresh, Round};
 use super::store_unsure;
 use crate::calls::{Purpose, UserCall};
 use crate::io::*;
@@ -22,60 +23,6 @@
 /// Records of ancestors that are read at a time.
 const READ_AT_ONCE: usize = 32;
 
-/// A job whose cached state is compared, and the requests that wait for it. The state is kept here,
-/// since the cache may lose it meanwhile.
-#[derive(Debug)]
-struct Lookup {
-    job: String,
-    known: Option<Known>,
-    /// Open jobs that it needs, directly or through others.
-    ancestors: Vec<String>,
-    requests: Vec<Req>,
-}
-
-/// Lookups whose keys are compared together, in as many transactions as they take.
-#[derive(Debug, Default)]
-struct Round {
-    lookups: Vec<Lookup>,
-    /// Transactions that have no outcome yet.
-    outstanding: usize,
-    /// Jobs whose versions were found as they were sent.
-    unchanged: BTreeSet<String>,
-    /// Jobs whose versions were not.
-    changed: BTreeSet<String>,
-    /// A transaction was not answered.
-    unanswered: bool,
-}
-
-/// Records of ancestors that are read again, and the lookups that wait for them.
-#[derive(Debug, Default)]
-struct Refresh {
-    outstanding: usize,
-    lookups: Vec<(String, Vec<Req>)>,
-    failed: bool,
-}
-
-#[derive(Default)]
-pub(super) struct Lookups {
-    /// Requests by job, for the next round.
-    requests: BTreeMap<String, Vec<Req>>,
-    /// The same jobs in the order in which they came.
-    queue: std::collections::VecDeque<String>,
-    round: Option<Round>,
-    refreshes: BTreeMap<u64, Refresh>,
-    last_refresh: u64,
-}
-
-impl Lookups {
-    fn push(&mut self, job: String, requests: impl IntoIterator<Item = Req>) {
-        let waiting = self.requests.entry(job.clone()).or_default();
-        if waiting.is_empty() {
-            self.queue.push_back(job);
-        }
-        waiting.extend(requests);
-    }
-}
-
 impl Node {
     pub(super) fn look_up(&mut self, request: Req, job: String) {
         self.users.lookups.push(job, [request]);
--- /dev/null
+++ b/crates/core/src/users/lookups.rs
@@ -0,0 +1,61 @@
+//! What a node holds of lookups: those that wait, the round under way, and records that are read again.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use super::known::Known;
+use crate::io::Req;
+
+/// A job whose cached state is compared, and the requests that wait for it. The state is kept here,
+/// since the cache may lose it meanwhile.
+#[derive(Debug)]
+pub(super) struct Lookup {
+    pub(super) job: String,
+    pub(super) known: Option<Known>,
+    /// Open jobs that it needs, directly or through others.
+    pub(super) ancestors: Vec<String>,
+    pub(super) requests: Vec<Req>,
+}
+
+/// Lookups whose keys are compared together, in as many transactions as they take.
+#[derive(Debug, Default)]
+pub(super) struct Round {
+    pub(super) lookups: Vec<Lookup>,
+    /// Transactions that have no outcome yet.
+    pub(super) outstanding: usize,
+    /// Jobs whose versions were found as they were sent.
+    pub(super) unchanged: BTreeSet<String>,
+    /// Jobs whose versions were not.
+    pub(super) changed: BTreeSet<String>,
+    /// A transaction was not answered.
+    pub(super) unanswered: bool,
+}
+
+/// Records of ancestors that are read again, and the lookups that wait for them.
+#[derive(Debug, Default)]
+pub(super) struct Refresh {
+    pub(super) outstanding: usize,
+    pub(super) lookups: Vec<(String, Vec<Req>)>,
+    pub(super) failed: bool,
+}
+
+/// Lookups of a node.
+#[derive(Default)]
+pub(super) struct Lookups {
+    /// Requests by job, for the next round.
+    pub(super) requests: BTreeMap<String, Vec<Req>>,
+    /// The same jobs in the order in which they came.
+    pub(super) queue: VecDeque<String>,
+    pub(super) round: Option<Round>,
+    pub(super) refreshes: BTreeMap<u64, Refresh>,
+    pub(super) last_refresh: u64,
+}
+
+impl Lookups {
+    pub(super) fn push(&mut self, job: String, requests: impl IntoIterator<Item = Req>) {
+        let waiting = self.requests.entry(job.clone()).or_default();
+        if waiting.is_empty() {
+            self.queue.push_back(job);
+        }
+        waiting.extend(requests);
+    }
+}
