After a first loss an image outweighs the caution about a returned zone

Change: what speaks against a zone on probation for careful work grows from 4 s with the square of the flap factor, instead of 60 s at once.

--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -17,8 +17,9 @@
 use crate::quota::Room;
 use crate::term::Term;
 
-/// What speaks against a machine in a zone on probation for careful work, in seconds.
-const PROBATION_COST_S: f64 = 60.0;
+/// What speaks against a machine in a zone on probation for careful work, in seconds, after a first loss:
+/// less than most images take to fetch. It grows with the square of the zone's flap factor.
+const PROBATION_COST_S: f64 = 4.0;
 /// What one tier counts for in the choice of the tasks that make way, in CPU seconds.
 const TIER_WEIGHT: f64 = 10_000.0;
 /// Bytes of the record of zones that stay unused.
@@ -166,9 +167,13 @@
     }
 
     /// What speaks against a machine for work that keeps off zones on probation, in seconds.
-    pub fn probation_cost_s(&self, job: &Job, machine: &Machine) -> f64 {
+    pub fn probation_cost_s(&self, now: Instant, job: &Job, machine: &Machine) -> f64 {
         let Some(failover) = self.failover.as_ref().filter(|_| machine.zone_unhealthy) else { return 0.0 };
-        if failover.settings().is_careful(self.tier_of(job)) { PROBATION_COST_S } else { 0.0 }
+        if !failover.settings().is_careful(self.tier_of(job)) {
+            return 0.0;
+        }
+        let factor = failover.zone(&machine.zone).map_or(1.0, |zone| zone.flap_factor(now, failover.settings()));
+        PROBATION_COST_S * factor * factor
     }
 
     /// Whether what runs on a machine will want room elsewhere when its lease ends.
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -245,7 +245,7 @@
         let kind = if job.spec.spot && !machine.spot { 3.0 } else { 0.0 };
         let doubt = if job.failed_on.contains(&machine.name) { 60.0 } else { 0.0 };
         let slow = if machine.straggler { 30.0 } else { 0.0 };
-        let probation = self.probation_cost_s(job, machine);
+        let probation = self.probation_cost_s(env.steady(), job, machine);
         self.fetch_s(env, job, machine) + crowding + hosting + mates + retiring + kind + doubt + slow + probation
     }
 
--- a/crates/failover/src/zone.rs
+++ b/crates/failover/src/zone.rs
@@ -109,6 +109,11 @@
         self.ramp.as_ref()
     }
 
+    /// By how much the flap penalty lengthens probation and slows the ramp now.
+    pub fn flap_factor(&self, now: Instant, settings: &Settings) -> f64 {
+        self.penalty.factor(now, settings.half_life)
+    }
+
     pub(crate) fn ramp_mut(&mut self) -> Option<&mut Ramp> {
         self.ramp.as_mut()
     }
@@ -240,7 +245,7 @@
     }
 
     fn new_ramp(&self, now: Instant, settings: &Settings) -> Ramp {
-        Ramp::new(now, self.penalty.factor(now, settings.half_life), settings)
+        Ramp::new(now, self.flap_factor(now, settings), settings)
     }
 
     /// Ends probation at once, as operators wish.
