Log what becomes of stops of cancelled tasks, and when reports are refused

Change: one line a second at the most counts stops of cancelled tasks: heard of, sent in calls and in answers, carried out, refused, lost, tasks ended, and what is still awaited, with the token and the age of the oldest. A line says when reports are no longer answered, and again, with the age of the view of cancellations and of the last renewal. The summary each minute counts cancelled tasks that still have places. Machines that answer calls but do not report share a line. At debug: each direct call, and each answer that carries stops. No behaviour changed.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -11,6 +11,7 @@
 mod orders;
 mod reports;
 mod silence;
+pub(crate) mod stops;
 pub(crate) mod survey;
 mod tasks;
 
--- a/crates/core/src/fleet/machine.rs
+++ b/crates/core/src/fleet/machine.rs
@@ -27,6 +27,8 @@
     /// Session and number of the newest message when it was sent.
     pub(super) seen: (u64, u64),
     pub(super) starts: Vec<Attempt>,
+    /// Tasks of cancelled jobs that it stops.
+    pub(super) cancelled_stops: u32,
 }
 
 /// Room on a machine that is kept for a job.
--- a/crates/core/src/fleet/orders.rs
+++ b/crates/core/src/fleet/orders.rs
@@ -8,6 +8,7 @@
 use rushyoke_wire::worker::{Order, Orders, Report};
 
 use super::machine::DirectCall;
+use super::stops::StopEvent;
 use super::{Attempt, Machine, Via};
 use crate::env::Env;
 use crate::io::*;
@@ -35,6 +36,12 @@
         let Some(direct) = machine.direct.take() else {
             return;
         };
+        let fate = match &outcome {
+            Outcome::Answered((200, _)) => StopEvent::Done,
+            Outcome::Answered(_) => StopEvent::Refused,
+            _ => StopEvent::Lost,
+        };
+        self.stops.note(fate, direct.cancelled_stops);
         match outcome {
             Outcome::Answered((status, report)) if report.machine == **name => {
                 if status == 409 {
@@ -158,13 +165,17 @@
 
     pub(super) fn direct(&mut self, env: &mut Env, name: &Name, orders: Vec<Order>) {
         self.call_begun();
+        let cancelled_stops = self.cancelled_stops(&orders);
+        self.stops.note(StopEvent::Called, cancelled_stops);
         let machine = self.machines.get_mut(name).expect("known");
         let starts = orders.iter().filter_map(|order| match order {
             Order::Start { task, attempt } => Some((task.clone(), *attempt)),
             _ => None,
         });
         let session = machine.session;
-        machine.direct = Some(DirectCall { session, seen: (session, machine.seq), starts: starts.collect() });
+        let (seen, starts) = ((session, machine.seq), starts.collect());
+        tracing::debug!(machine = &**name, token = self.token, session, orders = orders.len(), cancelled_stops, "call");
+        machine.direct = Some(DirectCall { session, seen, starts, cancelled_stops });
         let body = Orders { token: self.token, session: Some(session), orders };
         env.order(name.clone(), machine.addr.clone(), body);
     }
--- a/crates/core/src/fleet/reports.rs
+++ b/crates/core/src/fleet/reports.rs
@@ -7,6 +7,7 @@
 
 use rushyoke_wire::worker::{Order, Orders, Report, TaskReport, TaskState};
 
+use super::stops::StopEvent;
 use super::{Attempt, COPY_PROBE, Machine, RENEWED, Tasks, Via, digest, fence_by_report};
 use crate::env::Env;
 use crate::io::*;
@@ -46,6 +47,11 @@
                 }
             }
             let orders = self.orders_for(now, &name, Via::Report);
+            let cancelled_stops = self.cancelled_stops(&orders);
+            if cancelled_stops > 0 {
+                tracing::debug!(machine = &*name, token = self.token, ?seen, cancelled_stops, "answer with stops");
+            }
+            self.stops.note(StopEvent::Told, cancelled_stops);
             if let Some(machine) = self.machines.get_mut(&name) {
                 machine.report_seen = machine.report_seen.max(seen);
                 machine.answered = Some(now);
@@ -55,6 +61,7 @@
             orders
         } else {
             let stops = self.stops_of_cancelled(&report, tasks)?;
+            self.stops.note(StopEvent::Told, stops.len() as u32);
             self.unnoted = Some(now);
             if let Some(machine) = self.machines.get_mut(&name) {
                 machine.report_seen = machine.report_seen.max(seen);
--- a/crates/core/src/fleet/silence.rs
+++ b/crates/core/src/fleet/silence.rs
@@ -7,6 +7,7 @@
 use rushyoke_failover::{Silent, ZoneView};
 
 use super::machine::LeaseBounds;
+use super::stops::first_names;
 use super::survey::{ASKED_ALONE, SURVEY_FROM, SURVEYED};
 use super::{LATEST_REPORT, Machine, fence_by_report};
 use crate::env::Env;
@@ -84,6 +85,7 @@
             findings.silent.iter().for_each(|name| self.give_up(env, name));
         }
         self.probe_suspects(env);
+        self.log_stops(env);
     }
 
     fn look_for_silence(&mut self, env: &Env) -> Findings {
@@ -158,12 +160,17 @@
         if !settled || most_unreporting {
             return;
         }
+        let mut found = Vec::new();
         for name in unreporting {
             let machine = self.machines.get_mut(&name).expect("listed");
             if !std::mem::replace(&mut machine.unreporting, true) && !machine.suspect {
-                tracing::info!(machine = &*name, "answers calls, but does not report; gets no work");
+                found.push(name);
             }
         }
+        if !found.is_empty() {
+            let first = first_names(&found);
+            tracing::info!(machines = found.len(), first, "answer calls, but do not report; get no work");
+        }
     }
 
     /// Returns a silent machine, unless it is one of a good part of a large fleet: their tasks run on
--- a/crates/core/src/fleet/tasks.rs
+++ b/crates/core/src/fleet/tasks.rs
@@ -140,6 +140,9 @@
         if place.running.is_some() {
             job.running -= 1;
         }
+        if job.cancelled {
+            self.stops.task_ended();
+        }
         job.put_back(key.1, again);
         self.quotas.sub(&job.spec);
         if let Some(machine) = self.machines.get_mut(&place.machine) {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -18,6 +18,7 @@
 use crate::env::{Env, Now};
 use crate::facts::{Facts, Policy};
 use crate::fleet::Tasks;
+use crate::fleet::stops::AwaitedStops;
 use crate::io::*;
 use crate::relay::state::{Relaying, ReportOutcome, no_tasks};
 use crate::term::Term;
@@ -123,6 +124,11 @@
         self.term.as_ref().map(|r| r.token)
     }
 
+    /// What of cancelled jobs still has places, if this node leads.
+    pub fn awaited_stops(&self, now: Instant) -> Option<AwaitedStops> {
+        self.term.as_ref().map(|term| term.awaited_stops(now))
+    }
+
     /// Takes one input; returns what is to be sent and answered.
     pub fn handle(&mut self, now: Now, input: Input) -> Vec<Output> {
         self.env.now = now;
@@ -305,7 +311,9 @@
             return ReportOutcome::Elsewhere(report);
         }
         let (now, facts) = (self.env.now.steady, &self.env.facts);
-        if !term.sees_cancellations(now, facts) || !self.election.entitled(now, facts) {
+        let entitled = term.sees_cancellations(now, facts) && self.election.entitled(now, facts);
+        term.note_entitled(now, entitled);
+        if !entitled {
             // Silent for too long: a new leader counts on our saying nothing more, and so does
             // whoever cancelled a job of which this node cannot have heard.
             return ReportOutcome::Answer(Answer::later(503, "the state service does not answer"));
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -31,6 +31,10 @@
         };
         job.cancelled = true;
         let tasks: Vec<u32> = job.places.keys().copied().collect();
+        tracing::debug!(job = &**name, tasks = tasks.len(), token = self.token, "cancelled");
+        if !tasks.is_empty() {
+            self.stops.job_cancelled(name, env.steady());
+        }
         self.moves_cancelled(name);
         for task in tasks {
             self.stop_task(env, name, task, 0.0);
@@ -45,12 +49,14 @@
         };
         let over = if job.cancelled { job.places.is_empty() } else { job.complete() };
         if over {
+            self.stops.job_ended(name);
             self.records.close(name);
         }
     }
 
     /// Forgets a job whose end is durable.
     pub fn forget_job(&mut self, name: &Name) {
+        self.stops.job_ended(name);
         if let Some(job) = self.jobs.remove(name) {
             self.unlink(&job);
             for page in job.pages.keys() {
--- a/crates/core/src/term.rs
+++ b/crates/core/src/term.rs
@@ -13,6 +13,7 @@
 use crate::env::Env;
 use crate::facts::{Facts, Policy};
 use crate::fleet::machine::Machine;
+use crate::fleet::stops::StopAccount;
 use crate::fleet::survey::state::Survey;
 use crate::jobs::*;
 use crate::quota::{Quotas, Room};
@@ -110,6 +111,10 @@
     /// The workers seem to be out of this node's reach.
     pub cut_off: bool,
     pub survey: Survey,
+    /// Stops of cancelled tasks, for the log.
+    pub stops: StopAccount,
+    /// Whether the last report was refused, since the right to answer had lapsed.
+    pub refuses_reports: bool,
     pub awaited: Awaited,
     /// Load spreading, if it is switched on.
     pub balance: Option<Balancer>,
@@ -168,6 +173,8 @@
             progress: BTreeSet::new(),
             cut_off: false,
             survey: Survey::default(),
+            stops: StopAccount::default(),
+            refuses_reports: false,
             awaited: Awaited::default(),
             balance: balancer(facts, policy),
             failover: policy.failover.clone().map(Failover::new),
@@ -220,6 +227,19 @@
         self.view.is_some_and(|view| now.saturating_duration_since(view) <= facts.silence_allowance())
     }
 
+    /// Notes when the right to answer reports lapses, and when it is there again.
+    pub fn note_entitled(&mut self, now: Instant, entitled: bool) {
+        if self.refuses_reports != entitled {
+            return;
+        }
+        self.refuses_reports = !entitled;
+        let view_age_ms = self.view.map(|view| now.saturating_duration_since(view).as_millis() as u64);
+        let renewed_ms = now.saturating_duration_since(self.renewed).as_millis() as u64;
+        let answered = if entitled { "again" } else { "no more" };
+        let token = self.token;
+        tracing::info!(token, view_age_ms, renewed_ms, revision = self.watch_from, "reports are answered {answered}");
+    }
+
     /// A renewal that was sent then is confirmed; true if renewals have succeeded for so long
     /// without any sign of what users cancel that another node should lead.
     pub fn lease_renewed(&mut self, sent: Instant, ttl: Duration, facts: &Facts) -> bool {
--- a/crates/rushyoke/src/drive.rs
+++ b/crates/rushyoke/src/drive.rs
@@ -168,7 +168,8 @@
         let waits = self.waits.load(Ordering::Relaxed);
         self.stats.borrow_mut().waits(waits);
         self.gauge(waits, late);
-        self.stats.borrow_mut().tick(now);
+        let stops = self.node.awaited_stops(now);
+        self.stats.borrow_mut().tick(now, stops);
         self.input(Input::Tick);
     }
 
--- a/crates/rushyoke/src/stats.rs
+++ b/crates/rushyoke/src/stats.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use hdrhistogram::Histogram;
+use rushyoke_core::AwaitedStops;
 
 const PERIOD: Duration = Duration::from_secs(60);
 /// Delays are counted in milliseconds up to this one.
@@ -102,7 +103,8 @@
         self.shed += 1;
     }
 
-    pub fn tick(&mut self, now: Instant) {
+    /// Writes the summary when it is due; `stops` are those that await their effect, if this node leads.
+    pub fn tick(&mut self, now: Instant, stops: Option<AwaitedStops>) {
         if now.duration_since(self.since) < PERIOD {
             return;
         }
@@ -120,6 +122,9 @@
         let counted = WORK.iter().zip(&self.work).map(|(name, count)| format!("{name} {count}"));
         let waits = self.waits - self.waited;
         tracing::info!(waits, "work: {}", counted.collect::<Vec<_>>().join(", "));
+        if let Some(AwaitedStops { jobs, tasks, oldest }) = stops {
+            tracing::info!(jobs, tasks, oldest_s = oldest.as_secs(), "cancelled tasks that still have places");
+        }
         self.waited = self.waits;
         self.work = [0; WORK.len()];
         self.shed = 0;
