--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -41,6 +41,19 @@
     until: Duration,
 }
 
+/// What becomes of packets between the controllers and a machine while the network is interrupted.
+///
+/// What its worker reports is held back and arrives afterwards, in the order in which it was sent; the worker
+/// has given it up by then, so that the answers are lost. What the controllers send over an open connection is
+/// held back in the same way, while a new connection cannot be opened.
+#[derive(Clone, Copy, Debug)]
+pub struct Interruption {
+    /// When packets pass again.
+    pub until: Duration,
+    /// Whether the controllers have connections to the machine that stay open.
+    pub connected: bool,
+}
+
 struct Slot {
     node: Option<Node>,
     incarnation: u64,
@@ -129,6 +142,8 @@
     pub lose_answers: BTreeSet<usize>,
     /// Transactions that were carried out although their answers were lost.
     pub unanswered: u32,
+    /// Machines to and from which packets are held back.
+    pub interrupted: BTreeMap<String, Interruption>,
     /// Machines whose reports reach no controller, while commands reach them.
     pub mute: BTreeSet<String>,
     /// Machines that hang until this time: nothing runs, nothing is sent or taken.
@@ -224,6 +239,7 @@
             hold_answers: BTreeMap::new(),
             lose_answers: BTreeSet::new(),
             unanswered: 0,
+            interrupted: BTreeMap::new(),
             mute: BTreeSet::new(),
             hang: BTreeMap::new(),
             keep_for_next: None,
@@ -414,6 +430,7 @@
         self.hang_watches.clear();
         self.lose_answers.clear();
         self.hold_answers.clear();
+        self.interrupted.clear();
         self.mute.clear();
         self.hang.clear();
         self.keep_for_next = None;
--- a/crates/testkit/src/world/machines.rs
+++ b/crates/testkit/src/world/machines.rs
@@ -43,6 +43,7 @@
         let (lease, period) = (self.facts.lease, self.facts.report);
         let mut reports = Vec::new();
         self.hang.retain(|_, until| *until > now);
+        self.interrupted.retain(|_, cut| cut.until > now);
         for worker in self.workers.values_mut().filter(|w| !self.hang.contains_key(&w.name)) {
             let service = |task: &str| {
                 let id = task.split('/').next().unwrap_or_default();
@@ -83,7 +84,8 @@
                 if let (true, Event::Report { report, .. }) = (self.keep_for_next.is_some(), &event) {
                     self.kept.push((machine.clone(), (**report).clone()));
                 }
-                let late = self.hold_reports.get(machine).copied();
+                let held_by_cut = self.interrupted.get(machine).map(|cut| cut.until);
+                let late = held_by_cut.or(self.hold_reports.get(machine).copied());
                 let by = self.copy_reports.get(machine).copied();
                 if let (Some(by), Event::Report { machine, report, .. }) = (by, &event) {
                     // A copy has no asker: its answer goes nowhere. It may come to any node.
--- a/crates/testkit/src/world/network.rs
+++ b/crates/testkit/src/world/network.rs
@@ -127,9 +127,11 @@
             || self.deaf.contains(&machine)
             || !self.workers.contains_key(&machine)
             || self.no_workers.contains(&node);
-        if unreachable {
+        let interruption = self.interrupted.get(&machine).copied();
+        let held_by_cut = interruption.filter(|cut| cut.connected).map(|cut| cut.until);
+        if unreachable || interruption.is_some_and(|cut| !cut.connected) {
             self.input_at(now + CALL_LIMIT, node, Input::Ordered { call, outcome: Outcome::NotDone });
-        } else if let Some(until) = self.hold_orders.get(&machine).copied() {
+        } else if let Some(until) = held_by_cut.or(self.hold_orders.get(&machine).copied()) {
             self.input_at(now + CALL_LIMIT, node, Input::Ordered { call, outcome: Outcome::Unknown });
             self.push(until, Event::Order { node, incarnation, call, machine, orders, reply: false });
         } else {
@@ -246,7 +248,11 @@
 
     fn report_answered(&mut self, machine: &str, id: u64, answer: &Answer) {
         let now = self.now;
-        if self.cut.contains(machine) || self.deaf.contains(machine) || self.hang.contains_key(machine) {
+        if self.cut.contains(machine)
+            || self.deaf.contains(machine)
+            || self.hang.contains_key(machine)
+            || self.interrupted.contains_key(machine)
+        {
             return;
         }
         let nodes = self.slots.len();
