Every answer that renews a lease carries all stops of the machine's cancelled tasks

Cause: an answer to a report left a stop out if one had been sent within the last second, and beyond 200 orders. The stop that counted had gone with the answer to a report that was held back in the network and that nobody read. The next report came within that second and was answered, which renewed the worker's lease for all it ran; then the leader's right to answer lapsed. Class: a right (the lease) renewed on the strength of a message that was sent, not one that was received.

Change: an immediate stop is in every answer until the task is seen to be gone, before starts. If the stops take more than 48 KiB the report gets 503 and its machine a call. Stops have a module of their own.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -11,7 +11,8 @@
 mod orders;
 mod reports;
 mod silence;
-pub(crate) mod stops;
+pub(crate) mod stop_account;
+mod stops;
 pub(crate) mod survey;
 mod tasks;
 
--- a/crates/core/src/fleet/orders.rs
+++ b/crates/core/src/fleet/orders.rs
@@ -8,17 +8,16 @@
 use rushyoke_wire::worker::{Order, Orders, Report};
 
 use super::machine::DirectCall;
-use super::stops::StopEvent;
+use super::stop_account::StopEvent;
+use super::stops::MachineOrders;
 use super::{Attempt, Machine, Via};
 use crate::env::Env;
 use crate::io::*;
 use crate::jobs::*;
 use crate::term::Term;
 
-/// Orders in one message; the rest goes with the next.
+/// Orders in one message, stops apart; the rest goes with the next.
 const MAX_ORDERS: usize = 200;
-/// A stop that shows no effect is repeated after this time.
-const REPEAT_STOP: Duration = Duration::from_secs(1);
 /// After a direct order failed, the next one waits.
 const DIRECT_RETRY: Duration = Duration::from_millis(500);
 /// The wait grows by itself up to so many times: when a zone is cut off, hundreds of machines
@@ -81,49 +80,38 @@
         }
     }
 
-    /// What the machine should be told now.
-    pub(super) fn orders_for(&mut self, now: Instant, name: &Name, via: Via) -> Vec<Order> {
-        let mut orders = Vec::new();
+    /// What the machine should be told now: stops first, since they free room and an answer must hold all of them.
+    pub(super) fn orders_for(&mut self, now: Instant, name: &Name, via: Via) -> MachineOrders {
+        let mut message = self.stops_for(now, name, via);
         let Some(machine) = self.machines.get_mut(name) else {
-            return orders;
+            return message;
         };
-        if machine.fenced.is_none() {
-            let stop = |(task, attempt): &Attempt| Order::Stop { task: task.clone(), attempt: *attempt, grace_s: 0.0 };
-            return machine.unexpected.iter().map(|(attempt, _)| stop(attempt)).collect();
-        }
-        if !machine.orders_due {
-            return orders;
+        if machine.fenced.is_none() || !machine.orders_due {
+            return message;
         }
         let mut due_again = !machine.unexpected.is_empty() || !machine.exited.is_empty();
         for key in &machine.places {
-            if orders.len() >= MAX_ORDERS {
-                due_again = true;
-                break;
-            }
             let place = self.jobs.get_mut(&key.0).and_then(|job| job.places.get_mut(&key.1)).expect("placed");
-            if place.stage.is_seen() && place.stop.is_none() {
+            due_again |= !place.stage.is_seen() || place.stop.is_some();
+            if place.stop.is_some() || place.stage.is_seen() || message.orders.len() >= MAX_ORDERS {
                 continue;
             }
-            due_again = true;
             let task = format!("{}/{}", key.0, key.1);
             let on_its_way = machine.on_its_way(&(task.clone(), place.attempt));
-            orders_for_place(now, via, task, place, on_its_way, &mut orders);
+            message.orders.extend(start_for(via, task, place, on_its_way));
         }
         machine.orders_due = due_again;
-        self.orders_for_the_rest(name, via, &mut orders);
-        orders
+        self.forget_exited(name, via, &mut message.orders);
+        message
     }
 
-    /// Orders for listed tasks that have no place on the machine: those that are not expected there
-    /// must stop, entries of exited ones may go once nothing can run because of that.
-    fn orders_for_the_rest(&self, name: &Name, via: Via, orders: &mut Vec<Order>) {
+    /// Entries of exited tasks may go once nothing can run because of that.
+    fn forget_exited(&self, name: &Name, via: Via, orders: &mut Vec<Order>) {
         let machine = &self.machines[name];
         let resolved = |attempt: &Attempt| via == Via::Report && !machine.unresolved(attempt);
         let forget = |(task, attempt): &Attempt| Order::Forget { task: task.clone(), attempt: *attempt };
-        let unexpected = machine.unexpected.iter().filter_map(|(attempt, exited)| match exited {
-            false => Some(Order::Stop { task: attempt.0.clone(), attempt: attempt.1, grace_s: 0.0 }),
-            true => resolved(attempt).then(|| forget(attempt)),
-        });
+        let unexpected = machine.unexpected.iter().filter(|(attempt, exited)| *exited && resolved(attempt));
+        let unexpected = unexpected.map(|(attempt, _)| forget(attempt));
         orders.extend(unexpected.take(MAX_ORDERS.saturating_sub(orders.len())));
         let durable = |(attempt, key): &(&Attempt, &TaskKey)| resolved(attempt) && self.records.durable(key);
         let exited = machine.exited.iter().filter(durable).map(|(attempt, _)| forget(attempt));
@@ -155,7 +143,7 @@
                 continue;
             }
             let probe = machine.fenced.is_none() || machine.failed_calls > 0;
-            let orders = self.orders_for(now, &name, Via::Direct);
+            let MachineOrders { orders, .. } = self.orders_for(now, &name, Via::Direct);
             if orders.is_empty() && !probe {
                 continue;
             }
@@ -181,45 +169,14 @@
     }
 }
 
-/// What a task's machine should be told of it now.
-fn orders_for_place(
-    now: Instant,
-    via: Via,
-    task: String,
-    place: &mut Place,
-    on_its_way: bool,
-    orders: &mut Vec<Order>,
-) {
+/// The start of a task that its machine has not shown yet, if it is to be sent now.
+fn start_for(via: Via, task: String, place: &mut Place, on_its_way: bool) -> Option<Order> {
     if matches!(place.stage, Stage::Planned | Stage::Inherited) {
-        return;
-    }
-    let attempt = place.attempt;
-    match place.stop {
-        None => {
-            if !place.sent || (via == Via::Report && !on_its_way) {
-                place.sent = true;
-                orders.push(Order::Start { task, attempt });
-            }
-        }
-        // The start may have been lost or be late: started and stopped at once,
-        // the entry that remains keeps a late copy from running.
-        Some(_) if !place.stage.is_seen() => {
-            if via == Via::Report {
-                orders.push(Order::Start { task: task.clone(), attempt });
-                orders.push(Order::Stop { task, attempt, grace_s: 0.0 });
-                place.stop_sent = Some(now);
-            }
-        }
-        Some(grace_s) => {
-            let due = place.stop_sent.is_none_or(|sent| {
-                // One that saves is told again only if it must not.
-                let waits = place.stage == Stage::Saving && grace_s > 0.0;
-                via == Via::Report && !waits && now.duration_since(sent) > REPEAT_STOP
-            });
-            if due {
-                orders.push(Order::Stop { task, attempt, grace_s });
-                place.stop_sent = Some(now);
-            }
-        }
+        return None;
     }
+    let due = !place.sent || (via == Via::Report && !on_its_way);
+    due.then(|| {
+        place.sent = true;
+        Order::Start { task, attempt: place.attempt }
+    })
 }
--- a/crates/core/src/fleet/reports.rs
+++ b/crates/core/src/fleet/reports.rs
@@ -7,7 +7,8 @@
 
 use rushyoke_wire::worker::{Order, Orders, Report, TaskReport, TaskState};
 
-use super::stops::StopEvent;
+use super::stop_account::StopEvent;
+use super::stops::MachineOrders;
 use super::{Attempt, COPY_PROBE, Machine, RENEWED, Tasks, Via, digest, fence_by_report};
 use crate::env::Env;
 use crate::io::*;
@@ -46,7 +47,11 @@
                     return Some(Answer::error(400, "loads: malformed"));
                 }
             }
-            let orders = self.orders_for(now, &name, Via::Report);
+            let MachineOrders { orders, stops_left, .. } = self.orders_for(now, &name, Via::Report);
+            if stops_left {
+                self.call_soon(&name);
+                return Some(Answer::later(503, "its stops do not fit into an answer"));
+            }
             let cancelled_stops = self.cancelled_stops(&orders);
             if cancelled_stops > 0 {
                 tracing::debug!(machine = &*name, token = self.token, ?seen, cancelled_stops, "answer with stops");
--- a/crates/core/src/fleet/silence.rs
+++ b/crates/core/src/fleet/silence.rs
@@ -7,7 +7,7 @@
 use rushyoke_failover::{Silent, ZoneView};
 
 use super::machine::LeaseBounds;
-use super::stops::first_names;
+use super::stop_account::first_names;
 use super::survey::{ASKED_ALONE, SURVEY_FROM, SURVEYED};
 use super::{LATEST_REPORT, Machine, fence_by_report};
 use crate::env::Env;
--- /dev/null
+++ b/crates/core/src/fleet/stop_account.rs
@@ -0,0 +1,167 @@
+//! Stops of tasks of cancelled jobs, counted: what was sent, answered and lost, and what still awaits its effect.
+//!
+//! Nothing here decides anything. It lets one who reads the log follow a cancellation from the moment at which this
+//! leader heard of it to the last of its tasks, in a line a second at the most.
+
+use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
+use std::time::{Duration, Instant};
+
+use rushyoke_wire::worker::Order;
+
+use crate::env::Env;
+use crate::jobs::{Name, parse_task};
+use crate::term::Term;
+
+/// Least time between two lines on stops.
+const LINE_PERIOD: Duration = Duration::from_secs(1);
+/// Names of machines in one line.
+const NAMES_SHOWN: usize = 3;
+
+/// Messages to machines that carried stops, and the tasks that these concerned.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct StopCount {
+    pub messages: u32,
+    pub tasks: u32,
+}
+
+impl StopCount {
+    fn add(&mut self, tasks: u32) {
+        if tasks > 0 {
+            self.messages += 1;
+            self.tasks += tasks;
+        }
+    }
+}
+
+/// What became of stops of cancelled tasks since the last line.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct StopCounts {
+    /// Jobs with tasks on machines of which this leader heard that they are cancelled.
+    heard: u32,
+    /// Sent in direct calls, and in answers to reports.
+    called: StopCount,
+    told: StopCount,
+    /// Of those in calls: carried out, refused by the worker, and without an answer.
+    done: StopCount,
+    refused: StopCount,
+    lost: StopCount,
+    /// Tasks of cancelled jobs whose places were proven empty.
+    ended: u32,
+}
+
+/// The way in which stops were sent, or what became of them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StopEvent {
+    Called,
+    Told,
+    Done,
+    Refused,
+    Lost,
+}
+
+/// The stops of cancelled tasks of one leader.
+#[derive(Debug, Default)]
+pub(crate) struct StopAccount {
+    counts: StopCounts,
+    written: Option<Instant>,
+    /// Cancelled jobs of which tasks have places, and when this leader heard of the cancellation.
+    open: BTreeMap<Name, Instant>,
+}
+
+impl StopAccount {
+    pub fn note(&mut self, event: StopEvent, tasks: u32) {
+        let count = match event {
+            StopEvent::Called => &mut self.counts.called,
+            StopEvent::Told => &mut self.counts.told,
+            StopEvent::Done => &mut self.counts.done,
+            StopEvent::Refused => &mut self.counts.refused,
+            StopEvent::Lost => &mut self.counts.lost,
+        };
+        count.add(tasks);
+    }
+
+    pub fn task_ended(&mut self) {
+        self.counts.ended += 1;
+    }
+
+    pub fn job_cancelled(&mut self, job: &Name, now: Instant) {
+        if let Entry::Vacant(entry) = self.open.entry(job.clone()) {
+            entry.insert(now);
+            self.counts.heard += 1;
+        }
+    }
+
+    pub fn job_ended(&mut self, job: &Name) {
+        self.open.remove(job);
+    }
+}
+
+/// Tasks of cancelled jobs that still have places, as a leader knows them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AwaitedStops {
+    /// Jobs that are cancelled and have tasks on machines.
+    pub jobs: usize,
+    /// Tasks of these.
+    pub tasks: usize,
+    /// For how long the leader has known of the cancellation that is open for the longest time.
+    pub oldest: Duration,
+}
+
+impl Term {
+    /// How many tasks of cancelled jobs these orders stop.
+    pub(super) fn cancelled_stops(&self, orders: &[Order]) -> u32 {
+        let cancelled = |order: &&Order| match order {
+            Order::Stop { task, .. } => {
+                parse_task(task).is_some_and(|(id, _)| self.jobs.get(id).is_none_or(|job| job.cancelled))
+            }
+            _ => false,
+        };
+        orders.iter().filter(cancelled).count() as u32
+    }
+
+    /// What of the cancelled jobs still has places.
+    pub fn awaited_stops(&self, now: Instant) -> AwaitedStops {
+        let places = |job: &Name| self.jobs.get(job).map_or(0, |job| job.places.len());
+        AwaitedStops {
+            jobs: self.stops.open.len(),
+            tasks: self.stops.open.keys().map(places).sum(),
+            oldest: self.stops.open.values().min().map_or(Duration::ZERO, |since| now.duration_since(*since)),
+        }
+    }
+
+    /// Writes a line if any stop was sent or had an outcome since the last one.
+    pub(super) fn log_stops(&mut self, env: &Env) {
+        let now = env.steady();
+        let early = self.stops.written.is_some_and(|t| now.duration_since(t) < LINE_PERIOD);
+        if early || self.stops.counts == StopCounts::default() {
+            return;
+        }
+        self.stops.written = Some(now);
+        let StopCounts { heard, called, told, done, refused, lost, ended } = std::mem::take(&mut self.stops.counts);
+        let awaited = self.awaited_stops(now);
+        tracing::info!(
+            token = self.token,
+            heard,
+            called = %shown(called),
+            told = %shown(told),
+            done = %shown(done),
+            refused = %shown(refused),
+            lost = %shown(lost),
+            ended,
+            jobs = awaited.jobs,
+            awaited = awaited.tasks,
+            oldest_s = awaited.oldest.as_secs(),
+            "stops of cancelled tasks (tasks/messages)"
+        );
+    }
+}
+
+fn shown(count: StopCount) -> String {
+    format!("{}/{}", count.tasks, count.messages)
+}
+
+/// The first few of many names, for one line.
+pub(super) fn first_names(names: &[Name]) -> String {
+    names.iter().take(NAMES_SHOWN).map(|name| &**name).collect::<Vec<_>>().join(",")
+}
--- a/crates/core/src/fleet/stops.rs
+++ b/crates/core/src/fleet/stops.rs
@@ -1,167 +1,96 @@
-//! Stops of tasks of cancelled jobs, counted: what was sent, answered and lost, and what still awaits its effect.
+//! Which tasks a machine must still be told to stop.
 //!
-//! Nothing here decides anything. It lets one who reads the log follow a cancellation from the moment at which this
-//! leader heard of it to the last of its tasks, in a line a second at the most.
+//! Guards against a cancelled task that outlives its time. An answer to a report renews the worker's lease for all
+//! that it runs, so it carries every stop that has shown no effect, whatever was sent before: an earlier answer, or
+//! call, may have been lost.
 
-use std::collections::BTreeMap;
-use std::collections::btree_map::Entry;
 use std::time::{Duration, Instant};
 
 use rushyoke_wire::worker::Order;
 
-use crate::env::Env;
-use crate::jobs::{Name, parse_task};
+use super::{Attempt, Via};
+use crate::jobs::{Name, Place, Stage, TaskKey};
 use crate::term::Term;
 
-/// Least time between two lines on stops.
-const LINE_PERIOD: Duration = Duration::from_secs(1);
-/// Names of machines in one line.
-const NAMES_SHOWN: usize = 3;
+/// Bytes of the stops in one message; workers take lines of up to 64 KiB.
+const MOST_STOP_BYTES: usize = 48 * 1024;
+/// Bytes of an encoded order beside its task's name, about.
+const ORDER_BYTES: usize = 80;
+/// A stop with grace that shows no effect is repeated after this time.
+const REPEAT_GRACEFUL_STOP: Duration = Duration::from_secs(1);
 
-/// Messages to machines that carried stops, and the tasks that these concerned.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct StopCount {
-    pub messages: u32,
-    pub tasks: u32,
-}
-
-impl StopCount {
-    fn add(&mut self, tasks: u32) {
-        if tasks > 0 {
-            self.messages += 1;
-            self.tasks += tasks;
-        }
-    }
-}
-
-/// What became of stops of cancelled tasks since the last line.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct StopCounts {
-    /// Jobs with tasks on machines of which this leader heard that they are cancelled.
-    heard: u32,
-    /// Sent in direct calls, and in answers to reports.
-    called: StopCount,
-    told: StopCount,
-    /// Of those in calls: carried out, refused by the worker, and without an answer.
-    done: StopCount,
-    refused: StopCount,
-    lost: StopCount,
-    /// Tasks of cancelled jobs whose places were proven empty.
-    ended: u32,
-}
-
-/// The way in which stops were sent, or what became of them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum StopEvent {
-    Called,
-    Told,
-    Done,
-    Refused,
-    Lost,
-}
-
-/// The stops of cancelled tasks of one leader.
+/// The orders of one message to a machine.
 #[derive(Debug, Default)]
-pub(crate) struct StopAccount {
-    counts: StopCounts,
-    written: Option<Instant>,
-    /// Cancelled jobs of which tasks have places, and when this leader heard of the cancellation.
-    open: BTreeMap<Name, Instant>,
+pub(super) struct MachineOrders {
+    pub orders: Vec<Order>,
+    /// What its stops take, about.
+    stop_bytes: usize,
+    /// There are more stops than a message can hold: it must not renew the worker's lease.
+    pub stops_left: bool,
 }
 
-impl StopAccount {
-    pub fn note(&mut self, event: StopEvent, tasks: u32) {
-        let count = match event {
-            StopEvent::Called => &mut self.counts.called,
-            StopEvent::Told => &mut self.counts.told,
-            StopEvent::Done => &mut self.counts.done,
-            StopEvent::Refused => &mut self.counts.refused,
-            StopEvent::Lost => &mut self.counts.lost,
-        };
-        count.add(tasks);
-    }
-
-    pub fn task_ended(&mut self) {
-        self.counts.ended += 1;
-    }
-
-    pub fn job_cancelled(&mut self, job: &Name, now: Instant) {
-        if let Entry::Vacant(entry) = self.open.entry(job.clone()) {
-            entry.insert(now);
-            self.counts.heard += 1;
+impl MachineOrders {
+    /// Adds stops that belong together, if there is room; false if there is none.
+    fn add(&mut self, stops: &[Order]) -> bool {
+        let bytes: usize = stops.iter().map(|order| order.task().len() + ORDER_BYTES).sum();
+        let room = self.stop_bytes + bytes <= MOST_STOP_BYTES;
+        if room {
+            self.orders.extend_from_slice(stops);
+            self.stop_bytes += bytes;
         }
-    }
-
-    pub fn job_ended(&mut self, job: &Name) {
-        self.open.remove(job);
+        self.stops_left |= !room;
+        room
     }
 }
 
-/// Tasks of cancelled jobs that still have places, as a leader knows them.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct AwaitedStops {
-    /// Jobs that are cancelled and have tasks on machines.
-    pub jobs: usize,
-    /// Tasks of these.
-    pub tasks: usize,
-    /// For how long the leader has known of the cancellation that is open for the longest time.
-    pub oldest: Duration,
-}
-
 impl Term {
-    /// How many tasks of cancelled jobs these orders stop.
-    pub(super) fn cancelled_stops(&self, orders: &[Order]) -> u32 {
-        let cancelled = |order: &&Order| match order {
-            Order::Stop { task, .. } => {
-                parse_task(task).is_some_and(|(id, _)| self.jobs.get(id).is_none_or(|job| job.cancelled))
-            }
-            _ => false,
+    /// The stops that the machine should be told now.
+    pub(super) fn stops_for(&mut self, now: Instant, name: &Name, via: Via) -> MachineOrders {
+        let Some(machine) = self.machines.get(name) else {
+            return MachineOrders::default();
         };
-        orders.iter().filter(cancelled).count() as u32
-    }
-
-    /// What of the cancelled jobs still has places.
-    pub fn awaited_stops(&self, now: Instant) -> AwaitedStops {
-        let places = |job: &Name| self.jobs.get(job).map_or(0, |job| job.places.len());
-        AwaitedStops {
-            jobs: self.stops.open.len(),
-            tasks: self.stops.open.keys().map(places).sum(),
-            oldest: self.stops.open.values().min().map_or(Duration::ZERO, |since| now.duration_since(*since)),
+        let mut message = MachineOrders::default();
+        let stop = |(task, attempt): &Attempt| Order::Stop { task: task.clone(), attempt: *attempt, grace_s: 0.0 };
+        let unexpected = machine.unexpected.iter().filter(|(_, exited)| !exited);
+        for (attempt, _) in unexpected {
+            message.add(&[stop(attempt)]);
         }
-    }
-
-    /// Writes a line if any stop was sent or had an outcome since the last one.
-    pub(super) fn log_stops(&mut self, env: &Env) {
-        let now = env.steady();
-        let early = self.stops.written.is_some_and(|t| now.duration_since(t) < LINE_PERIOD);
-        if early || self.stops.counts == StopCounts::default() {
-            return;
+        if machine.fenced.is_some() && machine.orders_due {
+            for key in &machine.places {
+                let place = self.jobs.get_mut(&key.0).and_then(|job| job.places.get_mut(&key.1)).expect("placed");
+                if place.stop.is_some() {
+                    stop_place(now, via, key, place, &mut message);
+                }
+            }
         }
-        self.stops.written = Some(now);
-        let StopCounts { heard, called, told, done, refused, lost, ended } = std::mem::take(&mut self.stops.counts);
-        let awaited = self.awaited_stops(now);
-        tracing::info!(
-            token = self.token,
-            heard,
-            called = %shown(called),
-            told = %shown(told),
-            done = %shown(done),
-            refused = %shown(refused),
-            lost = %shown(lost),
-            ended,
-            jobs = awaited.jobs,
-            awaited = awaited.tasks,
-            oldest_s = awaited.oldest.as_secs(),
-            "stops of cancelled tasks (tasks/messages)"
-        );
+        message
     }
 }
 
-fn shown(count: StopCount) -> String {
-    format!("{}/{}", count.tasks, count.messages)
+/// Adds what the machine of a task that must leave should be told of it now.
+fn stop_place(now: Instant, via: Via, key: &TaskKey, place: &mut Place, message: &mut MachineOrders) {
+    let Some(grace_s) = place.stop.filter(|_| !matches!(place.stage, Stage::Planned | Stage::Inherited)) else {
+        return;
+    };
+    let (task, attempt) = (format!("{}/{}", key.0, key.1), place.attempt);
+    let sent = if !place.stage.is_seen() {
+        // The start may have been lost or be late: started and stopped at once,
+        // the entry that remains keeps a late copy from running.
+        let start = Order::Start { task: task.clone(), attempt };
+        via == Via::Report && message.add(&[start, Order::Stop { task, attempt, grace_s: 0.0 }])
+    } else {
+        stop_is_due(now, via, place, grace_s) && message.add(&[Order::Stop { task, attempt, grace_s }])
+    };
+    if sent {
+        place.stop_sent = Some(now);
+    }
 }
 
-/// The first few of many names, for one line.
-pub(super) fn first_names(names: &[Name]) -> String {
-    names.iter().take(NAMES_SHOWN).map(|name| &**name).collect::<Vec<_>>().join(",")
+fn stop_is_due(now: Instant, via: Via, place: &Place, grace_s: f64) -> bool {
+    if via == Via::Report && grace_s <= 0.0 {
+        return true;
+    }
+    // One that saves is told again only if it must not.
+    let waits = place.stage == Stage::Saving && grace_s > 0.0;
+    place.stop_sent.is_none_or(|sent| via == Via::Report && !waits && now.duration_since(sent) > REPEAT_GRACEFUL_STOP)
 }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -18,7 +18,7 @@
 use crate::env::{Env, Now};
 use crate::facts::{Facts, Policy};
 use crate::fleet::Tasks;
-use crate::fleet::stops::AwaitedStops;
+use crate::fleet::stop_account::AwaitedStops;
 use crate::io::*;
 use crate::relay::state::{Relaying, ReportOutcome, no_tasks};
 use crate::term::Term;
--- a/crates/core/src/term.rs
+++ b/crates/core/src/term.rs
@@ -13,7 +13,7 @@
 use crate::env::Env;
 use crate::facts::{Facts, Policy};
 use crate::fleet::machine::Machine;
-use crate::fleet::stops::StopAccount;
+use crate::fleet::stop_account::StopAccount;
 use crate::fleet::survey::state::Survey;
 use crate::jobs::*;
 use crate::quota::{Quotas, Room};
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -144,6 +144,15 @@
     },
 }
 
+impl Order {
+    /// The task that it concerns.
+    pub fn task(&self) -> &str {
+        match self {
+            Order::Start { task, .. } | Order::Stop { task, .. } | Order::Forget { task, .. } => task,
+        }
+    }
+}
+
 /// The answer to a report, and with a session the body of `/orders`.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Orders {
