Every direct call repeats stops that show no effect, also while reports are refused

What callers saw: tasks of a cancelled job ran on for tens of seconds on machines that answered calls.

Cause: a stop went with one call. If that was lost, only the answer to a report could repeat it: calls to a machine whose report is overdue, of the survey and after late copies carried no orders, and those after a failed one no stop. While the right to answer reports has lapsed, nothing repeated it. Class: a repeat in one path (answers) and not in the other (calls), and an order that counted as done when it was sent.

Change: immediate stops are in every call until their effect is seen; a call that was answered and left some goes on to the next at once, or after a second if it carried them. Stops with grace are repeated by calls too, unless the task saves. Machines that must stop tasks are called after hosts of services and before others. A call to a machine in doubt is answered soon or given up, with stops as without.

Why it works: calls to a machine that failed one, or whose report is overdue, go on at 3 s at the most, and each now carries what must stop.

--- a/crates/core/src/env.rs
+++ b/crates/core/src/env.rs
@@ -55,9 +55,9 @@
         self.out.push(Output::Cloud { call, op });
     }
 
-    pub fn order(&mut self, machine: Name, addr: String, orders: rushyoke_wire::worker::Orders) {
+    pub fn order(&mut self, machine: Name, addr: String, orders: rushyoke_wire::worker::Orders, probe: bool) {
         let call = self.call(Purpose::Order { machine });
-        self.out.push(Output::Order { call, addr, orders });
+        self.out.push(Output::Order { call, addr, orders, probe });
     }
 
     pub fn relay(&mut self, label: String, relay: rushyoke_wire::peer::Relay) {
--- a/crates/core/src/fleet/machine.rs
+++ b/crates/core/src/fleet/machine.rs
@@ -27,10 +27,23 @@
     /// Session and number of the newest message when it was sent.
     pub(super) seen: (u64, u64),
     pub(super) starts: Vec<Attempt>,
+    /// Whether it stops any task.
+    pub(super) stops: bool,
     /// Tasks of cancelled jobs that it stops.
     pub(super) cancelled_stops: u32,
 }
 
+/// Machines that are to be called, by what for; the first goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum CallReason {
+    /// It has replicas of services.
+    Service,
+    /// It must stop tasks at once.
+    Stop,
+    /// All else.
+    Other,
+}
+
 /// Room on a machine that is kept for a job.
 #[derive(Clone, Debug)]
 pub(crate) struct Claim {
@@ -68,6 +81,8 @@
     pub(super) digest: Option<u64>,
     /// There may be orders to give; else its places are as they should be.
     pub(super) orders_due: bool,
+    /// It was told lately, or is to be told, to stop tasks at once.
+    pub(super) has_stops: bool,
     /// It was to be called while it could not be.
     pub(super) postponed: bool,
     /// Places that belong to services.
@@ -143,6 +158,7 @@
             unproven: false,
             digest: None,
             orders_due: true,
+            has_stops: false,
             postponed: false,
             services: 0,
             lapsed: None,
@@ -236,6 +252,17 @@
         self.fenced.is_some()
     }
 
+    /// What it would be called for.
+    pub(super) fn call_reason(&self) -> CallReason {
+        if self.hosts_service() {
+            CallReason::Service
+        } else if self.has_stops {
+            CallReason::Stop
+        } else {
+            CallReason::Other
+        }
+    }
+
     /// Whether a report of its worker was answered lately, and so its lease renewed.
     pub fn reports_to_us(&self, now: Instant, report: Duration) -> bool {
         let longest = report.mul_f64(LATEST_REPORT) + PROMPT;
--- a/crates/core/src/fleet/orders.rs
+++ b/crates/core/src/fleet/orders.rs
@@ -10,7 +10,7 @@
 use super::machine::DirectCall;
 use super::stop_account::StopEvent;
 use super::stops::MachineOrders;
-use super::{Attempt, Machine, Via};
+use super::{Attempt, Via};
 use crate::env::Env;
 use crate::io::*;
 use crate::jobs::*;
@@ -59,6 +59,7 @@
                     machine.leaving |= machine.answers_lost;
                 }
                 self.take_report(env, name, &report, Via::Direct);
+                self.repeat_stops(now, name, direct.stops);
                 let Some(machine) = self.machines.get_mut(name) else {
                     return;
                 };
@@ -120,8 +121,9 @@
 
     /// A machine has orders, or must be shown the token, before its next report.
     pub fn call_soon(&mut self, name: &Name) {
-        let hosts = self.machines.get(name).is_some_and(Machine::hosts_service);
-        self.to_call.insert((!hosts, name.clone()));
+        if let Some(machine) = self.machines.get(name) {
+            self.to_call.insert((machine.call_reason(), name.clone()));
+        }
     }
 
     /// Sends direct orders to the machines that should not wait for their report, those with
@@ -161,11 +163,15 @@
             _ => None,
         });
         let session = machine.session;
-        let (seen, starts) = ((session, machine.seq), starts.collect());
+        let (seen, starts): (_, Vec<Attempt>) = ((session, machine.seq), starts.collect());
+        let stops = orders.iter().any(|order| matches!(order, Order::Stop { .. }));
+        // A worker that may be out of reach is asked whether it lives; a stop may be said to it at any time.
+        let doubtful = orders.is_empty() || machine.failed_calls > 0 || machine.suspect;
+        let probe = starts.is_empty() && doubtful;
         tracing::debug!(machine = &**name, token = self.token, session, orders = orders.len(), cancelled_stops, "call");
-        machine.direct = Some(DirectCall { session, seen, starts, cancelled_stops });
+        machine.direct = Some(DirectCall { session, seen, starts, stops, cancelled_stops });
         let body = Orders { token: self.token, session: Some(session), orders };
-        env.order(name.clone(), machine.addr.clone(), body);
+        env.order(name.clone(), machine.addr.clone(), body, probe);
     }
 }
 
--- a/crates/core/src/fleet/reports.rs
+++ b/crates/core/src/fleet/reports.rs
@@ -33,7 +33,7 @@
             // long dead. Or the worker began anew: its answer to a direct call tells.
             if free && machine.direct.is_none() && machine.direct_from.is_none_or(|t| t <= now) {
                 machine.direct_from = Some(now + COPY_PROBE);
-                self.direct(env, &name, Vec::new());
+                self.probe(env, &name);
             }
             return Some(Answer::later(503, "an older report"));
         }
@@ -224,6 +224,8 @@
         machine.orders_due = true;
         machine.exited.retain(|attempt, _| listed.contains(attempt));
         let missing: Vec<TaskKey> = machine.places.difference(&seen).cloned().collect();
+        let has_stops = self.must_stop(&self.machines[name]);
+        self.machines.get_mut(name).expect("reported").has_stops = has_stops;
         if stop {
             self.call_soon(name);
         }
--- a/crates/core/src/fleet/silence.rs
+++ b/crates/core/src/fleet/silence.rs
@@ -6,7 +6,7 @@
 
 use rushyoke_failover::{Silent, ZoneView};
 
-use super::machine::LeaseBounds;
+use super::machine::{CallReason, LeaseBounds};
 use super::stop_account::first_names;
 use super::survey::{ASKED_ALONE, SURVEY_FROM, SURVEYED};
 use super::{LATEST_REPORT, Machine, fence_by_report};
@@ -190,19 +190,20 @@
         machine.leaving = true;
     }
 
-    /// Calls machines whose reports are overdue.
+    /// Calls machines whose reports are overdue, those that must stop tasks first.
     fn probe_suspects(&mut self, env: &mut Env) {
         let now = env.steady();
-        let probes: Vec<Name> = self
+        let suspects = self
             .machines
             .values()
             .filter(|m| m.suspect && m.direct.is_none() && !m.addr.is_empty())
-            .filter(|m| m.direct_from.is_none_or(|t| t <= now))
-            .map(|m| m.name.clone())
-            .take(self.free_calls(env))
-            .collect();
+            .filter(|m| m.direct_from.is_none_or(|t| t <= now));
+        let mut probes: Vec<(CallReason, &Name)> = suspects.map(|m| (m.call_reason(), &m.name)).collect();
+        probes.sort_unstable();
+        probes.truncate(self.free_calls(env));
+        let probes: Vec<Name> = probes.into_iter().map(|(_, name)| name.clone()).collect();
         for name in probes {
-            self.direct(env, &name, Vec::new());
+            self.probe(env, &name);
         }
     }
 
--- a/crates/core/src/fleet/stops.rs
+++ b/crates/core/src/fleet/stops.rs
@@ -8,7 +8,8 @@
 
 use rushyoke_wire::worker::Order;
 
-use super::{Attempt, Via};
+use super::{Attempt, Machine, Via};
+use crate::env::Env;
 use crate::jobs::{Name, Place, Stage, TaskKey};
 use crate::term::Term;
 
@@ -16,6 +17,8 @@
 const MOST_STOP_BYTES: usize = 48 * 1024;
 /// Bytes of an encoded order beside its task's name, about.
 const ORDER_BYTES: usize = 80;
+/// A stop that was carried out and shows no effect is repeated after this time.
+const REPEAT_STOP: Duration = Duration::from_secs(1);
 /// A stop with grace that shows no effect is repeated after this time.
 const REPEAT_GRACEFUL_STOP: Duration = Duration::from_secs(1);
 
@@ -65,6 +68,35 @@
         }
         message
     }
+
+    /// Calls a machine to see whether it lives, and tells it what it must stop.
+    pub(super) fn probe(&mut self, env: &mut Env, name: &Name) {
+        let MachineOrders { orders, .. } = self.stops_for(env.steady(), name, Via::Direct);
+        self.direct(env, name, orders);
+    }
+
+    /// A call was answered: what its machine must stop still, if anything, goes with the next one. A worker that
+    /// was told and goes on all the same is given a moment.
+    pub(super) fn repeat_stops(&mut self, now: Instant, name: &Name, told: bool) {
+        let Some(machine) = self.machines.get_mut(name).filter(|machine| machine.has_stops) else {
+            return;
+        };
+        if told {
+            machine.direct_from = Some(now + REPEAT_STOP);
+            machine.postponed = true;
+        } else {
+            self.call_soon(name);
+        }
+    }
+
+    /// Whether the machine was seen to run what must end at once.
+    pub(super) fn must_stop(&self, machine: &Machine) -> bool {
+        let must_end = |(job, task): &TaskKey| {
+            let place = self.jobs.get(job).and_then(|job| job.places.get(task));
+            place.is_some_and(|place| place.stage.is_seen() && place.stop.is_some_and(|grace_s| grace_s <= 0.0))
+        };
+        machine.unexpected.iter().any(|(_, exited)| !exited) || machine.places.iter().any(must_end)
+    }
 }
 
 /// Adds what the machine of a task that must leave should be told of it now.
@@ -79,18 +111,17 @@
         let start = Order::Start { task: task.clone(), attempt };
         via == Via::Report && message.add(&[start, Order::Stop { task, attempt, grace_s: 0.0 }])
     } else {
-        stop_is_due(now, via, place, grace_s) && message.add(&[Order::Stop { task, attempt, grace_s }])
+        stop_is_due(now, place, grace_s) && message.add(&[Order::Stop { task, attempt, grace_s }])
     };
     if sent {
         place.stop_sent = Some(now);
     }
 }
 
-fn stop_is_due(now: Instant, via: Via, place: &Place, grace_s: f64) -> bool {
-    if via == Via::Report && grace_s <= 0.0 {
-        return true;
-    }
-    // One that saves is told again only if it must not.
-    let waits = place.stage == Stage::Saving && grace_s > 0.0;
-    place.stop_sent.is_none_or(|sent| via == Via::Report && !waits && now.duration_since(sent) > REPEAT_GRACEFUL_STOP)
+/// An immediate stop goes with every message until its effect is seen, since it can be repeated freely. One that
+/// saves is told again only if it must not.
+fn stop_is_due(now: Instant, place: &Place, grace_s: f64) -> bool {
+    let saves = place.stage == Stage::Saving;
+    let told_lately = place.stop_sent.is_some_and(|sent| now.duration_since(sent) <= REPEAT_GRACEFUL_STOP);
+    grace_s <= 0.0 || place.stop_sent.is_none() || !saves && !told_lately
 }
--- a/crates/core/src/fleet/survey.rs
+++ b/crates/core/src/fleet/survey.rs
@@ -48,7 +48,7 @@
             let others: Vec<Name> = self.machines.values().filter(free).map(|m| m.name.clone()).collect();
             let most = ask.min(self.free_calls(env));
             let sample: Vec<Name> = others.into_iter().sample(&mut env.rng, most);
-            sample.iter().for_each(|name| self.direct(env, name, Vec::new()));
+            sample.iter().for_each(|name| self.probe(env, name));
             (self.survey.asked, self.survey.sample) = (Some(now), sample);
         }
         if self.survey.asked.is_some_and(|t| now.duration_since(t) >= SURVEY_ANSWERED) {
--- a/crates/core/src/fleet/tasks.rs
+++ b/crates/core/src/fleet/tasks.rs
@@ -171,6 +171,7 @@
             let name = place.machine.clone();
             if let Some(machine) = self.machines.get_mut(&name) {
                 machine.orders_due = true;
+                machine.has_stops |= grace <= 0.0;
             }
             self.call_soon(&name);
         }
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -297,6 +297,8 @@
         addr: String,
         /// The orders.
         orders: Orders,
+        /// It asks for a sign of life: the answer must not take long.
+        probe: bool,
     },
     /// Asks and tells another node.
     Peer {
--- a/crates/core/src/term.rs
+++ b/crates/core/src/term.rs
@@ -12,7 +12,7 @@
 use crate::awaits::state::Awaited;
 use crate::env::Env;
 use crate::facts::{Facts, Policy};
-use crate::fleet::machine::Machine;
+use crate::fleet::machine::{CallReason, Machine};
 use crate::fleet::stop_account::StopAccount;
 use crate::fleet::survey::state::Survey;
 use crate::jobs::*;
@@ -93,9 +93,8 @@
     pub records: Records,
     pub renting: Renting,
     pub speculation: Speculation,
-    /// Machines that have orders which should not wait for the next report; `false`, and so
-    /// first, for those with services.
-    pub to_call: BTreeSet<(bool, Name)>,
+    /// Machines that have orders which should not wait for the next report.
+    pub to_call: BTreeSet<(CallReason, Name)>,
     /// Direct calls under way.
     pub directs: usize,
     /// New ones until the next tick, and how many each tick grants.
--- a/crates/core/tests/stops.rs
+++ b/crates/core/tests/stops.rs
@@ -1,10 +1,16 @@
 //! Stops of cancelled tasks that are lost, held back or answered late. Tasks must be gone within `cancel_s` of
 //! the moment at which a user was told; the world checks this, and all other rules, at every step.
 
-use rushyoke_core::{Facts, Policy};
-use rushyoke_testkit::{Interruption, World, facts, millis, secs, service};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rushyoke_core::{Facts, Policy, Team};
+use rushyoke_testkit::{Interruption, World, facts, job, job_id, millis, secs, service};
 use rushyoke_wire::job::{JobSpec, JobStatus};
 
+/// Within this time after a machine can be called again its cancelled tasks are gone (`docs/design.md`).
+const GONE_ONCE_REACHED: Duration = Duration::from_secs(5);
+
 /// Leases that last for longer than a leader may answer without the state service.
 fn long_leases() -> Facts {
     Facts { report: secs(4), lease: secs(28), cancel: secs(48), ..facts(0, 3) }
@@ -65,3 +71,87 @@
     let tiny = JobSpec { cpus: 0.02, memory_gb: 0.01, ..service(1, 780) };
     cancelled_behind_an_interruption(1, tiny);
 }
+
+#[test]
+fn cancelled_tasks_end_soon_after_their_machine_can_be_called_though_no_report_may_be_answered() {
+    let (mut world, leader) = at_work(2, service(1, 4));
+    let (_, machine) = world.where_runs("wk-000001")[0].clone();
+    run_until_answered(&mut world, &machine);
+    let cut = Interruption { until: world.now + secs(20), connected: false };
+    world.interrupted.insert(machine.clone(), cut);
+    cancel(&mut world, (leader + 1) % 3, "wk-000001");
+    world.cloud.outage = true;
+    world.store.outage = true;
+    world.run(cut.until - world.now);
+    assert!(!world.where_runs("wk-000001").is_empty(), "its lease lasts");
+    world.run(GONE_ONCE_REACHED);
+    assert!(world.where_runs("wk-000001").is_empty());
+}
+
+#[test]
+fn a_lost_stop_is_repeated_to_a_machine_whose_reports_reach_nobody() {
+    let (mut world, leader) = at_work(2, service(1, 4));
+    let (_, machine) = world.where_runs("wk-000001")[0].clone();
+    run_until_answered(&mut world, &machine);
+    world.mute.insert(machine.clone());
+    world.deaf.insert(machine.clone());
+    cancel(&mut world, (leader + 1) % 3, "wk-000001");
+    world.run(secs(3));
+    assert!(!world.where_runs("wk-000001").is_empty(), "the stop is lost");
+    world.deaf.clear();
+    world.run(GONE_ONCE_REACHED);
+    assert!(world.where_runs("wk-000001").is_empty());
+}
+
+/// The most direct calls that a node had outcomes of in a second, while so many seconds pass.
+fn most_calls_a_second(world: &mut World, node: usize, seconds: u64) -> u64 {
+    let outcomes = |world: &World| world.spent.get(&(node, "ordered")).map_or(0, |spent| spent.0);
+    let mut most = 0;
+    for _ in 0..seconds {
+        let before = outcomes(world);
+        world.run(secs(1));
+        most = most.max(outcomes(world) - before);
+    }
+    most
+}
+
+#[test]
+fn stops_are_repeated_to_a_third_of_four_thousand_machines_within_the_budget_of_calls() {
+    let team = Team { cpus: 12_000.0, cpus_max: 40_000.0, gpus: 0.0, gpus_max: 0.0 };
+    let facts = Facts {
+        teams: BTreeMap::from([("red".into(), team)]),
+        report: secs(5),
+        lease: secs(40),
+        cancel: secs(56),
+        orders_at_once: 300,
+        job_bytes: 64 << 20,
+        ..facts(0, 3)
+    };
+    let mut world = World::deployed(facts, 4000, Policy::default(), &["a", "b", "c"]);
+    world.check_every = 50;
+    world.workers.values_mut().for_each(|worker| worker.run_s = 300.0);
+    world.run(secs(10));
+    let jobs: Vec<String> = (1..=80).map(job_id).collect();
+    for number in 1..=80 {
+        let spec = JobSpec { cpus: 3.3, spot: false, ..job(number, 150) };
+        assert_eq!(world.submit(number as usize % 3, spec), Some(201));
+    }
+    world.run(secs(30));
+    let running = |world: &World| jobs.iter().map(|id| world.where_runs(id).len()).sum::<usize>();
+    assert_eq!(running(&world), 80 * 150);
+    let leader = world.leader().expect("a leader");
+    let zone: Vec<String> = world.workers.values().filter(|w| w.zone == "a").map(|w| w.name.clone()).collect();
+    let cut = Interruption { until: world.now + secs(20), connected: false };
+    world.interrupted.extend(zone.iter().map(|name| (name.clone(), cut)));
+    jobs.iter().for_each(|id| cancel(&mut world, (leader + 1) % 3, id));
+    world.cloud.outage = true;
+    world.store.outage = true;
+    let left = cut.until - world.now;
+    let during = most_calls_a_second(&mut world, leader, left.as_secs());
+    world.run(cut.until - world.now);
+    assert!(running(&world) > 0, "its leases last");
+    let after = most_calls_a_second(&mut world, leader, GONE_ONCE_REACHED.as_secs());
+    println!("most calls a second: {during} during the cut, {after} after it; {} at a time", world.most_orders);
+    assert_eq!(running(&world), 0);
+    assert!(world.most_orders <= 300, "{} calls at a time", world.most_orders);
+}
--- a/crates/rushyoke/src/drive.rs
+++ b/crates/rushyoke/src/drive.rs
@@ -228,10 +228,10 @@
                     let _ = self.back.send(Input::Cloud { call, outcome: Outcome::NotDone });
                 }
             }
-            Output::Order { call, addr, orders } => {
+            Output::Order { call, addr, orders, probe } => {
                 let (http, back, stats) = (self.http.clone(), self.back.clone(), self.stats.clone());
                 tokio::task::spawn_local(async move {
-                    let outcome = outside::order(&http, &addr, &orders).await;
+                    let outcome = outside::order(&http, &addr, &orders, probe).await;
                     stats.borrow_mut().note(Delay::Order, now.elapsed());
                     let _ = back.send(Input::Ordered { call, outcome });
                 });
--- a/crates/rushyoke/src/outside.rs
+++ b/crates/rushyoke/src/outside.rs
@@ -152,14 +152,14 @@
     }
 }
 
-/// Direct orders; the outcome is the status and the worker's report.
-pub async fn order(http: &Http, addr: &str, orders: &Orders) -> Outcome<(u16, Report)> {
+/// Direct orders; the outcome is the status and the worker's report. The answer to a probe, which asks for a sign
+/// of life, must not take long.
+pub async fn order(http: &Http, addr: &str, orders: &Orders, probe: bool) -> Outcome<(u16, Report)> {
     let Ok(addr) = addr.parse::<SocketAddr>() else {
         tracing::error!(addr, "a worker's address cannot be used");
         return Outcome::NotDone;
     };
-    // Without orders it only asks for a sign of life, which must not take long.
-    let wait = if orders.orders.is_empty() { PROBE_WAIT } else { WORKER_WAIT };
+    let wait = if probe { PROBE_WAIT } else { WORKER_WAIT };
     let request =
         OutgoingRequest { connect: PROBE_WAIT, ..outgoing(addr, Method::POST, "/orders", json(orders), wait) };
     match http.request(request).await {
--- a/crates/testkit/src/world/network.rs
+++ b/crates/testkit/src/world/network.rs
@@ -27,7 +27,7 @@
                 }
                 self.push(self.now + HOP, Event::Cloud { node, incarnation, call, op, reply: !lost });
             }
-            Output::Order { call, addr: machine, orders } => self.worker_called(node, call, machine, orders),
+            Output::Order { call, addr: machine, orders, .. } => self.worker_called(node, call, machine, orders),
             Output::Peer { label, request } => match self.peer(node, &label) {
                 Some((other, req)) => {
                     let incarnation = self.slots[node].incarnation;
