A seeded soak of cancellations, machines out of reach, outages and changes of leader

Cause: the drawn mixes cancel jobs only right before all troubles end, so that no cancellation was ever followed by an outage; and no draw brought a held report, a lost stop and a lapsed right together.

Change: crates/core/tests/soak.rs draws, for three sets of intervals and with load spreading or zone failover on in two of three seeds, nine ways in which machines are out of reach, cancellations about that time, outages of the state service and the cloud, and a leader that ends, is refused alone or loses its peers.

--- /dev/null
+++ b/crates/core/tests/soak.rs
@@ -0,0 +1,257 @@
+//! A soak: drawn meetings of cancellations with machines out of reach in each way, outages of the state service and
+//! the cloud, and a change of leader. The world checks the users' rules at every step. CI runs a few seeds; a
+//! long run is started by hand: `SOAK_SEEDS=1000..3000 cargo test --release -p rushyoke-core --test soak`.
+
+use std::ops::Range;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rushyoke_core::{BalanceSettings, Facts, FailoverSettings, Policy};
+use rushyoke_testkit::{Interruption, World, facts, job, job_id, millis, secs, service};
+use rushyoke_wire::job::{JobSpec, JobStatus};
+
+const CI_SEEDS: Range<u64> = 301..421;
+const MACHINES: usize = 6;
+const JOBS: u32 = 6;
+
+fn seeds() -> Range<u64> {
+    let Ok(text) = std::env::var("SOAK_SEEDS") else { return CI_SEEDS };
+    let (from, to) = text.split_once("..").expect("SOAK_SEEDS is like 1000..3000");
+    from.parse().expect("a number")..to.parse().expect("a number")
+}
+
+/// Something that happens at a moment of a meeting.
+#[derive(Clone, Debug)]
+enum Event {
+    /// A machine gets out of reach in one of the ways for so long.
+    Unreachable {
+        machine: String,
+        way: Way,
+        lasts: Duration,
+    },
+    /// It is reached again.
+    Reachable {
+        machine: String,
+    },
+    Cancel {
+        job: u32,
+        node: usize,
+    },
+    /// A production service comes, for which others may have to make room.
+    Submit {
+        node: usize,
+    },
+    StoreOutage,
+    CloudOutage,
+    StoreBack,
+    CloudBack,
+    LeaderEnds,
+    LeaderRefusedAlone,
+    LeaderWithoutPeers,
+}
+
+/// How a machine is out of reach.
+#[derive(Clone, Copy, Debug)]
+enum Way {
+    HeldConnected,
+    HeldUnconnected,
+    Cut,
+    Deaf,
+    Mute,
+    Hangs,
+    OrdersHeld,
+    ReportsHeld,
+    LinkToLeaderCut,
+}
+
+/// Those that hold packets back, which is what lets old messages meet new ones, are drawn more often.
+const WAYS: [Way; 12] = [
+    Way::HeldConnected,
+    Way::HeldUnconnected,
+    Way::HeldUnconnected,
+    Way::HeldUnconnected,
+    Way::HeldUnconnected,
+    Way::Cut,
+    Way::Deaf,
+    Way::Mute,
+    Way::Hangs,
+    Way::OrdersHeld,
+    Way::ReportsHeld,
+    Way::LinkToLeaderCut,
+];
+
+/// Intervals, leases and times for cancelled jobs as deployments have them.
+fn deployments() -> [Facts; 4] {
+    let times =
+        |report, lease, cancel| Facts { report: secs(report), lease: secs(lease), cancel: secs(cancel), ..facts(0, 3) };
+    [times(2, 12, 30), times(4, 28, 48), times(4, 10, 40), times(4, 28, 48)]
+}
+
+/// What operators may have switched on.
+fn policy(seed: u64) -> Policy {
+    match seed % 3 {
+        0 => Policy::default(),
+        1 => Policy { failover: Some(FailoverSettings::default()), ..Policy::default() },
+        _ => Policy { balance: Some(BalanceSettings::default()), ..Policy::default() },
+    }
+}
+
+/// A moment between two, in steps of a tenth of a second.
+fn between(rng: &mut StdRng, from: Duration, to: Duration) -> Duration {
+    millis(rng.random_range(from.as_millis() as u64 / 100..=to.as_millis() as u64 / 100) * 100)
+}
+
+/// Draws what happens, and when: cancellations about the time at which machines get out of reach, outages and a
+/// change of leader about the time at which they are reached again.
+fn meeting(rng: &mut StdRng, world: &World, facts: &Facts) -> Vec<(Duration, Event)> {
+    let mut events = Vec::new();
+    let lease = facts.lease;
+    let begins = secs(6);
+    let way = WAYS[rng.random_range(0..WAYS.len())];
+    let mixed = rng.random_range(0..4) == 0;
+    // Half of them for nearly as long as a lease lasts, which leaves it just time to be renewed.
+    let shortest = if rng.random_range(0..2) == 0 { lease.mul_f64(0.7) } else { secs(1) };
+    let lasts = between(rng, shortest, lease);
+    for machine in world.workers.keys() {
+        if rng.random_range(0..3) == 0 {
+            continue;
+        }
+        let way = if mixed { WAYS[rng.random_range(0..WAYS.len())] } else { way };
+        let from = begins + between(rng, secs(0), secs(1));
+        let lasts = lasts + between(rng, secs(0), secs(1));
+        events.push((from, Event::Unreachable { machine: machine.clone(), way, lasts }));
+        events.push((from + lasts, Event::Reachable { machine: machine.clone() }));
+    }
+    for job in 1..=JOBS {
+        if rng.random_range(0..3) > 0 {
+            let at = begins + between(rng, secs(0), secs(2)).max(secs(1)) - secs(1);
+            let at = if rng.random_range(0..4) == 0 { at + between(rng, secs(0), lasts) } else { at };
+            events.push((at, Event::Cancel { job, node: rng.random_range(0..3) }));
+        }
+    }
+    if rng.random_range(0..3) == 0 {
+        events.push((begins + between(rng, secs(0), lasts), Event::Submit { node: rng.random_range(0..3) }));
+    }
+    if rng.random_range(0..4) > 0 {
+        // Half of them so that the leader may answer no more soon after the machines are reached again.
+        let answered_for = facts.cancel - lease - secs(2);
+        let close = (begins + lasts + between(rng, secs(0), secs(6))).saturating_sub(answered_for);
+        let drawn = begins + between(rng, secs(0), lasts + secs(2));
+        let from = if rng.random_range(0..2) == 0 { close.max(begins) } else { drawn };
+        events.push((from, Event::StoreOutage));
+        let shortest = if rng.random_range(0..2) == 0 { facts.cancel } else { secs(5) };
+        events.push((from + between(rng, shortest, secs(60)), Event::StoreBack));
+    }
+    if rng.random_range(0..2) == 0 {
+        events.push((begins + between(rng, secs(0), secs(2)), Event::CloudOutage));
+        events.push((begins + lasts + between(rng, secs(0), secs(20)), Event::CloudBack));
+    }
+    let about_leaders = begins + between(rng, secs(0), lasts + secs(2));
+    match rng.random_range(0..8) {
+        0 | 1 => events.push((about_leaders, Event::LeaderEnds)),
+        2 => events.push((about_leaders, Event::LeaderRefusedAlone)),
+        3 => events.push((about_leaders, Event::LeaderWithoutPeers)),
+        _ => {}
+    }
+    events.sort_by_key(|(at, _)| *at);
+    events
+}
+
+fn interrupt(world: &mut World, machine: String, until: Duration, connected: bool) {
+    world.interrupted.insert(machine, Interruption { until, connected });
+}
+
+/// Brings an event about.
+fn happen(world: &mut World, event: Event) {
+    let leader = world.leader().unwrap_or_default();
+    match event {
+        Event::Unreachable { machine, way, lasts } => {
+            let until = world.now + lasts;
+            match way {
+                Way::HeldConnected => interrupt(world, machine, until, true),
+                Way::HeldUnconnected => interrupt(world, machine, until, false),
+                Way::Cut => drop(world.cut.insert(machine)),
+                Way::Deaf => drop(world.deaf.insert(machine)),
+                Way::Mute => drop(world.mute.insert(machine)),
+                Way::Hangs => drop(world.hang.insert(machine, until)),
+                Way::OrdersHeld => drop(world.hold_orders.insert(machine, until)),
+                Way::ReportsHeld => drop(world.hold_reports.insert(machine, until)),
+                Way::LinkToLeaderCut => drop(world.cut_links.insert((leader, machine))),
+            }
+        }
+        Event::Reachable { machine } => {
+            world.cut.remove(&machine);
+            world.deaf.remove(&machine);
+            world.mute.remove(&machine);
+            world.hold_orders.remove(&machine);
+            world.hold_reports.remove(&machine);
+            world.cut_links.retain(|(_, cut)| *cut != machine);
+        }
+        Event::Cancel { job, node } => drop(world.cancel(node, &job_id(job))),
+        Event::Submit { node } => {
+            let urgent = JobSpec { cpus: 2.0, ..service(JOBS + 1, 12) };
+            world.ask_submit(node, urgent);
+        }
+        Event::StoreOutage => world.store.outage = true,
+        Event::CloudOutage => world.cloud.outage = true,
+        Event::StoreBack => {
+            let now = world.now;
+            world.store.end_outage(now);
+        }
+        Event::CloudBack => world.cloud.outage = false,
+        Event::LeaderEnds => world.crash(leader),
+        Event::LeaderRefusedAlone => drop(world.no_store.insert(leader)),
+        Event::LeaderWithoutPeers => {
+            world.no_store.insert(leader);
+            world.no_peers.insert(leader);
+        }
+    }
+}
+
+fn soak(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let facts = deployments()[seed as usize % 4].clone();
+    let mut world = World::deployed(facts.clone(), MACHINES, policy(seed), &["a", "b"]);
+    world.task_s = 200.0;
+    world.workers.values_mut().for_each(|worker| worker.run_s = 200.0);
+    world.run(secs(8));
+    for number in 1..=JOBS {
+        let tasks = rng.random_range(2..=8);
+        let saves = if rng.random_range(0..2) == 0 { 5.0 } else { 0.0 };
+        let spec = if number % 2 == 0 { service(number, tasks.min(4)) } else { job(number, tasks) };
+        world.submit(0, JobSpec { checkpoint_s: saves, save_s: saves, ..spec });
+    }
+    world.run(secs(8));
+    let began = world.now;
+    for (at, event) in meeting(&mut rng, &world, &facts) {
+        // What the event before took, such as a cancellation that waited for its answer, may have passed it.
+        world.run((began + at).saturating_sub(world.now));
+        happen(&mut world, event);
+    }
+    world.run(facts.cancel + secs(5));
+    for node in 0..3 {
+        if !world.runs_node(node) {
+            world.start_node(node);
+        }
+    }
+    world.calm();
+    world.run(secs(40));
+    for number in 1..=JOBS {
+        let id = job_id(number);
+        let running = world.where_runs(&id).len();
+        match world.state(0, &id) {
+            Some(JobStatus::Cancelled | JobStatus::Done) => assert_eq!(running, 0, "seed {seed}: {id} is over"),
+            Some(_) => assert!(running > 0, "seed {seed}: nothing of {id} runs"),
+            None => panic!("seed {seed}: no answer about {id}"),
+        }
+    }
+}
+
+#[test]
+fn drawn_meetings_of_cancellations_and_unreachable_machines_break_no_rule() {
+    for seed in seeds() {
+        println!("seed {seed}");
+        soak(seed);
+    }
+}
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -305,6 +305,11 @@
         leads.max().map(|(_, n)| n)
     }
 
+    /// Whether a node's process runs.
+    pub fn runs_node(&self, n: usize) -> bool {
+        self.slots[n].node.is_some()
+    }
+
     /// The token under which a node leads.
     pub fn token_of(&self, n: usize) -> Option<u64> {
         self.slots[n].node.as_ref()?.token()
