No line on machines that do not report while this leader itself refuses reports

Cause: when its right to answer has lapsed a leader refuses reports without reading them, and noted of every machine in turn that it does not report; twelve lines (one a machine, before) when one says it all.

Change: 'reports are answered no more' stands for them. The machines get no work meanwhile, as before.

--- a/crates/core/src/fleet/silence.rs
+++ b/crates/core/src/fleet/silence.rs
@@ -167,7 +167,8 @@
                 found.push(name);
             }
         }
-        if !found.is_empty() {
+        // While reports are refused no machine is heard, and their leases will end: no work for them, and no line.
+        if !found.is_empty() && !self.refuses_reports {
             let first = first_names(&found);
             tracing::info!(machines = found.len(), first, "answer calls, but do not report; get no work");
         }
