Readable code: calls, leases, images and stop requests of a machine as types of their own

Cause: machine.rs held four concerns in 400 lines; a stop was a bare number beside a time; the soak and the stories of stops each knew how a machine gets out of reach.

Change: fleet/calls.rs, fleet/lease.rs and fleet/images.rs (a typed cache in place of pairs), StopRequest in place of two fields, and the ways in which machines are out of reach in the testkit (world/reach.rs), used by the stories and the soak. No behaviour changed; the soak's draws are the same.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -7,6 +7,9 @@
 //! went out directly and was not answered may still run late, so the exited entry that
 //! would stop it is kept until the order is resolved.
 
+pub(crate) mod calls;
+mod images;
+mod lease;
 pub(crate) mod machine;
 mod orders;
 mod reports;
--- a/crates/core/src/fleet/machine.rs
+++ b/crates/core/src/fleet/machine.rs
@@ -1,6 +1,6 @@
 //! A machine as the leader knows it: what its worker told, what is placed on it, and when its lease ends.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use rushyoke_failover::{Access, Drain};
@@ -8,6 +8,8 @@
 use rushyoke_wire::job::{JobSpec, Kind};
 use rushyoke_wire::worker::Report;
 
+use super::calls::DirectCall;
+use super::images::ImageCache;
 use super::{Attempt, LATEST_REPORT, PROMPT, Via};
 use crate::jobs::{Name, TaskKey};
 use crate::quota::Room;
@@ -16,33 +18,6 @@
 const FAILED_CALLS: u32 = 3;
 /// For so long a worker waits for the answer to a report.
 const ANSWER_LIMIT: Duration = Duration::from_secs(4);
-/// Allowance for clocks that drift apart, beside the published bound.
-const DRIFT: f64 = 1.002;
-const LAPSE_MARGIN: Duration = Duration::from_millis(250);
-
-/// A direct call under way.
-#[derive(Clone, Debug)]
-pub(super) struct DirectCall {
-    pub(super) session: u64,
-    /// Session and number of the newest message when it was sent.
-    pub(super) seen: (u64, u64),
-    pub(super) starts: Vec<Attempt>,
-    /// Whether it stops any task.
-    pub(super) stops: bool,
-    /// Tasks of cancelled jobs that it stops.
-    pub(super) cancelled_stops: u32,
-}
-
-/// Machines that are to be called, by what for; the first goes first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum CallReason {
-    /// It has replicas of services.
-    Service,
-    /// It must stop tasks at once.
-    Stop,
-    /// All else.
-    Other,
-}
 
 /// Room on a machine that is kept for a job.
 #[derive(Clone, Debug)]
@@ -104,9 +79,8 @@
     /// Exited tasks that the worker still lists.
     pub(super) exited: BTreeMap<Attempt, TaskKey>,
     pub(super) unexpected: Vec<(Attempt, bool)>,
-    /// Images believed to be cached, the most recently used last.
-    pub(super) images: VecDeque<(String, f64)>,
-    pub(super) cache_gb: f64,
+    /// Images believed to be on it.
+    pub images: ImageCache,
     /// It is being returned, or is about to be.
     pub leaving: bool,
     pub release_sent: Option<Instant>,
@@ -173,8 +147,7 @@
             unresolved: BTreeSet::new(),
             exited: BTreeMap::new(),
             unexpected: Vec::new(),
-            images: VecDeque::new(),
-            cache_gb: 0.0,
+            images: ImageCache::default(),
             leaving: false,
             release_sent: None,
             suspect: false,
@@ -223,7 +196,7 @@
     pub fn set_type(&mut self, kind: Option<&MachineType>) {
         if let Some(kind) = kind {
             self.total = Room { cpus: kind.cpus, gpus: kind.gpus, memory_gb: kind.memory_gb };
-            self.cache_gb = kind.cache_gb;
+            self.images.resize(kind.cache_gb);
         }
     }
 
@@ -252,17 +225,6 @@
         self.fenced.is_some()
     }
 
-    /// What it would be called for.
-    pub(super) fn call_reason(&self) -> CallReason {
-        if self.hosts_service() {
-            CallReason::Service
-        } else if self.has_stops {
-            CallReason::Stop
-        } else {
-            CallReason::Other
-        }
-    }
-
     /// Whether a report of its worker was answered lately, and so its lease renewed.
     pub fn reports_to_us(&self, now: Instant, report: Duration) -> bool {
         let longest = report.mul_f64(LATEST_REPORT) + PROMPT;
@@ -296,11 +258,6 @@
         self.zone_unhealthy && reason(self.drain)
     }
 
-    /// Direct calls in a row that failed.
-    pub fn failed_calls(&self) -> u32 {
-        self.failed_calls
-    }
-
     /// Whether its worker surely hears the answers to its reports: it keeps one in flight at a time, and waits
     /// for an answer for longer than passed between the last two.
     pub fn hears_answers(&self) -> bool {
@@ -325,18 +282,6 @@
         self.services > 0
     }
 
-    pub fn has_image(&self, image: &str) -> bool {
-        self.images.iter().any(|(name, _)| name == image)
-    }
-
-    pub(super) fn used_image(&mut self, image: &str, gb: f64) {
-        self.images.retain(|(name, _)| name != image);
-        self.images.push_back((image.to_owned(), gb));
-        while self.images.len() > 1 && self.images.iter().map(|(_, gb)| gb).sum::<f64>() > self.cache_gb {
-            self.images.pop_front();
-        }
-    }
-
     /// A sign of life. A report alone is none for a machine whose reports were overdue: its
     /// answers may not reach it. The next one, in time, shows that the first was answered; so
     /// does the answer to a direct call.
@@ -356,44 +301,4 @@
             self.leaving &= self.release_sent.is_some() || self.answers_lost;
         }
     }
-
-    /// A direct call was not answered; the next one waits, the longer the more have failed.
-    pub(super) fn call_failed(&mut self, now: Instant, retry: Duration, most_backoff: u32) {
-        self.probes_failed += 1;
-        self.failed_calls += 1;
-        self.direct_from = Some(now + retry * self.failed_calls.min(most_backoff));
-    }
-
-    /// Whether a start is on its way in a direct order just now.
-    pub(super) fn on_its_way(&self, attempt: &Attempt) -> bool {
-        self.direct.as_ref().is_some_and(|d| d.starts.contains(attempt))
-    }
-
-    /// Whether a start that went out directly may still run.
-    pub(super) fn unresolved(&self, attempt: &Attempt) -> bool {
-        self.unresolved.contains(attempt) || self.on_its_way(attempt)
-    }
-}
-
-/// What bounds the leases of all workers in a term. Asked here alone when a lease has surely ended, which
-/// proves the places on a machine empty.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct LeaseBounds {
-    /// From then on no earlier leader answers any worker.
-    pub(super) old_silent: Instant,
-    /// When a report was last answered before the tables were filled: it may have been any worker's.
-    pub(super) unnoted: Option<Instant>,
-    pub(super) lease: Duration,
-}
-
-impl LeaseBounds {
-    /// When a worker's lease has surely ended if nothing more is answered.
-    pub(super) fn end(&self, machine: &Machine) -> Instant {
-        let base = match (machine.fenced, machine.answered) {
-            // Once it has seen our token no answer of an earlier leader counts.
-            (Some(fenced), answered) => answered.map_or(fenced, |a| a.max(fenced)),
-            (None, answered) => answered.map_or(self.old_silent, |a| a.max(self.old_silent)),
-        };
-        self.unnoted.map_or(base, |t| base.max(t)) + self.lease.mul_f64(DRIFT) + LAPSE_MARGIN
-    }
 }
--- a/crates/core/src/fleet/orders.rs
+++ b/crates/core/src/fleet/orders.rs
@@ -7,7 +7,7 @@
 
 use rushyoke_wire::worker::{Order, Orders, Report};
 
-use super::machine::DirectCall;
+use super::calls::DirectCall;
 use super::stop_account::StopEvent;
 use super::stops::MachineOrders;
 use super::{Attempt, Via};
--- a/crates/core/src/fleet/silence.rs
+++ b/crates/core/src/fleet/silence.rs
@@ -6,7 +6,8 @@
 
 use rushyoke_failover::{Silent, ZoneView};
 
-use super::machine::{CallReason, LeaseBounds};
+use super::calls::CallReason;
+use super::lease::LeaseBounds;
 use super::stop_account::first_names;
 use super::survey::{ASKED_ALONE, SURVEY_FROM, SURVEYED};
 use super::{LATEST_REPORT, Machine, fence_by_report};
--- a/crates/core/src/fleet/stops.rs
+++ b/crates/core/src/fleet/stops.rs
@@ -10,7 +10,7 @@
 
 use super::{Attempt, Machine, Via};
 use crate::env::Env;
-use crate::jobs::{Name, Place, Stage, TaskKey};
+use crate::jobs::{Name, Place, Stage, StopRequest, TaskKey};
 use crate::term::Term;
 
 /// Bytes of the stops in one message; workers take lines of up to 64 KiB.
@@ -93,7 +93,7 @@
     pub(super) fn must_stop(&self, machine: &Machine) -> bool {
         let must_end = |(job, task): &TaskKey| {
             let place = self.jobs.get(job).and_then(|job| job.places.get(task));
-            place.is_some_and(|place| place.stage.is_seen() && place.stop.is_some_and(|grace_s| grace_s <= 0.0))
+            place.is_some_and(|place| place.stage.is_seen() && place.stop.is_some_and(|stop| stop.is_immediate()))
         };
         machine.unexpected.iter().any(|(_, exited)| !exited) || machine.places.iter().any(must_end)
     }
@@ -101,7 +101,7 @@
 
 /// Adds what the machine of a task that must leave should be told of it now.
 fn stop_place(now: Instant, via: Via, key: &TaskKey, place: &mut Place, message: &mut MachineOrders) {
-    let Some(grace_s) = place.stop.filter(|_| !matches!(place.stage, Stage::Planned | Stage::Inherited)) else {
+    let Some(stop) = place.stop.as_mut().filter(|_| !matches!(place.stage, Stage::Planned | Stage::Inherited)) else {
         return;
     };
     let (task, attempt) = (format!("{}/{}", key.0, key.1), place.attempt);
@@ -111,17 +111,17 @@
         let start = Order::Start { task: task.clone(), attempt };
         via == Via::Report && message.add(&[start, Order::Stop { task, attempt, grace_s: 0.0 }])
     } else {
-        stop_is_due(now, place, grace_s) && message.add(&[Order::Stop { task, attempt, grace_s }])
+        let due = is_due(now, stop, place.stage);
+        due && message.add(&[Order::Stop { task, attempt, grace_s: stop.grace_s }])
     };
     if sent {
-        place.stop_sent = Some(now);
+        stop.sent = Some(now);
     }
 }
 
 /// An immediate stop goes with every message until its effect is seen, since it can be repeated freely. One that
 /// saves is told again only if it must not.
-fn stop_is_due(now: Instant, place: &Place, grace_s: f64) -> bool {
-    let saves = place.stage == Stage::Saving;
-    let told_lately = place.stop_sent.is_some_and(|sent| now.duration_since(sent) <= REPEAT_GRACEFUL_STOP);
-    grace_s <= 0.0 || place.stop_sent.is_none() || !saves && !told_lately
+fn is_due(now: Instant, stop: &StopRequest, stage: Stage) -> bool {
+    let told_lately = stop.sent.is_some_and(|sent| now.duration_since(sent) <= REPEAT_GRACEFUL_STOP);
+    stop.is_immediate() || stop.sent.is_none() || stage != Stage::Saving && !told_lately
 }
--- a/crates/core/src/fleet/tasks.rs
+++ b/crates/core/src/fleet/tasks.rs
@@ -25,7 +25,7 @@
                     place.running = Some(now);
                     job.running += 1;
                     let machine = self.machines.get_mut(&place.machine).expect("placed");
-                    machine.used_image(&job.spec.image, job.spec.image_gb);
+                    machine.images.used(&job.spec.image, job.spec.image_gb);
                 }
             }
             TaskState::Exited => {
@@ -34,8 +34,7 @@
             }
         }
         if before != place.stage {
-            let (wanted, unsent) = (place.stop.is_some(), place.stop_sent.is_none());
-            if wanted && unsent {
+            if place.stop.is_some_and(|stop| stop.sent.is_none()) {
                 let machine = place.machine.clone();
                 self.call_soon(&machine);
             }
@@ -165,13 +164,13 @@
             self.place_empty(env, &(job.clone(), task), now);
             return;
         }
-        if place.stop.is_none_or(|earlier| grace < earlier) {
-            place.stop = Some(grace);
-            place.stop_sent = None;
+        let stop = StopRequest::new(grace);
+        if place.stop.is_none_or(|earlier| stop.is_stricter_than(&earlier)) {
+            place.stop = Some(stop);
             let name = place.machine.clone();
             if let Some(machine) = self.machines.get_mut(&name) {
                 machine.orders_due = true;
-                machine.has_stops |= grace <= 0.0;
+                machine.has_stops |= stop.is_immediate();
             }
             self.call_soon(&name);
         }
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -154,6 +154,32 @@
     }
 }
 
+/// That a task must leave its place.
+#[derive(Clone, Copy, Debug)]
+pub struct StopRequest {
+    /// Seconds that the task gets to save.
+    pub grace_s: f64,
+    /// When it was last put into a message.
+    pub sent: Option<Instant>,
+}
+
+impl StopRequest {
+    /// A request that was not sent yet.
+    pub fn new(grace_s: f64) -> StopRequest {
+        StopRequest { grace_s, sent: None }
+    }
+
+    /// Whether the task must end at once.
+    pub fn is_immediate(&self) -> bool {
+        self.grace_s <= 0.0
+    }
+
+    /// Whether it leaves the task less time than an earlier one.
+    pub fn is_stricter_than(&self, earlier: &StopRequest) -> bool {
+        self.grace_s < earlier.grace_s
+    }
+}
+
 /// The one place where a task may be.
 #[derive(Clone, Debug)]
 pub struct Place {
@@ -162,10 +188,8 @@
     pub stage: Stage,
     pub placed: Instant,
     pub running: Option<Instant>,
-    /// Set when the task must leave: the grace that it gets.
-    pub stop: Option<f64>,
-    /// When the last stop was sent.
-    pub stop_sent: Option<Instant>,
+    /// Set when the task must leave.
+    pub stop: Option<StopRequest>,
     /// Whether any start was ever sent by this leader.
     pub sent: bool,
 }
@@ -414,7 +438,6 @@
             placed: now,
             running: None,
             stop: None,
-            stop_sent: None,
             sent: true,
         };
         self.places.insert(task, place);
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -149,7 +149,6 @@
             placed: now,
             running: None,
             stop: None,
-            stop_sent: None,
             sent: false,
         };
         job.places.insert(task, place);
@@ -266,7 +265,7 @@
     /// How long the job's image takes to be on the machine. Images that are fetched at
     /// the same time may share the rate.
     pub fn fetch_s(&self, env: &Env, job: &Job, machine: &Machine) -> f64 {
-        if machine.has_image(&job.spec.image) {
+        if machine.images.holds(&job.spec.image) {
             return 0.0;
         }
         let rate = env.type_named(&machine.kind).map_or(1.0, |k| k.fetch_gb_per_s.max(0.01));
@@ -275,7 +274,7 @@
         for (name, task) in &machine.places {
             let Some(owner) = self.jobs.get(name) else { continue };
             let waits = owner.places.get(task).is_some_and(|place| place.running.is_none());
-            if waits && !machine.has_image(&owner.spec.image) {
+            if waits && !machine.images.holds(&owner.spec.image) {
                 fetched.insert(&owner.spec.image);
             }
         }
--- a/crates/core/src/rent/returns.rs
+++ b/crates/core/src/rent/returns.rs
@@ -102,7 +102,7 @@
                 let need = Room::of(&job.spec);
                 let target = room.iter_mut().find(|(m, r)| {
                     let apart = job.spec.kind == Kind::Array || takes_replica(m, machine, job, &targets);
-                    r.holds(need) && apart && m.has_image(&job.spec.image)
+                    r.holds(need) && apart && m.images.holds(&job.spec.image)
                 });
                 let Some((target, room)) = target else { break };
                 room.sub(need);
--- a/crates/core/src/speculate.rs
+++ b/crates/core/src/speculate.rs
@@ -198,10 +198,9 @@
                 && zones.as_ref().is_none_or(|zones| zones.contains(&m.zone))
                 && self.room_for(m, &job.id).holds(need)
         };
-        let best =
-            self.machines.values().filter(fits).max_by(|a, b| {
-                a.has_image(&job.spec.image).cmp(&b.has_image(&job.spec.image)).then(a.level.cmp(&b.level))
-            });
+        let best = self.machines.values().filter(fits).max_by(|a, b| {
+            a.images.holds(&job.spec.image).cmp(&b.images.holds(&job.spec.image)).then(a.level.cmp(&b.level))
+        });
         best.map(|m| m.name.clone())
     }
 }
--- a/crates/core/tests/soak.rs
+++ b/crates/core/tests/soak.rs
@@ -8,7 +8,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rushyoke_core::{BalanceSettings, Facts, FailoverSettings, Policy};
-use rushyoke_testkit::{Interruption, World, facts, job, job_id, millis, secs, service};
+use rushyoke_testkit::{Unreachable, World, facts, job, job_id, millis, secs, service};
 use rushyoke_wire::job::{JobSpec, JobStatus};
 
 const CI_SEEDS: Range<u64> = 301..421;
@@ -24,10 +24,10 @@
 /// Something that happens at a moment of a meeting.
 #[derive(Clone, Debug)]
 enum Event {
-    /// A machine gets out of reach in one of the ways for so long.
+    /// A machine gets out of reach for so long.
     Unreachable {
         machine: String,
-        way: Way,
+        way: Unreachable,
         lasts: Duration,
     },
     /// It is reached again.
@@ -51,34 +51,20 @@
     LeaderWithoutPeers,
 }
 
-/// How a machine is out of reach.
-#[derive(Clone, Copy, Debug)]
-enum Way {
-    HeldConnected,
-    HeldUnconnected,
-    Cut,
-    Deaf,
-    Mute,
-    Hangs,
-    OrdersHeld,
-    ReportsHeld,
-    LinkToLeaderCut,
-}
-
 /// Those that hold packets back, which is what lets old messages meet new ones, are drawn more often.
-const WAYS: [Way; 12] = [
-    Way::HeldConnected,
-    Way::HeldUnconnected,
-    Way::HeldUnconnected,
-    Way::HeldUnconnected,
-    Way::HeldUnconnected,
-    Way::Cut,
-    Way::Deaf,
-    Way::Mute,
-    Way::Hangs,
-    Way::OrdersHeld,
-    Way::ReportsHeld,
-    Way::LinkToLeaderCut,
+const WAYS: [Unreachable; 12] = [
+    Unreachable::HeldConnected,
+    Unreachable::HeldUnconnected,
+    Unreachable::HeldUnconnected,
+    Unreachable::HeldUnconnected,
+    Unreachable::HeldUnconnected,
+    Unreachable::Cut,
+    Unreachable::Deaf,
+    Unreachable::Mute,
+    Unreachable::Hangs,
+    Unreachable::OrdersHeld,
+    Unreachable::ReportsHeld,
+    Unreachable::LinkCut { node: 0 },
 ];
 
 /// Intervals, leases and times for cancelled jobs as deployments have them.
@@ -158,36 +144,15 @@
     events
 }
 
-fn interrupt(world: &mut World, machine: String, until: Duration, connected: bool) {
-    world.interrupted.insert(machine, Interruption { until, connected });
-}
-
 /// Brings an event about.
 fn happen(world: &mut World, event: Event) {
     let leader = world.leader().unwrap_or_default();
     match event {
-        Event::Unreachable { machine, way, lasts } => {
-            let until = world.now + lasts;
-            match way {
-                Way::HeldConnected => interrupt(world, machine, until, true),
-                Way::HeldUnconnected => interrupt(world, machine, until, false),
-                Way::Cut => drop(world.cut.insert(machine)),
-                Way::Deaf => drop(world.deaf.insert(machine)),
-                Way::Mute => drop(world.mute.insert(machine)),
-                Way::Hangs => drop(world.hang.insert(machine, until)),
-                Way::OrdersHeld => drop(world.hold_orders.insert(machine, until)),
-                Way::ReportsHeld => drop(world.hold_reports.insert(machine, until)),
-                Way::LinkToLeaderCut => drop(world.cut_links.insert((leader, machine))),
-            }
-        }
-        Event::Reachable { machine } => {
-            world.cut.remove(&machine);
-            world.deaf.remove(&machine);
-            world.mute.remove(&machine);
-            world.hold_orders.remove(&machine);
-            world.hold_reports.remove(&machine);
-            world.cut_links.retain(|(_, cut)| *cut != machine);
+        Event::Unreachable { machine, way: Unreachable::LinkCut { .. }, lasts } => {
+            world.lose(&machine, Unreachable::LinkCut { node: leader }, lasts);
         }
+        Event::Unreachable { machine, way, lasts } => world.lose(&machine, way, lasts),
+        Event::Reachable { machine } => world.regain(&machine),
         Event::Cancel { job, node } => drop(world.cancel(node, &job_id(job))),
         Event::Submit { node } => {
             let urgent = JobSpec { cpus: 2.0, ..service(JOBS + 1, 12) };
--- a/crates/core/tests/stops.rs
+++ b/crates/core/tests/stops.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use rushyoke_core::{Facts, Policy, Team};
-use rushyoke_testkit::{Interruption, World, facts, job, job_id, millis, secs, service};
+use rushyoke_testkit::{Unreachable, World, facts, job, job_id, millis, secs, service};
 use rushyoke_wire::job::{JobSpec, JobStatus};
 
 /// Within this time after a machine can be called again its cancelled tasks are gone (`docs/design.md`).
@@ -49,13 +49,13 @@
     let (mut world, leader) = at_work(machines, spec);
     let (_, machine) = world.where_runs("wk-000001")[0].clone();
     run_until_answered(&mut world, &machine);
-    let cut = Interruption { until: world.now + millis(23_300), connected: false };
-    world.interrupted.insert(machine.clone(), cut);
+    let until = world.now + millis(23_300);
+    world.lose(&machine, Unreachable::HeldUnconnected, until - world.now);
     cancel(&mut world, (leader + 1) % 3, "wk-000001");
     world.run(secs(8));
     world.cloud.outage = true;
     world.store.outage = true;
-    world.run(cut.until - world.now + secs(1));
+    world.run(until - world.now + secs(1));
     assert_eq!(world.workers[&machine].session, 1, "its lease lasts");
     world.run(secs(40));
     assert!(world.where_runs("wk-000001").is_empty());
@@ -77,12 +77,12 @@
     let (mut world, leader) = at_work(2, service(1, 4));
     let (_, machine) = world.where_runs("wk-000001")[0].clone();
     run_until_answered(&mut world, &machine);
-    let cut = Interruption { until: world.now + secs(20), connected: false };
-    world.interrupted.insert(machine.clone(), cut);
+    let until = world.now + secs(20);
+    world.lose(&machine, Unreachable::HeldUnconnected, until - world.now);
     cancel(&mut world, (leader + 1) % 3, "wk-000001");
     world.cloud.outage = true;
     world.store.outage = true;
-    world.run(cut.until - world.now);
+    world.run(until - world.now);
     assert!(!world.where_runs("wk-000001").is_empty(), "its lease lasts");
     world.run(GONE_ONCE_REACHED);
     assert!(world.where_runs("wk-000001").is_empty());
@@ -141,14 +141,14 @@
     assert_eq!(running(&world), 80 * 150);
     let leader = world.leader().expect("a leader");
     let zone: Vec<String> = world.workers.values().filter(|w| w.zone == "a").map(|w| w.name.clone()).collect();
-    let cut = Interruption { until: world.now + secs(20), connected: false };
-    world.interrupted.extend(zone.iter().map(|name| (name.clone(), cut)));
+    let until = world.now + secs(20);
+    zone.iter().for_each(|name| world.lose(name, Unreachable::HeldUnconnected, until - world.now));
     jobs.iter().for_each(|id| cancel(&mut world, (leader + 1) % 3, id));
     world.cloud.outage = true;
     world.store.outage = true;
-    let left = cut.until - world.now;
+    let left = until - world.now;
     let during = most_calls_a_second(&mut world, leader, left.as_secs());
-    world.run(cut.until - world.now);
+    world.run(until - world.now);
     assert!(running(&world) > 0, "its leases last");
     let after = most_calls_a_second(&mut world, leader, GONE_ONCE_REACHED.as_secs());
     println!("most calls a second: {during} during the cut, {after} after it; {} at a time", world.most_orders);
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -18,4 +18,4 @@
 pub use store::Store;
 pub use story::{all, dependent, job_id, millis, secs};
 pub use worker::{Task, Worker};
-pub use world::{Interruption, World};
+pub use world::{Interruption, Unreachable, World};
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -3,6 +3,7 @@
 mod checks;
 mod machines;
 mod network;
+mod reach;
 mod users;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,6 +18,7 @@
 use crate::rules::{Question, Rules};
 use crate::store::Store;
 use crate::worker::Worker;
+pub use reach::{Interruption, Unreachable};
 
 const STEP: Duration = Duration::from_millis(10);
 const HOP: Duration = Duration::from_millis(3);
@@ -41,19 +43,6 @@
     until: Duration,
 }
 
-/// What becomes of packets between the controllers and a machine while the network is interrupted.
-///
-/// What its worker reports is held back and arrives afterwards, in the order in which it was sent; the worker
-/// has given it up by then, so that the answers are lost. What the controllers send over an open connection is
-/// held back in the same way, while a new connection cannot be opened.
-#[derive(Clone, Copy, Debug)]
-pub struct Interruption {
-    /// When packets pass again.
-    pub until: Duration,
-    /// Whether the controllers have connections to the machine that stay open.
-    pub connected: bool,
-}
-
 struct Slot {
     node: Option<Node>,
     incarnation: u64,
