An answer given while records are read holds all its stops, or is not given

Cause: of the same class as the bound of 200 orders: while a new leader reads its records its answers stop what is cancelled among the tasks that the report lists, with no bound. From about 900 such tasks on one machine the line passes 64 KiB. Found by the audit of all places where stops are put into messages.

Change: these answers use the same bound: if the stops do not fit the report gets 503. Taking a report and noting its answer are functions of their own. The stand-ins check the length of answers and calls, and the stories of held reports are told once more with calls that stay held.

--- a/crates/core/src/fleet/reports.rs
+++ b/crates/core/src/fleet/reports.rs
@@ -4,6 +4,7 @@
 //! token proves that a task is not on its machine; a copy proves nothing and renews nothing.
 
 use std::collections::BTreeSet;
+use std::time::Instant;
 
 use rushyoke_wire::worker::{Order, Orders, Report, TaskReport, TaskState};
 
@@ -38,49 +39,53 @@
             return Some(Answer::later(503, "an older report"));
         }
         let seen = (report.session, report.seq);
-        let orders = if self.ready() {
+        let message = if self.ready() {
             match self.take_tasks(env, &name, report, tasks) {
-                Ok(true) => {}
+                Ok(true) => self.orders_for(now, &name, Via::Report),
                 Ok(false) => return None,
                 Err(error) => {
                     tracing::error!(machine = &*name, %error, "malformed report");
                     return Some(Answer::error(400, "loads: malformed"));
                 }
             }
-            let MachineOrders { orders, stops_left, .. } = self.orders_for(now, &name, Via::Report);
-            if stops_left {
-                self.call_soon(&name);
-                return Some(Answer::later(503, "its stops do not fit into an answer"));
-            }
-            let cancelled_stops = self.cancelled_stops(&orders);
-            if cancelled_stops > 0 {
-                tracing::debug!(machine = &*name, token = self.token, ?seen, cancelled_stops, "answer with stops");
-            }
-            self.stops.note(StopEvent::Told, cancelled_stops);
-            if let Some(machine) = self.machines.get_mut(&name) {
-                machine.report_seen = machine.report_seen.max(seen);
-                machine.answered = Some(now);
-                machine.report_gap = Some(now.duration_since(machine.reported));
-                machine.reported = now;
-            }
-            orders
         } else {
-            let stops = self.stops_of_cancelled(&report, tasks)?;
-            self.stops.note(StopEvent::Told, stops.len() as u32);
+            self.stops_of_cancelled(&report, tasks)?
+        };
+        if message.stops_left {
+            self.call_soon(&name);
+            return Some(Answer::later(503, "its stops do not fit into an answer"));
+        }
+        self.note_answer(now, &name, seen, &message.orders);
+        Some(Answer::json(200, &Orders { token: self.token, session: None, orders: message.orders }))
+    }
+
+    /// A report is answered, which renews the worker's lease.
+    fn note_answer(&mut self, now: Instant, name: &Name, seen: (u64, u64), orders: &[Order]) {
+        let cancelled_stops = self.cancelled_stops(orders);
+        if cancelled_stops > 0 {
+            tracing::debug!(machine = &**name, token = self.token, ?seen, cancelled_stops, "answer with stops");
+        }
+        self.stops.note(StopEvent::Told, cancelled_stops);
+        let ready = self.ready();
+        if !ready {
             self.unnoted = Some(now);
-            if let Some(machine) = self.machines.get_mut(&name) {
-                machine.report_seen = machine.report_seen.max(seen);
-            }
-            stops
+        }
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
         };
-        Some(Answer::json(200, &Orders { token: self.token, session: None, orders }))
+        machine.report_seen = machine.report_seen.max(seen);
+        if ready {
+            machine.answered = Some(now);
+            machine.report_gap = Some(now.duration_since(machine.reported));
+            machine.reported = now;
+        }
     }
 
     /// What an answer must stop that is given while the tables are not filled, since it lets
     /// all else run for another lease; `None` if the tasks must be told for that.
-    fn stops_of_cancelled(&self, report: &Report, tasks: Tasks) -> Option<Vec<Order>> {
+    fn stops_of_cancelled(&self, report: &Report, tasks: Tasks) -> Option<MachineOrders> {
         if !self.jobs.values().any(|job| job.cancelled) {
-            return Some(Vec::new());
+            return Some(MachineOrders::default());
         }
         let read: Vec<TaskReport>;
         let listed = match tasks {
@@ -91,8 +96,7 @@
             Tasks::Listed(_) => &report.tasks,
             Tasks::Digest(_) => return None,
         };
-        let stops = self.cancelled_among(listed).into_iter();
-        Some(stops.map(|(task, attempt)| Order::Stop { task, attempt, grace_s: 0.0 }).collect())
+        Some(MachineOrders::stopping(&self.cancelled_among(listed)))
     }
 
     /// Listed tasks of cancelled jobs that have not ended.
--- a/crates/core/src/fleet/stops.rs
+++ b/crates/core/src/fleet/stops.rs
@@ -33,6 +33,15 @@
 }
 
 impl MachineOrders {
+    /// Stops these attempts at once.
+    pub fn stopping<'a>(attempts: impl IntoIterator<Item = &'a Attempt>) -> MachineOrders {
+        let mut message = MachineOrders::default();
+        for (task, attempt) in attempts {
+            message.add(&[Order::Stop { task: task.clone(), attempt: *attempt, grace_s: 0.0 }]);
+        }
+        message
+    }
+
     /// Adds stops that belong together, if there is room; false if there is none.
     fn add(&mut self, stops: &[Order]) -> bool {
         let bytes: usize = stops.iter().map(|order| order.task().len() + ORDER_BYTES).sum();
@@ -52,12 +61,8 @@
         let Some(machine) = self.machines.get(name) else {
             return MachineOrders::default();
         };
-        let mut message = MachineOrders::default();
-        let stop = |(task, attempt): &Attempt| Order::Stop { task: task.clone(), attempt: *attempt, grace_s: 0.0 };
         let unexpected = machine.unexpected.iter().filter(|(_, exited)| !exited);
-        for (attempt, _) in unexpected {
-            message.add(&[stop(attempt)]);
-        }
+        let mut message = MachineOrders::stopping(unexpected.map(|(attempt, _)| attempt));
         if machine.fenced.is_some() && machine.orders_due {
             for key in &machine.places {
                 let place = self.jobs.get_mut(&key.0).and_then(|job| job.places.get_mut(&key.1)).expect("placed");
--- a/crates/core/tests/stops.rs
+++ b/crates/core/tests/stops.rs
@@ -44,13 +44,16 @@
 }
 
 /// A job is cancelled while a machine of it is interrupted. When its held reports arrive the state service is
-/// down, and the leader's right to answer lapses after the worker's next report.
-fn cancelled_behind_an_interruption(machines: usize, spec: JobSpec) {
+/// down, and the leader's right to answer lapses after the worker's next report. Calls pass again, or not.
+fn cancelled_behind_an_interruption(machines: usize, spec: JobSpec, calls_pass: bool) {
     let (mut world, leader) = at_work(machines, spec);
     let (_, machine) = world.where_runs("wk-000001")[0].clone();
     run_until_answered(&mut world, &machine);
     let until = world.now + millis(23_300);
     world.lose(&machine, Unreachable::HeldUnconnected, until - world.now);
+    if !calls_pass {
+        world.hold_orders.insert(machine.clone(), world.now + secs(200));
+    }
     cancel(&mut world, (leader + 1) % 3, "wk-000001");
     world.run(secs(8));
     world.cloud.outage = true;
@@ -63,13 +66,29 @@
 
 #[test]
 fn a_stop_lost_with_the_answer_to_a_held_report_is_in_the_next_answer() {
-    cancelled_behind_an_interruption(2, service(1, 4));
+    cancelled_behind_an_interruption(2, service(1, 4), true);
+    cancelled_behind_an_interruption(2, service(1, 4), false);
 }
 
 #[test]
 fn an_answer_that_cannot_hold_all_stops_renews_no_lease() {
     let tiny = JobSpec { cpus: 0.02, memory_gb: 0.01, ..service(1, 780) };
-    cancelled_behind_an_interruption(1, tiny);
+    cancelled_behind_an_interruption(1, tiny.clone(), true);
+    cancelled_behind_an_interruption(1, tiny, false);
+}
+
+#[test]
+fn a_new_leader_that_still_reads_its_records_answers_only_what_a_line_can_hold() {
+    let tiny = JobSpec { cpus: 0.015, memory_gb: 0.01, ..service(1, 1000) };
+    let (mut world, leader) = at_work(1, tiny);
+    world.hold_lists = Some(("log/", world.now + secs(15)));
+    world.hang_watches.insert(leader);
+    cancel(&mut world, (leader + 1) % 3, "wk-000001");
+    world.crash(leader);
+    world.run(secs(15));
+    assert!(!world.where_runs("wk-000001").is_empty(), "none could be told");
+    world.run(secs(10));
+    assert!(world.where_runs("wk-000001").is_empty());
 }
 
 #[test]
--- a/crates/testkit/src/world/network.rs
+++ b/crates/testkit/src/world/network.rs
@@ -11,6 +11,8 @@
 /// After these times a caller gives a call, or a relayed report, up.
 const CALL_LIMIT: Duration = Duration::from_millis(1500);
 const RELAY_LIMIT: Duration = Duration::from_secs(1);
+/// Bytes of a line in an answer to a worker, and of a request's body, at the most.
+const LONGEST_LINE: usize = 64 * 1024;
 
 impl World {
     /// Carries what a node sends or answers.
@@ -58,6 +60,7 @@
             Some(Asker::Worker { machine, id })
                 if !self.no_workers.contains(&node) && !self.cut_links.contains(&(node, machine.clone())) =>
             {
+                assert!(answer.body.len() <= LONGEST_LINE, "{} bytes for {machine}", answer.body.len());
                 self.push(self.now + HOP, Event::ReportAnswer { machine, id, answer });
             }
             Some(Asker::Relay { node: asker, incarnation, call }) => {
@@ -119,6 +122,8 @@
 
     fn worker_called(&mut self, node: usize, call: Call, machine: String, orders: Orders) {
         let (now, incarnation) = (self.now, self.slots[node].incarnation);
+        let bytes = serde_json::to_vec(&orders).expect("orders encode").len();
+        assert!(bytes <= LONGEST_LINE, "a call of {bytes} bytes to {machine}");
         let open = self.orders.entry(node).or_default();
         *open += 1;
         self.most_orders = self.most_orders.max(*open);
