--- a/crates/core/tests/cancellations.rs
+++ b/crates/core/tests/cancellations.rs
@@ -17,11 +17,6 @@
     (world, leader)
 }
 
-fn cancel(world: &mut World, node: usize, id: &str) {
-    let told = world.cancel(node, id).and_then(|(_, view)| view).map(|view| view.state);
-    assert_eq!(told, Some(JobStatus::Cancelled));
-}
-
 /// The ways in which a leader may go on renewing its lease without hearing what users cancel.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Blind {
@@ -49,7 +44,7 @@
             world.no_peers.insert(leader);
         }
         world.run(secs(1));
-        cancel(&mut world, other, "wk-000001");
+        world.cancel_told(other, "wk-000001");
         world.no_store.remove(&leader);
         world.run(secs(6));
         assert_eq!(world.leader(), Some(leader), "{blind:?}: it renews its lease");
@@ -70,7 +65,7 @@
     let (mut world, leader) = at_work(2);
     world.no_store.insert(leader);
     world.run(Duration::from_millis(400));
-    cancel(&mut world, (leader + 1) % 3, "wk-000001");
+    world.cancel_told((leader + 1) % 3, "wk-000001");
     world.run(Duration::from_millis(400));
     world.store.outage = true;
     world.run(secs(10));
@@ -89,7 +84,7 @@
     let (mut world, leader) = at_work(2);
     world.hold_lists = Some(("live/", world.now + secs(90)));
     world.hang_watches.insert(leader);
-    cancel(&mut world, (leader + 1) % 3, "wk-000001");
+    world.cancel_told((leader + 1) % 3, "wk-000001");
     world.crash(leader);
     world.run(secs(8));
     assert!(world.leader().is_some_and(|new| new != leader), "another leads");
@@ -111,7 +106,7 @@
     world.run(secs(3));
     world.hold_lists = Some(("log/", world.now + secs(60)));
     world.hang_watches.insert(leader);
-    cancel(&mut world, (leader + 1) % 3, "wk-000001");
+    world.cancel_told((leader + 1) % 3, "wk-000001");
     world.crash(leader);
     world.run(secs(9));
     assert!(world.leader().is_some_and(|new| new != leader), "another leads");
@@ -125,7 +120,7 @@
 fn a_leader_that_never_hears_of_cancellations_gives_way() {
     let (mut world, leader) = at_work(2);
     world.hang_watches.insert(leader);
-    cancel(&mut world, (leader + 1) % 3, "wk-000001");
+    world.cancel_told((leader + 1) % 3, "wk-000001");
     world.run(secs(7));
     assert_eq!(world.leader(), Some(leader));
     world.run(secs(8));
@@ -143,7 +138,7 @@
     let (_, machine) = world.where_runs("wk-000001")[0].clone();
     world.hold_orders.insert(machine.clone(), world.now + secs(90));
     world.hang_watches.insert(leader);
-    cancel(&mut world, (leader + 1) % 3, "wk-000001");
+    world.cancel_told((leader + 1) % 3, "wk-000001");
     world.crash(leader);
     let old = world.workers[&machine].token;
     while world.workers[&machine].token == old {
@@ -173,7 +168,7 @@
     };
     assert!(saving(&world) > 0, "it saves");
     world.hold_orders.insert(machine.clone(), world.now + secs(60));
-    cancel(&mut world, 1, "wk-000001");
+    world.cancel_told(1, "wk-000001");
     world.run(secs(6));
     assert_eq!(saving(&world), 0);
 }
--- a/crates/core/tests/stops.rs
+++ b/crates/core/tests/stops.rs
@@ -6,7 +6,7 @@
 
 use rushyoke_core::{Facts, Policy, Team};
 use rushyoke_testkit::{Unreachable, World, facts, job, job_id, millis, secs, service};
-use rushyoke_wire::job::{JobSpec, JobStatus};
+use rushyoke_wire::job::JobSpec;
 
 /// Within this time after a machine can be called again its cancelled tasks are gone (`docs/design.md`).
 const GONE_ONCE_REACHED: Duration = Duration::from_secs(5);
@@ -28,33 +28,18 @@
     (world, leader)
 }
 
-fn cancel(world: &mut World, node: usize, id: &str) {
-    let told = world.cancel(node, id).and_then(|(_, view)| view).map(|view| view.state);
-    assert_eq!(told, Some(JobStatus::Cancelled));
-}
-
-/// Runs until the machine's worker has just been answered.
-fn run_until_answered(world: &mut World, machine: &str) {
-    while world.workers[machine].waiting.is_none() {
-        world.run(millis(10));
-    }
-    while world.workers[machine].waiting.is_some() {
-        world.run(millis(10));
-    }
-}
-
 /// A job is cancelled while a machine of it is interrupted. When its held reports arrive the state service is
 /// down, and the leader's right to answer lapses after the worker's next report. Calls pass again, or not.
 fn cancelled_behind_an_interruption(machines: usize, spec: JobSpec, calls_pass: bool) {
     let (mut world, leader) = at_work(machines, spec);
     let (_, machine) = world.where_runs("wk-000001")[0].clone();
-    run_until_answered(&mut world, &machine);
+    world.run_until_reported(&machine);
     let until = world.now + millis(23_300);
     world.lose(&machine, Unreachable::HeldUnconnected, until - world.now);
     if !calls_pass {
         world.hold_orders.insert(machine.clone(), world.now + secs(200));
     }
-    cancel(&mut world, (leader + 1) % 3, "wk-000001");
+    world.cancel_told((leader + 1) % 3, "wk-000001");
     world.run(secs(8));
     world.cloud.outage = true;
     world.store.outage = true;
@@ -83,7 +68,7 @@
     let (mut world, leader) = at_work(1, tiny);
     world.hold_lists = Some(("log/", world.now + secs(15)));
     world.hang_watches.insert(leader);
-    cancel(&mut world, (leader + 1) % 3, "wk-000001");
+    world.cancel_told((leader + 1) % 3, "wk-000001");
     world.crash(leader);
     world.run(secs(15));
     assert!(!world.where_runs("wk-000001").is_empty(), "none could be told");
@@ -95,10 +80,10 @@
 fn cancelled_tasks_end_soon_after_their_machine_can_be_called_though_no_report_may_be_answered() {
     let (mut world, leader) = at_work(2, service(1, 4));
     let (_, machine) = world.where_runs("wk-000001")[0].clone();
-    run_until_answered(&mut world, &machine);
+    world.run_until_reported(&machine);
     let until = world.now + secs(20);
     world.lose(&machine, Unreachable::HeldUnconnected, until - world.now);
-    cancel(&mut world, (leader + 1) % 3, "wk-000001");
+    world.cancel_told((leader + 1) % 3, "wk-000001");
     world.cloud.outage = true;
     world.store.outage = true;
     world.run(until - world.now);
@@ -111,10 +96,10 @@
 fn a_lost_stop_is_repeated_to_a_machine_whose_reports_reach_nobody() {
     let (mut world, leader) = at_work(2, service(1, 4));
     let (_, machine) = world.where_runs("wk-000001")[0].clone();
-    run_until_answered(&mut world, &machine);
+    world.run_until_reported(&machine);
     world.mute.insert(machine.clone());
     world.deaf.insert(machine.clone());
-    cancel(&mut world, (leader + 1) % 3, "wk-000001");
+    world.cancel_told((leader + 1) % 3, "wk-000001");
     world.run(secs(3));
     assert!(!world.where_runs("wk-000001").is_empty(), "the stop is lost");
     world.deaf.clear();
@@ -162,7 +147,7 @@
     let zone: Vec<String> = world.workers.values().filter(|w| w.zone == "a").map(|w| w.name.clone()).collect();
     let until = world.now + secs(20);
     zone.iter().for_each(|name| world.lose(name, Unreachable::HeldUnconnected, until - world.now));
-    jobs.iter().for_each(|id| cancel(&mut world, (leader + 1) % 3, id));
+    jobs.iter().for_each(|id| world.cancel_told((leader + 1) % 3, id));
     world.cloud.outage = true;
     world.store.outage = true;
     let left = until - world.now;
--- a/crates/testkit/src/story.rs
+++ b/crates/testkit/src/story.rs
@@ -55,4 +55,19 @@
     pub fn states(&mut self, node: usize, jobs: RangeInclusive<u32>) -> Vec<Option<JobStatus>> {
         jobs.map(|number| self.state(node, &job_id(number))).collect()
     }
+
+    /// Cancels a job at a node, which must tell so.
+    pub fn cancel_told(&mut self, node: usize, id: &str) {
+        let told = self.cancel(node, id).and_then(|(_, view)| view).map(|view| view.state);
+        assert_eq!(told, Some(JobStatus::Cancelled), "{id} at node {node}");
+    }
+
+    /// Lets time pass until a report of the machine has just been answered, or given up.
+    pub fn run_until_reported(&mut self, machine: &str) {
+        for reporting in [true, false] {
+            while self.workers[machine].waiting.is_some() != reporting {
+                self.run(millis(10));
+            }
+        }
+    }
 }
