A story of stops with grace that are lost on the way to a machine that reports to nobody

Cause: with the repeat by calls of stops with grace taken out no test failed.

Change: a job of high priority makes room while the answers and calls to a machine are lost; then its reports are lost and calls pass. Within 5 s a task saves.

Measured: passes; fails with that repeat taken out of is_due. Told apart by no test: stops before starts, the order of calls, calls after a failed one (probes cover them), and stops of starts that were not seen.

--- a/crates/core/tests/stops.rs
+++ b/crates/core/tests/stops.rs
@@ -6,7 +6,8 @@
 
 use rushyoke_core::{Facts, Policy, Team};
 use rushyoke_testkit::{Unreachable, World, facts, job, job_id, millis, secs, service};
-use rushyoke_wire::job::JobSpec;
+use rushyoke_wire::job::{JobSpec, Priority};
+use rushyoke_wire::worker::TaskState;
 
 /// Within this time after a machine can be called again its cancelled tasks are gone (`docs/design.md`).
 const GONE_ONCE_REACHED: Duration = Duration::from_secs(5);
@@ -20,6 +21,7 @@
 fn at_work(machines: usize, spec: JobSpec) -> (World, usize) {
     let mut world = World::deployed(long_leases(), machines, Policy::default(), &["a"]);
     let tasks = spec.tasks as usize;
+    world.workers.values_mut().for_each(|worker| worker.run_s = 200.0);
     world.run(secs(10));
     world.submit(0, spec);
     world.run(secs(24));
@@ -159,3 +161,25 @@
     assert_eq!(running(&world), 0);
     assert!(world.most_orders <= 300, "{} calls at a time", world.most_orders);
 }
+
+#[test]
+fn a_lost_stop_with_grace_is_repeated_to_a_machine_whose_reports_reach_nobody() {
+    let saving =
+        JobSpec { priority: Priority::BestEffort, checkpoint_s: 5.0, save_s: 5.0, estimate_s: 200.0, ..job(1, 16) };
+    let (mut world, _) = at_work(1, saving);
+    world.cloud.capacity = 1;
+    let (_, machine) = world.where_runs("wk-000001")[0].clone();
+    // Its reports arrive, so that it is taken for reachable until the stops are lost.
+    world.deaf.insert(machine.clone());
+    world.ask_submit(0, JobSpec { priority: Priority::High, ..service(2, 4) });
+    world.run(secs(8));
+    let saves = |world: &World| world.workers[&machine].tasks.iter().any(|task| task.state == TaskState::Saving);
+    assert!(!saves(&world), "the stops are lost");
+    world.mute.insert(machine.clone());
+    world.deaf.clear();
+    let until = world.now + GONE_ONCE_REACHED;
+    while !saves(&world) && world.now < until {
+        world.run(millis(100));
+    }
+    assert!(saves(&world));
+}
