Readable code: calls a second counted by the testkit

Cause: a measure that other stories of large fleets need stood in one of them.

Change: World::most_calls_a_second.

Measured: the story of 4,000 machines passes as before.

--- a/crates/core/tests/stops.rs
+++ b/crates/core/tests/stops.rs
@@ -109,18 +109,6 @@
     assert!(world.where_runs("wk-000001").is_empty());
 }
 
-/// The most direct calls that a node had outcomes of in a second, while so many seconds pass.
-fn most_calls_a_second(world: &mut World, node: usize, seconds: u64) -> u64 {
-    let outcomes = |world: &World| world.spent.get(&(node, "ordered")).map_or(0, |spent| spent.0);
-    let mut most = 0;
-    for _ in 0..seconds {
-        let before = outcomes(world);
-        world.run(secs(1));
-        most = most.max(outcomes(world) - before);
-    }
-    most
-}
-
 #[test]
 fn stops_are_repeated_to_a_third_of_four_thousand_machines_within_the_budget_of_calls() {
     let team = Team { cpus: 12_000.0, cpus_max: 40_000.0, gpus: 0.0, gpus_max: 0.0 };
@@ -153,10 +141,10 @@
     world.cloud.outage = true;
     world.store.outage = true;
     let left = until - world.now;
-    let during = most_calls_a_second(&mut world, leader, left.as_secs());
+    let during = world.most_calls_a_second(leader, left.as_secs());
     world.run(until - world.now);
     assert!(running(&world) > 0, "its leases last");
-    let after = most_calls_a_second(&mut world, leader, GONE_ONCE_REACHED.as_secs());
+    let after = world.most_calls_a_second(leader, GONE_ONCE_REACHED.as_secs());
     println!("most calls a second: {during} during the cut, {after} after it; {} at a time", world.most_orders);
     assert_eq!(running(&world), 0);
     assert!(world.most_orders <= 300, "{} calls at a time", world.most_orders);
--- a/crates/testkit/src/story.rs
+++ b/crates/testkit/src/story.rs
@@ -70,4 +70,16 @@
             }
         }
     }
+
+    /// Lets so many seconds pass; the most direct calls that a node had outcomes of in one of them.
+    pub fn most_calls_a_second(&mut self, node: usize, seconds: u64) -> u64 {
+        let outcomes = |world: &World| world.spent.get(&(node, "ordered")).map_or(0, |spent| spent.0);
+        let mut most = 0;
+        for _ in 0..seconds {
+            let before = outcomes(self);
+            self.run(secs(1));
+            most = most.max(outcomes(self) - before);
+        }
+        most
+    }
 }
