--- a/crates/core/tests/stops.rs
+++ b/crates/core/tests/stops.rs
@@ -142,8 +142,7 @@
     jobs.iter().for_each(|id| world.cancel_told((leader + 1) % 3, id));
     world.cloud.outage = true;
     world.store.outage = true;
-    let left = until - world.now;
-    let during = world.most_calls_a_second(leader, left.as_secs());
+    let during = world.most_calls_a_second(leader, (until - world.now).as_secs());
     world.run(until - world.now);
     assert!(running(&world) > 0, "its leases last");
     let after = world.most_calls_a_second(leader, GONE_ONCE_REACHED.as_secs());
