A claim answered after its lease has ended begins no term

Two controllers led at once for as long as the zone of one of them was cut off.

Cause: a candidate takes two calls to become leader, a lease of 2 s and the key, each of which may take 1.5 s. The response to the second one began a term however late it came. Meanwhile the lease had ended, another node had claimed the key, had asked this one whether it led, and had heard that it did not; so it counted workers' leases from then on. The late term renewed them all the same.

Change: the response begins a term only while the lease is certain to last, counted from when it was requested, with the allowance for clock drift. A later one ends the lease and reads the key again. The first renewal is due a third of the lease after the request, not after the response. Why this works: a leader's key cannot be claimed before the lease of the earlier claim has ended, so a term now begins before any later leader exists, and that one is told of it when it asks.

Test: takeovers, a_claim_answered_after_its_lease_has_ended_begins_no_term.

--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -3,7 +3,8 @@
 //!
 //! Two leaders never act at once: every write of a leader has the key's version as a condition,
 //! workers reject older tokens, and a leader whose lease is no longer confirmed stops responding
-//! to reports after a known time (`self_fencing_timeout`).
+//! to reports after a known time (`self_fencing_timeout`). A term begins only while the lease of its claim has
+//! certainly not ended, however late the response to the claim comes.
 
 pub(crate) mod state;
 
@@ -12,6 +13,7 @@
 use rushyoke_wire::store::{Event, Item, Txn};
 
 use crate::calls::{ElectionCall, Purpose};
+use crate::facts::CLOCK_DRIFT_FACTOR;
 use crate::io::{Outcome, StoreOp, StoreResponse, Urgency};
 use crate::node::{CANDIDACY_PAUSE, Node};
 use state::{LEADER_KEY, Leader, Phase};
@@ -120,16 +122,9 @@
                 );
             }
             (ElectionCall::Claim { lease, sent_at }, Outcome::Responded(StoreResponse::Committed(token))) => {
-                self.election.leader = Some(Leader { record: self.election.own_record.clone(), version: token });
-                let next_renewal_at = now + self.env.policy.leader_lease / 3;
-                self.election.phase =
-                    Some(Phase::Leading { lease, confirmed_at: sent_at, renewal_sent_at: None, next_renewal_at });
-                self.begin_term(token);
-            }
-            (ElectionCall::Claim { lease, .. }, Outcome::Responded(_)) => {
-                self.env.call_store(Purpose::Election(ElectionCall::EndLease), Urgency::Low, StoreOp::EndLease(lease));
-                self.election.schedule_read(now);
+                self.claim_committed(lease, sent_at, token);
             }
+            (ElectionCall::Claim { lease, .. }, Outcome::Responded(_)) => self.abandon_claim(lease),
             (ElectionCall::RenewLease { sent_at }, outcome) => self.renewal_outcome(sent_at, outcome),
             (ElectionCall::EndLease, _) => {}
             // A claim without a response may have been executed, or may still be. Once a read shows the
@@ -148,6 +143,33 @@
         }
     }
 
+    /// Begins a term after this node's claim, unless its lease may have ended since: then another node may lead by
+    /// now, which has asked this one in vain whether it does.
+    fn claim_committed(&mut self, lease: u64, lease_requested_at: Instant, token: u64) {
+        let age = self.env.steady().duration_since(lease_requested_at);
+        let ttl = self.env.policy.leader_lease;
+        if age.mul_f64(CLOCK_DRIFT_FACTOR) >= ttl {
+            tracing::info!(token, age_ms = age.as_millis() as u64, "the response to the claim came too late");
+            self.abandon_claim(lease);
+            return;
+        }
+        self.election.leader = Some(Leader { record: self.election.own_record.clone(), version: token });
+        self.election.phase = Some(Phase::Leading {
+            lease,
+            confirmed_at: lease_requested_at,
+            renewal_sent_at: None,
+            next_renewal_at: lease_requested_at + ttl / 3,
+        });
+        self.begin_term(token);
+    }
+
+    /// Gives up a candidacy: ends its lease, and with it the key if that was written, and reads the key again.
+    fn abandon_claim(&mut self, lease: u64) {
+        let now = self.env.steady();
+        self.env.call_store(Purpose::Election(ElectionCall::EndLease), Urgency::Low, StoreOp::EndLease(lease));
+        self.election.schedule_read(now);
+    }
+
     /// Handles the outcome of a lease renewal.
     fn renewal_outcome(&mut self, sent_at: Instant, outcome: Outcome<StoreResponse>) {
         let now = self.env.steady();
--- a/crates/core/src/facts.rs
+++ b/crates/core/src/facts.rs
@@ -6,6 +6,9 @@
 use rushyoke_balance::Settings as BalanceSettings;
 use rushyoke_failover::Settings as FailoverSettings;
 
+/// Factor that allows for the drift between the steady clocks of two machines.
+pub(crate) const CLOCK_DRIFT_FACTOR: f64 = 1.002;
+
 /// A team's quota: its guarantee and its limit.
 #[derive(Clone, Debug, Default)]
 pub struct Team {
--- a/crates/core/src/fleet/lease.rs
+++ b/crates/core/src/fleet/lease.rs
@@ -3,9 +3,8 @@
 use std::time::{Duration, Instant};
 
 use super::Machine;
+use crate::facts::CLOCK_DRIFT_FACTOR;
 
-/// Factor that allows for clock drift between nodes and workers, in addition to the published bound.
-const CLOCK_DRIFT_FACTOR: f64 = 1.002;
 /// Safety margin after the computed end of a lease.
 const EXPIRY_MARGIN: Duration = Duration::from_millis(250);
 
--- a/crates/core/tests/takeovers.rs
+++ b/crates/core/tests/takeovers.rs
@@ -267,6 +267,44 @@
     assert_eq!(simulation.job_state(new_leader, "wk-000002"), Some(JobStatus::Done));
 }
 
+#[test]
+fn a_claim_answered_after_its_lease_has_ended_begins_no_term() {
+    // Guards against tasks that run twice: a candidate learned only after the end of its lease that it had become
+    // leader, and acted on it. Another leader had asked it before, and counted it out since it did not lead yet.
+    let mut simulation = Simulation::with_elected_leader(4);
+    simulation.submit(0, service(1, 4));
+    simulation.run(secs(4));
+    let old_leader = simulation.leader().expect("a leader");
+    let (late, other) = (next_node(old_leader), next_node(next_node(old_leader)));
+    // A zone contains the late controller and the machine with the tasks.
+    let (_, host) = simulation.running_tasks("wk-000001")[0].clone();
+    let others: Vec<String> = simulation.workers.keys().filter(|machine| **machine != host).cloned().collect();
+    simulation.cloud.outage = true;
+    simulation.store_response_delay.insert(late, Duration::from_millis(1400));
+    simulation.crash_node(old_leader);
+    simulation.crash_node(other);
+    assert!(simulation.run_until(secs(6), |simulation| simulation.leader_key_holder() == Some(late)));
+    let outside = [old_leader, other];
+    outside.iter().for_each(|node| simulation.start_node(*node));
+    let leads = |node: usize| move |simulation: &Simulation| simulation.leader_token(node).is_some();
+    assert!(simulation.run_until(secs(2), |simulation| outside.iter().any(|node| leads(*node)(simulation))));
+    // Workers reach only the controllers on their side of the cut, and the zone is cut off from everything just
+    // after the late response.
+    simulation.partitioned_links.extend(outside.map(|node| (node, host.clone())));
+    simulation.partitioned_links.extend(others.into_iter().map(|machine| (late, machine)));
+    simulation.run_until(secs(2), leads(late));
+    simulation.store_response_delay.clear();
+    simulation.run(Duration::from_millis(300));
+    simulation.partitioned_from_peers.insert(late);
+    simulation.partitioned_from_store.insert(late);
+    simulation.workers.get_mut(&host).expect("known").report_to(late, simulation.now);
+    // The simulation checks that no task runs twice.
+    simulation.run(secs(40));
+    assert!(!simulation.had_two_leaders, "the late claim began a term");
+    assert_eq!(simulation.running_tasks("wk-000001").len(), 4);
+    assert_eq!(simulation.started_tasks, 8, "the tasks did not start again elsewhere");
+}
+
 #[test]
 fn quick_restarts_during_an_election_neither_lose_nor_repeat_tasks() {
     for delay in [50, 700, 1900] {
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -72,6 +72,21 @@
         }
     }
 
+    /// Runs until the condition holds, for at most `limit`. Returns whether it holds.
+    pub fn run_until(&mut self, limit: Duration, condition: impl Fn(&Simulation) -> bool) -> bool {
+        let end = self.now + limit;
+        while !condition(self) && self.now < end {
+            self.run(millis(10));
+        }
+        condition(self)
+    }
+
+    /// Returns the node whose label is in the leader key, whether or not that node knows that it leads.
+    pub fn leader_key_holder(&self) -> Option<usize> {
+        let (value, ..) = self.store.rows.get("lead")?;
+        value["label"].as_str()?.trim_start_matches("node-").parse().ok()
+    }
+
     /// Runs for some seconds. Returns the largest number of direct calls of a node that completed in one of them.
     pub fn max_direct_calls_per_second(&mut self, node: usize, seconds: u64) -> u64 {
         let completed =
--- a/crates/testkit/src/simulation.rs
+++ b/crates/testkit/src/simulation.rs
@@ -144,6 +144,8 @@
     /// Time at which the responses to these nodes' reads and transactions arrive; they are executed
     /// at once.
     pub delayed_responses_until: BTreeMap<usize, Duration>,
+    /// Delay of the state service's responses to these nodes, except for watches. The calls are executed at once.
+    pub store_response_delay: BTreeMap<usize, Duration>,
     /// Nodes whose transactions are executed at once, while the responses are lost.
     pub lost_txn_responses: BTreeSet<usize>,
     /// Number of transactions that were committed although their responses were lost.
@@ -244,6 +246,7 @@
             delayed_lists_until: None,
             hung_watches: BTreeSet::new(),
             delayed_responses_until: BTreeMap::new(),
+            store_response_delay: BTreeMap::new(),
             lost_txn_responses: BTreeSet::new(),
             commits_without_response: 0,
             interruptions: BTreeMap::new(),
@@ -449,6 +452,7 @@
         self.hung_watches.clear();
         self.lost_txn_responses.clear();
         self.delayed_responses_until.clear();
+        self.store_response_delay.clear();
         self.interruptions.clear();
         self.lost_reports.clear();
         self.frozen_until.clear();
--- a/crates/testkit/src/simulation/network.rs
+++ b/crates/testkit/src/simulation/network.rs
@@ -208,11 +208,10 @@
                     let is_delayable = matches!(op, StoreOp::Txn(_) | StoreOp::Get(_));
                     let delayed_until =
                         self.delayed_responses_until.get(&node).copied().filter(|_| is_delayable).unwrap_or_default();
+                    let delay = self.store_response_delay.get(&node).copied().unwrap_or(NETWORK_LATENCY);
+                    assert!(delay < CALL_TIMEOUT, "the caller would give up a call that takes {delay:?}");
                     let input = Box::new(Input::Store { call, outcome: Outcome::Responded(response) });
-                    self.schedule(
-                        delayed_until.max(self.now + NETWORK_LATENCY),
-                        Event::ToNode { node, incarnation, input },
-                    );
+                    self.schedule(delayed_until.max(self.now + delay), Event::ToNode { node, incarnation, input });
                 }
             }
             Event::Cloud { node, incarnation, call, op, reply } => {
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// Makes the worker send its next report to a node at once, as if it had come to that node in its search.
+    pub fn report_to(&mut self, node: usize, now: Duration) {
+        (self.node, self.next_report_at, self.pending_report) = (node, now, None);
+    }
+
     /// Returns the number of its tasks that failed.
     pub fn failed_tasks(&self) -> u64 {
         self.tasks.iter().filter(|t| t.cause == Some(Cause::Error)).count() as u64
