A watch that fails during a claim no longer undoes the claim

A candidate may not act on what it reads of a key that it is itself claiming.

Cause: when the watch on the leader key failed, a read of the key was scheduled, also while a claim was in flight. The read found this node's label, took the key for one of an earlier incarnation, deleted it and claimed it again. When the response to the first claim came last, the node led with a token whose key was gone, and its renewals succeeded all the same, since the first lease still existed. A new leader relies on the opposite: that renewals end with the key.

Change: only a follower, or a node that waits to read the key, reads it after a failed watch. A pending call goes on by its own outcome, after which the next read opens the watch again.

Test: takeovers, a_watch_that_fails_during_a_claim_does_not_undo_it.

--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -104,10 +104,10 @@
             }
             (ElectionCall::Watch, _) => {
                 self.election.watch_open = false;
-                if let Some(Phase::Leading { .. }) = self.election.phase {
-                    // Renewals and conditional writes tell a leader all it needs. The next read
-                    // after stepping down opens the watch again.
-                } else {
+                // Renewals and conditional writes tell a leader all it needs, and a candidate must not read the key
+                // that it is claiming: it would take it for one of an earlier incarnation. The next read opens the
+                // watch again.
+                if matches!(self.election.phase, Some(Phase::Following | Phase::ReadDue { .. })) {
                     self.election.schedule_read(now + RETRY_DELAY);
                 }
             }
--- a/crates/core/src/election/state.rs
+++ b/crates/core/src/election/state.rs
@@ -28,7 +28,7 @@
 pub(super) enum Phase {
     /// The leader key must be read once this time is reached.
     ReadDue { at: Instant },
-    /// A call to the state service is in flight.
+    /// A call to the state service is in flight, the only one besides the watch. Its outcome ends this phase.
     CallPending,
     /// Another node leads; a watch on its key is open.
     Following,
--- a/crates/core/tests/takeovers.rs
+++ b/crates/core/tests/takeovers.rs
@@ -305,6 +305,30 @@
     assert_eq!(simulation.started_tasks, 8, "the tasks did not start again elsewhere");
 }
 
+#[test]
+fn a_watch_that_fails_during_a_claim_does_not_undo_it() {
+    // Guards against a candidate that read the leader key while its claim was in flight, took the key for one of an
+    // earlier incarnation, deleted it and claimed it again: it then led with the first token, whose key was gone.
+    let mut simulation = Simulation::with_elected_leader(2);
+    let old_leader = simulation.leader().expect("a leader");
+    let candidate = next_node(old_leader);
+    simulation.crash_node(next_node(candidate));
+    simulation.crash_node(old_leader);
+    let terms_before = simulation.terms.len();
+    simulation.store_response_delay.insert(candidate, Duration::from_millis(700));
+    assert!(simulation.run_until(secs(6), |simulation| simulation.leader_key_holder() == Some(candidate)));
+    // The response to the claim is on its way. The watch that showed the key cannot be opened again, and all other
+    // calls are fast.
+    simulation.store_response_delay.clear();
+    simulation.partitioned_from_store.insert(candidate);
+    simulation.run(Duration::from_millis(100));
+    simulation.partitioned_from_store.clear();
+    simulation.run(secs(3));
+    assert_eq!(simulation.terms.len(), terms_before + 1, "the claim was repeated");
+    let key_version = simulation.store.rows.get("lead").map(|(_, version, _)| *version);
+    assert_eq!(simulation.leader_token(candidate), key_version);
+}
+
 #[test]
 fn quick_restarts_during_an_election_neither_lose_nor_repeat_tasks() {
     for delay in [50, 700, 1900] {
