A new leader counts a node out only on its promise, not because it does not lead

The new leader took "does not lead" for "will not lead", and counted workers' leases from an answer that said nothing of the claim then in flight.

Cause: the response to a peer request shows the token with which a node acts at that moment. A claim whose response is on its way shows nothing. The higher token in the request was ignored by a node that did not lead yet.

Change: a node remembers the highest token that it has seen (leader key, peers), acts with no lower one from then on, and says so in its response; a new leader counts earlier ones out once every other node has promised that. A leader that is shown a higher token steps down before it responds, so that its response counts at once, and also when the response of a peer shows one. The promise follows the encoded message: earlier versions ignore it. A node of an earlier version promises nothing, and a new leader then waits as long as any leader may answer workers.

--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -4,7 +4,8 @@
 //! Two leaders never act at once: every write of a leader has the key's version as a condition,
 //! workers reject older tokens, and a leader whose lease is no longer confirmed stops responding
 //! to reports after a known time (`self_fencing_timeout`). A term begins only while the lease of its claim has
-//! certainly not ended, however late the response to the claim comes.
+//! certainly not ended, however late the response to the claim comes, and only with the highest token that this node
+//! has seen: it promises the other controllers to act with no lower one.
 
 pub(crate) mod state;
 
@@ -143,16 +144,17 @@
         }
     }
 
-    /// Begins a term after this node's claim, unless its lease may have ended since: then another node may lead by
-    /// now, which has asked this one in vain whether it does.
+    /// Begins a term after this node's claim, unless another node may lead by now: the lease may have ended since, or a
+    /// higher token has been seen.
     fn claim_committed(&mut self, lease: u64, lease_requested_at: Instant, token: u64) {
         let age = self.env.steady().duration_since(lease_requested_at);
         let ttl = self.env.policy.leader_lease;
-        if age.mul_f64(CLOCK_DRIFT_FACTOR) >= ttl {
+        if age.mul_f64(CLOCK_DRIFT_FACTOR) >= ttl || token < self.election.lowest_usable_token() {
             tracing::info!(token, age_ms = age.as_millis() as u64, "the response to the claim came too late");
             self.abandon_claim(lease);
             return;
         }
+        self.election.observe_token(token);
         self.election.leader = Some(Leader { record: self.election.own_record.clone(), version: token });
         self.election.phase = Some(Phase::Leading {
             lease,
@@ -203,6 +205,7 @@
     fn leader_key_changed(&mut self, event: Event) {
         match event {
             Event::Put { key, value, version } if key == LEADER_KEY => {
+                self.election.observe_token(version);
                 if self.token().is_some_and(|own| version > own) {
                     self.step_down("another node holds the leader key");
                 } else if self.token().is_some() {
@@ -239,6 +242,9 @@
     fn leader_key_read(&mut self, item: Option<Item>) {
         let leader = item
             .and_then(|item| Some(Leader { record: serde_json::from_value(item.value).ok()?, version: item.version }));
+        if let Some(leader) = &leader {
+            self.election.observe_token(leader.version);
+        }
         self.election.leader = leader;
         match &self.election.leader {
             None => self.campaign(),
--- a/crates/core/src/election/state.rs
+++ b/crates/core/src/election/state.rs
@@ -49,6 +49,8 @@
     pub(super) phase: Option<Phase>,
     pub(super) leader: Option<Leader>,
     pub(super) watch_open: bool,
+    /// Highest token that this node has seen.
+    highest_token: u64,
     /// Newest revision seen by a watch; a read may return an older state.
     pub(super) watched_revision: u64,
     /// After stepping down the node lets the others be candidates until then.
@@ -65,6 +67,7 @@
             phase: None,
             leader: None,
             watch_open: false,
+            highest_token: 0,
             watched_revision: 0,
             no_candidacy_before: None,
             last_worker_report: None,
@@ -93,6 +96,16 @@
         (leader.record.label != self.own_record.label).then_some(leader.version)
     }
 
+    /// Records that a leader with this token exists or has existed. This node never acts with a lower one from now on.
+    pub fn observe_token(&mut self, token: u64) {
+        self.highest_token = self.highest_token.max(token);
+    }
+
+    /// Returns the lowest token with which this node may still act.
+    pub fn lowest_usable_token(&self) -> u64 {
+        self.highest_token
+    }
+
     /// Lets the other nodes be candidates for a while.
     pub fn delay_candidacy(&mut self, now: Instant, pause: Duration) {
         self.no_candidacy_before = Some(now + pause);
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -56,8 +56,11 @@
         }
     }
 
-    /// Responds to another controller's request.
+    /// Responds to another controller's request. A leader first steps down if the request shows a higher token.
     pub(super) fn peer_requested(&mut self, request_id: RequestId, request: PeerRequest) {
+        if let Some(token) = request.token {
+            self.peer_token_seen(token);
+        }
         if request.token.is_some() {
             self.users.update_progress(request.progress, self.env.policy.job_cache_size);
             self.users.job_limit_reached = request.job_limit_reached;
@@ -69,13 +72,16 @@
             token: self.token(),
             relays_to: self.relays_to(),
             busy_percent: (self.busy_share * 100.0) as u8,
+            lowest_token: Some(self.election.lowest_usable_token()),
         };
-        let body = rushyoke_wire::peer::encode(&response);
-        self.env.respond(request_id, HttpResponse { status: 200, body, retry_after_s: None });
-        if let (Some(own), Some(theirs)) = (self.token(), request.token)
-            && theirs > own
-        {
-            self.step_down("a peer leads with a higher token");
+        self.env.respond(request_id, HttpResponse { status: 200, body: response.encode(), retry_after_s: None });
+    }
+
+    /// Records a token that another controller has shown, and steps down if it is higher than this leader's own.
+    fn peer_token_seen(&mut self, token: u64) {
+        self.election.observe_token(token);
+        if self.token().is_some_and(|own| token > own) {
+            self.step_down("a peer knows a higher token");
         }
     }
 
@@ -91,26 +97,26 @@
         if response.label != label {
             return;
         }
+        let lowest_token = response.lowest_token;
         peer.last_response = Some((requested_at, response));
+        if let Some(token) = lowest_token {
+            self.peer_token_seen(token);
+        }
         self.check_predecessors();
     }
 
-    /// Checks whether earlier leaders are inactive: once every other node has responded to a request
-    /// of this term and none acts with an older token, no earlier leader can renew a worker's lease.
+    /// Checks whether earlier leaders are inactive: once every other node has promised to act with no token below
+    /// this leader's, no earlier leader can renew a worker's lease. That a node does not lead at the moment is not
+    /// enough: the response to an earlier claim of its own may still come.
     fn check_predecessors(&mut self) {
         let Some(term) = &mut self.term else { return };
-        let mut latest = term.started_at;
-        for peer in self.peers.values() {
-            match &peer.last_response {
-                Some((requested_at, response))
-                    if *requested_at >= term.started_at && response.token.is_none_or(|token| token >= term.token) =>
-                {
-                    latest = latest.max(*requested_at);
-                }
-                _ => return,
-            }
+        let has_promised = |peer: &Peer| {
+            let lowest_token = peer.last_response.as_ref().and_then(|(_, response)| response.lowest_token);
+            lowest_token.is_some_and(|lowest| lowest >= term.token)
+        };
+        if self.peers.values().all(has_promised) {
+            term.set_predecessors_inactive(self.env.now.steady);
         }
-        term.set_predecessors_inactive(self.env.now.steady.max(latest));
     }
 
     /// Returns how many other controllers there are, which of them respond, and from which zones.
--- a/crates/core/src/term.rs
+++ b/crates/core/src/term.rs
@@ -69,7 +69,7 @@
     pub started_at: Instant,
     /// From this time on no earlier leader responds to any worker.
     pub predecessors_inactive_at: Instant,
-    /// Every other node has confirmed that it doesn't lead with an older token.
+    /// Every other node has promised to act with no older token.
     pub predecessors_known_inactive: bool,
     /// When a report last got a response before the records were loaded. The response isn't noted for its machine.
     pub last_response_before_load: Option<Instant>,
--- a/crates/core/tests/takeovers.rs
+++ b/crates/core/tests/takeovers.rs
@@ -329,6 +329,28 @@
     assert_eq!(simulation.leader_token(candidate), key_version);
 }
 
+#[test]
+fn a_new_leader_does_not_rely_on_nodes_that_promise_nothing() {
+    // Guards against a new leader that counts out a node because it does not lead at the moment. A node of an earlier
+    // version may still begin a term on a late response to its claim, and answer workers as long as any leader may.
+    let mut simulation = Simulation::with_elected_leader(4);
+    simulation.submit(0, service(1, 4));
+    simulation.run(secs(4));
+    let leader = simulation.leader().expect("a leader");
+    let (_, machine) = simulation.running_tasks("wk-000001")[0].clone();
+    simulation.cloud.outage = true;
+    simulation.partitioned_machines.insert(machine);
+    simulation.peers_without_promise = (0..3).collect();
+    simulation.crash_node(leader);
+    simulation.run(secs(3));
+    simulation.start_node(leader);
+    simulation.run(secs(20));
+    assert_eq!(simulation.started_tasks, 4, "it did not wait until an earlier leader must have stopped");
+    simulation.run(secs(15));
+    assert_eq!(simulation.started_tasks, 8);
+    assert_eq!(simulation.running_tasks("wk-000001").len(), 4);
+}
+
 #[test]
 fn quick_restarts_during_an_election_neither_lose_nor_repeat_tasks() {
     for delay in [50, 700, 1900] {
--- a/crates/core/tests/upgrade.rs
+++ b/crates/core/tests/upgrade.rs
@@ -157,6 +157,18 @@
     }
 }
 
+#[test]
+fn a_promise_is_read_by_this_version_and_ignored_by_earlier_ones() {
+    for fixture in [Fixture::before_dependencies(), Fixture::with_dependencies()] {
+        let earlier = PeerResponse::decode(&fixture.message("peer_tell")).expect("a response of an earlier version");
+        assert_eq!(earlier.lowest_token, None);
+        let response = PeerResponse { lowest_token: Some(1 << 40), ..earlier.clone() };
+        assert_eq!(PeerResponse::decode(&response.encode()), Some(response.clone()));
+        // An earlier version decodes the fields that it knows.
+        assert_eq!(decode::<PeerResponse>(&response.encode()), Some(earlier));
+    }
+}
+
 /// Adds the paths of a value's fields, nested ones included, to `found`.
 fn collect_fields(value: &Value, path: &str, found: &mut BTreeSet<String>) {
     match value {
--- a/crates/rushyoke/src/outbound.rs
+++ b/crates/rushyoke/src/outbound.rs
@@ -224,21 +224,22 @@
 
 /// Sends a message to another controller.
 pub async fn call_peer(client: &HttpClient, addr: SocketAddr, message: &PeerRequest) -> Outcome<PeerResponse> {
-    post_to_peer(client, addr, "/peer", message, PEER_TIMEOUT).await
+    post_to_peer(client, addr, "/peer", message, PEER_TIMEOUT, PeerResponse::decode).await
 }
 
 /// Relays workers' reports to the leader.
 pub async fn relay_reports(client: &HttpClient, addr: SocketAddr, message: &RelayRequest) -> Outcome<RelayResponse> {
-    post_to_peer(client, addr, "/relay", message, RELAY_TIMEOUT).await
+    post_to_peer(client, addr, "/relay", message, RELAY_TIMEOUT, decode).await
 }
 
 /// Posts an encoded message to another controller and decodes the response.
-async fn post_to_peer<Req: Serialize, Resp: for<'a> serde::Deserialize<'a>>(
+async fn post_to_peer<Req: Serialize, Resp>(
     client: &HttpClient,
     addr: SocketAddr,
     path: &str,
     message: &Req,
     response_timeout: Duration,
+    decode: impl Fn(&[u8]) -> Option<Resp>,
 ) -> Outcome<Resp> {
     match client.request(request_to(addr, Method::POST, path, encode(message), response_timeout)).await {
         Outcome::Responded((200, body)) => responded_or_unknown(decode(&body)),
--- a/crates/testkit/src/simulation.rs
+++ b/crates/testkit/src/simulation.rs
@@ -121,6 +121,8 @@
     pub duplicated_reports_after: BTreeMap<String, Duration>,
     /// Links between a node and a machine on which all messages are lost.
     pub partitioned_links: BTreeSet<(usize, String)>,
+    /// Nodes of an earlier version, which promise nothing about the tokens with which they act.
+    pub peers_without_promise: BTreeSet<usize>,
     /// Nodes that learn of no change: their lease renewals are lost, their watches return nothing and
     /// their peers are out of reach, while their transactions are executed.
     pub nodes_without_updates: BTreeSet<usize>,
@@ -235,6 +237,7 @@
             lost_inbound: BTreeSet::new(),
             duplicated_reports_after: BTreeMap::new(),
             partitioned_links: BTreeSet::new(),
+            peers_without_promise: BTreeSet::new(),
             nodes_without_updates: BTreeSet::new(),
             slow_txns_until: BTreeMap::new(),
             timed_out_txns_until: BTreeMap::new(),
--- a/crates/testkit/src/simulation/network.rs
+++ b/crates/testkit/src/simulation/network.rs
@@ -77,7 +77,8 @@
                 self.schedule(at, Event::ToNode { node: requester, incarnation, input });
             }
             Some(Requester::Peer { node: requester, incarnation }) => {
-                let response = decode::<PeerResponse>(&response.body).expect("peers send well-formed responses");
+                let mut response = PeerResponse::decode(&response.body).expect("peers send well-formed responses");
+                response.lowest_token = response.lowest_token.filter(|_| !self.peers_without_promise.contains(&node));
                 let label = format!("node-{node}");
                 let input = Box::new(Input::PeerResponse { label, outcome: Outcome::Responded(response) });
                 self.schedule(self.now + NETWORK_LATENCY, Event::ToNode { node: requester, incarnation, input });
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,8 +1,8 @@
 //! Messages between controllers, encoded with postcard. Postcard writes no names, so the order of fields and
-//! variants must not change.
+//! variants must not change. A field that was added later follows the encoded message, and earlier versions ignore it.
 //!
-//! Correctness depends on only one property of these messages: a response to a new request shows which incarnation
-//! of a controller is running.
+//! Correctness depends on only one of these fields, [`PeerResponse::lowest_token`]: a new leader relies on it to know
+//! that no earlier one renews a worker's lease any more.
 
 use serde::{Deserialize, Serialize};
 
@@ -47,6 +47,28 @@
     pub relays_to: Option<u64>,
     /// Processor utilization in percent.
     pub busy_percent: u8,
+    /// Promise of the responding incarnation: from now on it acts with no fencing token below this one, not even if
+    /// it learns later that an earlier claim of its own succeeded. `None` from versions that promise nothing.
+    #[serde(skip)]
+    pub lowest_token: Option<u64>,
+}
+
+impl PeerResponse {
+    /// Encodes the response, followed by the fields that earlier versions ignore.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut bytes = encode(self);
+        if let Some(token) = self.lowest_token {
+            bytes.extend(encode(&token));
+        }
+        bytes
+    }
+
+    /// Decodes a response of this version or of an earlier one; `None` if it is malformed.
+    pub fn decode(bytes: &[u8]) -> Option<PeerResponse> {
+        let (response, rest) = postcard::take_from_bytes::<PeerResponse>(bytes).ok()?;
+        let lowest_token = if rest.is_empty() { None } else { Some(decode(rest)?) };
+        Some(PeerResponse { lowest_token, ..response })
+    }
 }
 
 /// Workers' reports that a controller relays to the leader. It passes the leader's responses back to the workers.
