A late copy of a report from before a worker's restart ends no placement

Six tasks started on another machine while they ran on the one that had restarted.

A worker that restarts counts its sessions and reports anew. The leader notices that by a direct call and forgets the earlier numbers, so that a copy of a report from before counts as the newest, and what it does not list as gone.

Change: once a restart was noticed, reports of the sessions that the worker may have reached before it prove nothing. They renew the lease and show that the worker is alive; what they list is confirmed by a direct call, whose response cannot be a copy, whenever it differs from what was confirmed last. The leader before this one cannot have left such copies: they show a lower token. Why this works: nothing but the response to a call made after the restart, or a session that the worker had not reached before, ends a placement there.

Test: machines, a_copy_of_a_report_from_before_a_restart_ends_no_placement.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -15,6 +15,7 @@
 pub(crate) mod machine;
 mod orders;
 mod reports;
+mod restarts;
 pub(crate) mod stop_statistics;
 mod stops;
 pub(crate) mod survey;
@@ -58,6 +59,16 @@
     Digest(u64),
 }
 
+impl ReportedTasks<'_> {
+    /// Returns the digest of the tasks.
+    fn digest(&self) -> u64 {
+        match self {
+            ReportedTasks::Raw(raw) => digest(raw),
+            ReportedTasks::Parsed(digest) | ReportedTasks::Digest(digest) => *digest,
+        }
+    }
+}
+
 /// Returns the time after a takeover in which reports suffice to fence most workers: they find the
 /// new leader themselves and see its token in the response to their first report. Within this time
 /// only machines with services are shown the token by direct calls.
--- a/crates/core/src/fleet/direct_calls.rs
+++ b/crates/core/src/fleet/direct_calls.rs
@@ -51,6 +51,7 @@
     pub(super) fn note_failed_call(&mut self, now: Instant, retry_delay: Duration, max_backoff_multiplier: u32) {
         self.failed_probes += 1;
         self.failed_calls += 1;
+        self.confirmed_list = None;
         self.next_call_at = Some(now + retry_delay * self.failed_calls.min(max_backoff_multiplier));
     }
 
--- a/crates/core/src/fleet/machine.rs
+++ b/crates/core/src/fleet/machine.rs
@@ -10,6 +10,7 @@
 
 use super::direct_calls::DirectCall;
 use super::images::ImageCache;
+use super::restarts::ReportedList;
 use super::{Attempt, Channel, LATEST_REPORT_FACTOR, REPORT_DELAY_ALLOWANCE};
 use crate::jobs::{Name, TaskKey};
 use crate::quota::Resources;
@@ -59,6 +60,10 @@
     pub(super) seq: u64,
     /// Session and sequence number of the newest report; an older one is a delayed duplicate.
     pub(super) newest_report: (u64, u64),
+    /// Last session that the worker may have reached before it restarted and began to count anew.
+    pub(super) last_session_before_restart: Option<u64>,
+    /// What the worker reported when a direct call was last made to confirm it.
+    pub(super) confirmed_list: Option<ReportedList>,
     /// Its reports arrive, but the responses to them do not reach it.
     pub(super) responses_lost: bool,
     /// It reported without being expected, and has not yet shown this leader's token.
@@ -156,6 +161,8 @@
             session: 0,
             seq: 0,
             newest_report: (0, 0),
+            last_session_before_restart: None,
+            confirmed_list: None,
             responses_lost: false,
             unverified: false,
             tasks_digest: None,
--- a/crates/core/src/fleet/orders.rs
+++ b/crates/core/src/fleet/orders.rs
@@ -55,7 +55,7 @@
                     // A start that got no response may still run there, so the machine is released.
                     let unresolved = machine.unresolved_starts.len();
                     tracing::info!(machine = &**name, unresolved, "its worker has restarted");
-                    (machine.session, machine.seq, machine.newest_report) = (0, 0, (0, 0));
+                    machine.note_restart(now, env.facts.worker_lease);
                     machine.responses_lost |= unresolved > 0;
                     machine.releasing |= machine.responses_lost;
                 }
--- a/crates/core/src/fleet/reports.rs
+++ b/crates/core/src/fleet/reports.rs
@@ -8,11 +8,11 @@
 
 use rushyoke_wire::worker::{Order, Orders, Report, TaskReport, TaskState};
 
+use super::restarts::ReportedList;
 use super::stop_statistics::StopEvent;
 use super::stops::MachineOrders;
 use super::{
-    Attempt, Channel, Machine, RENEWED_LEASE_SHARE, ReportedTasks, STALE_REPORT_PROBE_INTERVAL, digest,
-    report_fencing_window,
+    Attempt, Channel, Machine, RENEWED_LEASE_SHARE, ReportedTasks, STALE_REPORT_PROBE_INTERVAL, report_fencing_window,
 };
 use crate::env::Env;
 use crate::io::*;
@@ -45,7 +45,10 @@
             return Some(HttpResponse::later(503, "an older report"));
         }
         let report_number = (report.session, report.seq);
-        let message = if self.ready() {
+        let message = if self.ready() && self.may_predate_restart(&name, report.session) {
+            self.confirm_by_call(env, &name, ReportedList::of(&report, &tasks));
+            self.orders_for(now, &name, Channel::Report)
+        } else if self.ready() {
             match self.apply_reported_tasks(env, &name, report, tasks) {
                 Ok(true) => self.orders_for(now, &name, Channel::Report),
                 Ok(false) => return None,
@@ -79,7 +82,9 @@
         let Some(machine) = self.machines.get_mut(name) else {
             return;
         };
-        machine.newest_report = machine.newest_report.max(report_number);
+        if !machine.may_predate_restart(report_number.0) {
+            machine.newest_report = machine.newest_report.max(report_number);
+        }
         if ready {
             machine.last_response = Some(now);
             machine.report_gap = Some(now.duration_since(machine.last_reported));
@@ -124,10 +129,7 @@
         mut report: Report,
         tasks: ReportedTasks,
     ) -> Result<bool, serde_json::Error> {
-        let digest = match &tasks {
-            ReportedTasks::Raw(raw) => digest(raw),
-            ReportedTasks::Parsed(digest) | ReportedTasks::Digest(digest) => *digest,
-        };
+        let digest = tasks.digest();
         if let Some(machine) = self.machines.get_mut(name)
             && machine.tasks_digest == Some(digest)
             && machine.session == report.session
--- a/crates/core/tests/machines.rs
+++ b/crates/core/tests/machines.rs
@@ -1,5 +1,6 @@
 //! Scenario tests of machines that die, fail tasks, receive nothing or report late, and of orders that arrive late.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rushyoke_testkit::{Simulation, job, secs, service};
@@ -245,6 +246,40 @@
     assert_eq!(simulation.started_tasks, 8);
 }
 
+#[test]
+fn a_copy_of_a_report_from_before_a_restart_ends_no_placement() {
+    // Guards against tasks that run twice: a copy of a report from before a worker's restart arrives after the leader has
+    // noticed the restart. Its numbers are higher than those since, so what runs there seemed to be gone.
+    let mut simulation = Simulation::with_elected_leader(2);
+    simulation.cloud.capacity = 2;
+    simulation.workers.values_mut().for_each(|worker| worker.task_duration_s = 300.0);
+    // Two jobs fill one machine, so that the third one runs on the other.
+    for filler in [job(1, 2), job(2, 14)] {
+        simulation.submit(0, filler);
+        simulation.run(secs(3));
+    }
+    simulation.submit(0, job(3, 6));
+    simulation.run(secs(40));
+    let machines: BTreeSet<String> = simulation.running_tasks("wk-000003").into_iter().map(|(_, host)| host).collect();
+    let [machine] = Vec::from_iter(machines).try_into().expect("all its tasks run on one machine");
+    simulation.duplicated_reports_after.insert(machine.clone(), secs(20));
+    simulation.run(secs(4));
+    simulation.duplicated_reports_after.clear();
+    simulation.restart_worker(&machine);
+    simulation.workers.get_mut(&machine).expect("restarted").task_duration_s = 300.0;
+    simulation.run(secs(10));
+    assert_eq!((simulation.running_tasks("wk-000003").len(), simulation.started_tasks), (6, 28));
+    simulation.cancel_and_confirm(0, "wk-000002");
+    // The copies arrive. The simulation checks that no task runs twice.
+    simulation.run(secs(20));
+    assert_eq!((simulation.running_tasks("wk-000003").len(), simulation.started_tasks), (6, 28));
+    // What the worker reports since is still learned.
+    simulation.cancel_and_confirm(0, "wk-000003");
+    simulation.submit(0, job(4, 16));
+    simulation.run(secs(5));
+    assert!(simulation.running_tasks("wk-000004").iter().any(|(_, host)| *host == machine));
+}
+
 #[test]
 fn late_start_order_does_not_run_on_a_restarted_worker() {
     let mut simulation = Simulation::with_elected_leader(3);
