Records of jobs and their restoring in modules of their own; slow responses in the random tests

Change: jobs/records.rs has the records and keys, jobs/restore.rs the conversion between them and the state in memory; moved, not changed. The soak draws leader crashes beside slow responses of the state service to the other nodes, where it drew nothing before; the random mixes draw slow responses to one node.

--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -1,12 +1,16 @@
 //! The leader's table of unfinished jobs: which tasks are done, where the others are placed, and
-//! which are waiting. Also defines the records that hold this state in the state service.
+//! which are waiting.
+
+mod records;
+mod restore;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Instant;
 
 use rushyoke_wire::job::{JobSpec, Priority};
-use serde::{Deserialize, Serialize};
+
+pub use records::*;
 
 /// The name of a job or a machine.
 pub type Name = Arc<str>;
@@ -14,136 +18,9 @@
 /// A job and the number of one of its tasks.
 pub type TaskKey = (Name, u32);
 
-/// Number of tasks in one page record. With every task on a different machine, a record takes up to
-/// 8 KiB; if the store's values hold less, the tasks are written to the log again instead.
-pub const TASKS_PER_PAGE: u32 = 80;
-
 /// Number of machines on which a job must have failed before the job itself is considered faulty.
 pub const FAULTY_JOB_MACHINES: usize = 3;
 
-/// The value of `job/<id>`: the job's state, which remains readable after the job has ended.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct JobRecord {
-    pub state: RecordState,
-    /// Number of tasks in the job.
-    pub tasks: u32,
-    /// Dependencies of an open job. The job is cancelled if one of them is cancelled.
-    #[serde(rename = "awaits", default, skip_serializing_if = "Vec::is_empty")]
-    pub dependencies: Vec<String>,
-}
-
-impl JobRecord {
-    /// Returns the record of a job that has ended.
-    pub fn terminal(state: RecordState, tasks: u32) -> JobRecord {
-        JobRecord { state, tasks, dependencies: Vec::new() }
-    }
-}
-
-/// The durable state of a job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum RecordState {
-    /// Accepted and not finished.
-    Open,
-    /// Every task has completed.
-    Done,
-    /// Cancelled by a user or because a dependency was cancelled.
-    Cancelled,
-}
-
-/// The value of `live/<id>`, which exists until no task of the job can run any more.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct LiveRecord {
-    pub spec: JobSpec,
-    /// Submission time, in milliseconds since the Unix epoch.
-    #[serde(rename = "at_ms")]
-    pub submitted_ms: u64,
-    pub cancelled: bool,
-}
-
-/// The value of `log/<number>`: a log segment with the state of the tasks that changed while it was
-/// the newest segment.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct SegmentRecord {
-    /// Names and addresses of the machines that the placements refer to by index.
-    pub machines: Vec<(String, String)>,
-    pub jobs: Vec<ChangedTasks>,
-}
-
-/// The changed tasks of one job in a segment. Each task is in exactly one of `placements`, `done`
-/// and `waiting`.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct ChangedTasks {
-    /// The job's id.
-    pub job: String,
-    /// Placed tasks: task number, index of the machine, attempt.
-    #[serde(rename = "places", default, skip_serializing_if = "Vec::is_empty")]
-    pub placements: Vec<(u32, usize, u64)>,
-    /// Completed tasks.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub done: Vec<u32>,
-    /// Tasks that are neither placed nor done.
-    #[serde(rename = "open", default, skip_serializing_if = "Vec::is_empty")]
-    pub waiting: Vec<u32>,
-    /// Tasks of the lists above that were restarted or moved once by speculation or rebalancing.
-    #[serde(rename = "again", default, skip_serializing_if = "Vec::is_empty")]
-    pub restarted: Vec<u32>,
-    /// Number of reruns because of a zone failure, for the tasks of the lists above that had any.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub zone_reruns: Vec<(u32, u32)>,
-}
-
-/// The value of `task/<id>/<page>`: the state of up to [`TASKS_PER_PAGE`] consecutive tasks. Task
-/// numbers in it count from the first task of the page.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct PageRecord {
-    /// Bit map of the completed tasks in hexadecimal; the page's first task is the lowest bit of the
-    /// first byte.
-    pub done: String,
-    /// Tasks that were restarted or moved once by speculation or rebalancing.
-    #[serde(rename = "again", default, skip_serializing_if = "Vec::is_empty")]
-    pub restarted: Vec<u32>,
-    /// Number of reruns because of a zone failure, for the tasks that had any.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub zone_reruns: Vec<(u32, u32)>,
-    /// Names and addresses of the machines that the placements refer to by index.
-    pub machines: Vec<(String, String)>,
-    /// Placed tasks: task number, index of the machine, attempt.
-    #[serde(rename = "places")]
-    pub placements: Vec<(u32, usize, u64)>,
-}
-
-/// Returns the key of a job's [`JobRecord`].
-pub fn job_key(id: &str) -> String {
-    format!("job/{id}")
-}
-
-/// Returns the key of a job's [`LiveRecord`].
-pub fn live_key(id: &str) -> String {
-    format!("live/{id}")
-}
-
-/// Returns the key of a [`PageRecord`].
-pub fn page_key(id: &str, page: u32) -> String {
-    format!("task/{id}/{page}")
-}
-
-/// Returns the key of a [`SegmentRecord`].
-pub fn segment_key(number: u64) -> String {
-    format!("log/{number:012}")
-}
-
-/// Parses `log/<number>`.
-pub fn parse_segment_key(key: &str) -> Option<u64> {
-    key.strip_prefix("log/")?.parse().ok()
-}
-
-/// Parses `task/<id>/<page>`.
-pub fn parse_page_key(key: &str) -> Option<(&str, u32)> {
-    let (id, page) = key.strip_prefix("task/")?.rsplit_once('/')?;
-    Some((id, page.parse().ok()?))
-}
-
 /// Parses a task name such as `wk-000412/3` into the job's id and the task number.
 pub fn parse_task(task: &str) -> Option<(&str, u32)> {
     let (id, index) = task.rsplit_once('/')?;
@@ -395,111 +272,6 @@
         }
     }
 
-    /// Returns the record of one page from the state in memory.
-    pub fn page_record(&self, page: u32, addr_of: impl Fn(&Name) -> String) -> PageRecord {
-        let first = page * TASKS_PER_PAGE;
-        let end = (first + TASKS_PER_PAGE).min(self.spec.tasks);
-        let mut record = PageRecord::default();
-        let mut bits = vec![0u8; TASKS_PER_PAGE as usize / 8];
-        for task in first..end {
-            if self.is_done(task) {
-                bits[(task - first) as usize / 8] |= 1 << ((task - first) % 8);
-            }
-        }
-        record.done = bits.iter().map(|byte| format!("{byte:02x}")).collect();
-        record.restarted = self.restarted.range(first..end).map(|t| t - first).collect();
-        record.zone_reruns = self.zone_reruns.range(first..end).map(|(t, count)| (t - first, *count)).collect();
-        for (task, placement) in self.placements.range(first..end) {
-            let listed = record.machines.iter().position(|(name, _)| **name == *placement.machine);
-            let index = listed.unwrap_or_else(|| {
-                record.machines.push((placement.machine.to_string(), addr_of(&placement.machine)));
-                record.machines.len() - 1
-            });
-            record.placements.push((task - first, index, placement.attempt));
-        }
-        record
-    }
-
-    /// Restores the tasks of a page record that an earlier leader wrote.
-    pub fn restore_page(&mut self, page: u32, version: u64, record: &PageRecord, now: Instant) {
-        let first = page * TASKS_PER_PAGE;
-        self.page_versions.insert(page, version);
-        for (byte_index, pair) in record.done.as_bytes().chunks(2).enumerate() {
-            let byte = std::str::from_utf8(pair).ok().and_then(|hex| u8::from_str_radix(hex, 16).ok()).unwrap_or(0);
-            for bit in (0..8).filter(|bit| byte & (1 << bit) != 0) {
-                let task = first + byte_index as u32 * 8 + bit;
-                if task < self.spec.tasks {
-                    self.mark_done(task);
-                }
-            }
-        }
-        self.restarted.extend(record.restarted.iter().map(|t| first + t));
-        self.zone_reruns.extend(record.zone_reruns.iter().map(|(t, count)| (first + t, *count)));
-        for (task, index, attempt) in &record.placements {
-            if let Some((machine, _)) = record.machines.get(*index) {
-                self.restore_placement(first + task, machine, *attempt, now);
-            }
-        }
-    }
-
-    /// Restores the changed tasks of a log segment with the given version. Segments are restored in the
-    /// order of their versions. Tasks whose page record has a newer version are skipped.
-    pub fn restore_changes(
-        &mut self,
-        version: u64,
-        changed: &ChangedTasks,
-        machines: &[(String, String)],
-        now: Instant,
-    ) {
-        let page_versions = self.page_versions.clone();
-        let tasks = self.spec.tasks;
-        let newer_than_page =
-            |task: u32| task < tasks && page_versions.get(&(task / TASKS_PER_PAGE)).is_none_or(|page| *page < version);
-        for task in changed.done.iter().copied().filter(|t| newer_than_page(*t)) {
-            self.placements.remove(&task);
-            self.mark_done(task);
-        }
-        for task in changed.waiting.iter().filter(|t| newer_than_page(**t)) {
-            self.placements.remove(task);
-        }
-        for (task, index, attempt) in changed.placements.iter().filter(|(t, ..)| newer_than_page(*t)) {
-            if let Some((machine, _)) = machines.get(*index) {
-                self.restore_placement(*task, machine, *attempt, now);
-            }
-        }
-        self.restarted.extend(changed.restarted.iter().copied().filter(|t| newer_than_page(*t)));
-        self.zone_reruns.extend(changed.zone_reruns.iter().copied().filter(|(t, _)| newer_than_page(*t)));
-    }
-
-    /// Restores a placement that an earlier leader recorded, unless the task is done.
-    fn restore_placement(&mut self, task: u32, machine: &str, attempt: u64, now: Instant) {
-        if task >= self.spec.tasks || self.is_done(task) {
-            return;
-        }
-        let placement = Placement {
-            machine: Name::from(machine),
-            attempt,
-            stage: Stage::Inherited,
-            placed_at: now,
-            running_since: None,
-            stop: None,
-            start_sent: true,
-        };
-        self.placements.insert(task, placement);
-    }
-
-    /// Determines the waiting tasks after all records have been restored.
-    pub fn rebuild_queue(&mut self, now: Instant) {
-        let after_last_placed = self.placements.keys().next_back().map_or(0, |t| t + 1);
-        let after_last_done = (0..self.spec.tasks).rev().find(|t| self.is_done(*t)).map_or(0, |t| t + 1);
-        self.next_task = after_last_placed.max(after_last_done);
-        for task in 0..self.next_task {
-            if !self.is_done(task) && !self.placements.contains_key(&task) {
-                self.requeued.insert(task, now);
-            }
-        }
-    }
-
     /// Whether the job must not run on this machine because it failed there. When the other machines are
     /// full, a faulty machine is the one with free resources, and task after task would fail on it. A job
     /// that has failed on [`FAULTY_JOB_MACHINES`] machines is faulty itself and may run on any.
--- a/crates/core/tests/random_faults.rs
+++ b/crates/core/tests/random_faults.rs
@@ -56,6 +56,7 @@
         19 => drop(simulation.partitioned_from_store.insert(leader)),
         20 => simulation.delayed_lists_until = Some((["live/", "log/"][rng.random_range(0..2)], until)),
         21 => drop(simulation.delayed_reports_until.insert(machine, until)),
+        22 => drop(simulation.store_response_delay.insert(node, Duration::from_millis(rng.random_range(200..1450)))),
         _ => {}
     }
 }
--- a/crates/core/tests/soak.rs
+++ b/crates/core/tests/soak.rs
@@ -1,5 +1,5 @@
-//! Soak test: random combinations of cancellations with unreachable machines of each kind, outages of the state
-//! service and the cloud, and a change of leader. The simulation checks the invariants that users rely on at
+//! Soak test: random combinations of cancellations with unreachable machines of each kind, outages and slow responses of
+//! the state service, outages of the cloud, and a change of leader. The simulation checks the invariants that users rely on at
 //! every step. CI runs the seeds in `CI_SEEDS`; start a long run by hand:
 //! `SOAK_SEEDS=1000..3000 cargo test --release -p rushyoke-core --test soak`.
 
@@ -50,6 +50,11 @@
     StoreRecovers,
     CloudRecovers,
     LeaderCrashes,
+    /// The state service's responses to all nodes but the leader are delayed, by less than callers wait for them.
+    SlowStoreResponses {
+        delay: Duration,
+    },
+    FastStoreResponses,
     /// The leader loses the state service.
     LeaderWithoutStore,
     /// The leader loses the state service and the other nodes, but not the workers.
@@ -153,6 +158,13 @@
         0 | 1 => events.push((leader_fault_at, SoakEvent::LeaderCrashes)),
         2 => events.push((leader_fault_at, SoakEvent::LeaderWithoutStore)),
         3 => events.push((leader_fault_at, SoakEvent::LeaderWithoutStoreAndPeers)),
+        4 => {
+            // The next leader learns late of its claim, if at all.
+            let delay = millis(rng.random_range(300..1450));
+            events.push((leader_fault_at, SoakEvent::SlowStoreResponses { delay }));
+            events.push((leader_fault_at, SoakEvent::LeaderCrashes));
+            events.push((leader_fault_at + random_duration(rng, secs(2), secs(12)), SoakEvent::FastStoreResponses));
+        }
         _ => {}
     }
     events.sort_by_key(|(at, _)| *at);
@@ -181,6 +193,10 @@
         }
         SoakEvent::CloudRecovers => simulation.cloud.outage = false,
         SoakEvent::LeaderCrashes => simulation.crash_node(leader),
+        SoakEvent::SlowStoreResponses { delay } => {
+            simulation.store_response_delay = (0..3).filter(|node| *node != leader).map(|node| (node, delay)).collect();
+        }
+        SoakEvent::FastStoreResponses => simulation.store_response_delay.clear(),
         SoakEvent::LeaderWithoutStore => drop(simulation.partitioned_from_store.insert(leader)),
         SoakEvent::LeaderWithoutStoreAndPeers => {
             simulation.partitioned_from_store.insert(leader);
