A new job is not called queued on an old state of its ancestors

The response to a submission took the state of the job's ancestors from the cache, where a dependency stood as it was when it was last read or created there.

Change: once a job with dependencies is durable, its state is looked up as for a question, which compares all unfinished ancestors after the request arrived, and the response is 201 with that state. Why this works: it is the path on which the rule already held.

Test: pipelines, a_new_job_is_not_called_queued_on_an_old_state_of_its_ancestors.

--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -48,8 +48,11 @@
         true
     }
 
-    /// Responds to a request unless it already has a response.
-    fn respond(&mut self, request: RequestId, response: HttpResponse) {
+    /// Responds to a request unless it already has a response. The status of a submission that created a job is 201.
+    fn respond(&mut self, request: RequestId, mut response: HttpResponse) {
+        if self.users.created.remove(&request) && response.status == 200 {
+            response.status = 201;
+        }
         if self.users.pending.remove(&request).is_some() {
             self.env.respond(request, response);
         }
--- a/crates/core/src/users/state.rs
+++ b/crates/core/src/users/state.rs
@@ -1,6 +1,6 @@
 //! State of a node's user requests and of the jobs that they concern.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Instant;
 
 use rushyoke_wire::peer::Progress;
@@ -23,6 +23,8 @@
     pub job_limit_reached: bool,
     /// Requests without a response, and when they time out.
     pub(super) pending: BTreeMap<RequestId, Instant>,
+    /// Submissions that created a job and wait for its state.
+    pub(super) created: BTreeSet<RequestId>,
 }
 
 impl UserRequests {
--- a/crates/core/src/users/submit.rs
+++ b/crates/core/src/users/submit.rs
@@ -119,10 +119,13 @@
             Outcome::Responded(StoreResponse::Committed(version)) => {
                 let cached = CachedJob { state: RecordState::Open, tasks, version, dependencies };
                 self.users.cache.insert(&job, cached.clone(), self.env.policy.job_cache_size);
-                let state = match self.users.apply_ancestor_cancellation(&job, cached).state {
-                    RecordState::Cancelled => JobStatus::Cancelled,
-                    _ => JobStatus::Queued,
-                };
+                if !cached.dependencies.is_empty() {
+                    // What is cached of its dependencies may be old, and one of them may have been cancelled since.
+                    self.users.created.insert(request);
+                    self.look_up(request, job);
+                    return;
+                }
+                let state = JobStatus::Queued;
                 let view = JobView { id: job, state, done: None, running: None, dependencies: Vec::new() };
                 self.respond(request, HttpResponse::json(201, &view));
             }
--- a/crates/core/tests/pipelines.rs
+++ b/crates/core/tests/pipelines.rs
@@ -152,6 +152,26 @@
     (0..3).for_each(|node| assert_eq!(simulation.job_states(node, 2..=5), all_in_state(JobStatus::Cancelled, 4)));
 }
 
+#[test]
+fn a_new_job_is_not_called_queued_on_an_old_state_of_its_ancestors() {
+    // Guards against a submission that is answered from what the node cached of the dependencies, however long ago:
+    // an ancestor was cancelled through another node in between.
+    let (mut simulation, _) = Simulation::with_short_tasks();
+    for node in 0..3 {
+        let first = 10 * node as u32;
+        assert_eq!(simulation.submit(node, service(first + 1, 1)), Some(201));
+        assert_eq!(simulation.submit(node, dependent_job(first + 2, 1, &[first + 1])), Some(201));
+        simulation.cancel_and_confirm((node + 1) % 3, &job_id(first + 1));
+    }
+    simulation.run(secs(31));
+    for node in 0..3 {
+        let first = 10 * node as u32;
+        // The checker looks at the state in the response.
+        assert_eq!(simulation.submit(node, dependent_job(first + 3, 1, &[first + 2])), Some(201));
+        assert_eq!(simulation.job_state(node, &job_id(first + 3)), Some(JobStatus::Cancelled));
+    }
+}
+
 #[test]
 fn dependencies_must_be_accepted_jobs_and_resubmissions_stay_accepted() {
     let (mut simulation, leader) = Simulation::with_short_tasks();
