Known red: a new leader does not spread a service over a zone that it has not seen

Cause: eligible_zones counts the zones in which this leader has ever seen a machine. If the machines of a zone ended before its term, the zone does not exist for it; nothing is placed there, and nothing rented, until something else is.

--- a/crates/core/tests/takeovers.rs
+++ b/crates/core/tests/takeovers.rs
@@ -351,6 +351,29 @@
     assert_eq!(simulation.running_tasks("wk-000001").len(), 4);
 }
 
+#[test]
+fn a_new_leader_spreads_a_service_over_a_zone_in_which_it_has_seen_no_machine() {
+    // Guards against replicas that wait forever: the only zone that a new leader knows has its full share of them, and
+    // machines are rented only in zones that it knows.
+    let mut simulation = Simulation::with_policy(6, Policy::default(), &["a", "b"]);
+    simulation.run(secs(6));
+    let leader = simulation.leader().expect("a leader");
+    let workers = simulation.workers.values();
+    let in_zone_b: Vec<String> =
+        workers.filter(|worker| worker.zone == "b").map(|worker| worker.name.clone()).collect();
+    for machine in in_zone_b {
+        simulation.cloud.machines.remove(&machine);
+        simulation.workers.remove(&machine);
+    }
+    simulation.crash_node(leader);
+    simulation.run(secs(4));
+    let mut spec = service(1, 4);
+    spec.spread = true;
+    simulation.submit(next_node(leader), spec);
+    simulation.run(secs(60));
+    assert_eq!(simulation.running_tasks("wk-000001").len(), 4);
+}
+
 #[test]
 fn quick_restarts_during_an_election_neither_lose_nor_repeat_tasks() {
     for delay in [50, 700, 1900] {
