A submission whose time limit has passed leaves nothing behind when its job is created

If the state service answered the creation of a job with dependencies after the request's time limit, the request was noted as one that waits for the job's state, and a lookup could drop it without the note: a few bytes for each such request, for as long as the process runs. Change: only a request that is still pending is noted and looked up. Result: the scenarios of submissions and dependencies pass; no test shows the note itself.

--- a/crates/core/src/users/submit.rs
+++ b/crates/core/src/users/submit.rs
@@ -121,8 +121,10 @@
                 self.users.cache.insert(&job, cached.clone(), self.env.policy.job_cache_size);
                 if !cached.dependencies.is_empty() {
                     // What is cached of its dependencies may be old, and one of them may have been cancelled since.
-                    self.users.created.insert(request);
-                    self.look_up(request, job);
+                    if self.users.pending.contains_key(&request) {
+                        self.users.created.insert(request);
+                        self.look_up(request, job);
+                    }
                     return;
                 }
                 let state = JobStatus::Queued;
