Log repeated, refused and contradicted orders to workers, ten lines a second at most

Cause: the log of the incident names no start, stop or forget, so it cannot tell why a copy was carried out and nothing stopped it. Change: a line at info for each start, stop and forget that is sent again, each direct call that a worker refuses (with both tokens and sessions), and each attempt that a worker lists as alive although it has ended or is not placed there; a count by kind beyond the limit. No order changes.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -13,6 +13,7 @@
 mod lease;
 mod liveness;
 pub(crate) mod machine;
+pub(crate) mod order_log;
 mod orders;
 mod reports;
 mod restarts;
--- a/crates/core/src/fleet/machine.rs
+++ b/crates/core/src/fleet/machine.rs
@@ -100,6 +100,8 @@
     pub(super) unresolved_starts: BTreeSet<Attempt>,
     /// Exited tasks that the worker still lists.
     pub(super) exited: BTreeMap<Attempt, TaskKey>,
+    /// Listed attempts that the worker was ordered to forget.
+    pub(super) forgets_sent: BTreeSet<Attempt>,
     /// Attempts that its worker lists but that are not placed on the machine, and whether each has exited.
     pub(super) unexpected_attempts: Vec<(Attempt, bool)>,
     /// Images assumed to be cached on it.
@@ -181,6 +183,7 @@
             next_call_at: None,
             unresolved_starts: BTreeSet::new(),
             exited: BTreeMap::new(),
+            forgets_sent: BTreeSet::new(),
             unexpected_attempts: Vec::new(),
             images: ImageCache::default(),
             releasing: false,
--- a/crates/core/src/fleet/orders.rs
+++ b/crates/core/src/fleet/orders.rs
@@ -9,6 +9,7 @@
 use rushyoke_wire::worker::{Order, Orders, Report};
 
 use super::direct_calls::DirectCall;
+use super::order_log::{Authority, OrderEvent};
 use super::stop_statistics::StopEvent;
 use super::stops::MachineOrders;
 use super::{Attempt, Channel};
@@ -46,9 +47,13 @@
             Outcome::Responded((status, report)) if report.machine == **name => {
                 if status == 409 {
                     // None of the orders was executed or will be.
-                    let session = report.session;
-                    tracing::debug!(machine = &**name, session, token = report.token, "direct orders refused");
+                    let sent_under = Authority { token: self.token, session: call.session };
+                    let worker = Authority { token: report.token, session: report.session };
+                    self.log_refused_call(now, name, sent_under, worker, &call.starts, call.has_stops);
                 }
+                let Some(machine) = self.machines.get_mut(name) else {
+                    return;
+                };
                 if (report.session, report.seq) < call.newest_message {
                     // The response is new, but its session and sequence number are older than those
                     // known before the call: the worker has restarted, and it lists all that it runs.
@@ -103,26 +108,38 @@
                 continue;
             }
             let task = format!("{}/{}", key.0, key.1);
-            let in_flight = machine.start_in_flight(&(task.clone(), placement.attempt));
-            message.orders.extend(start_order(channel, task, placement, in_flight));
+            let attempt = (task, placement.attempt);
+            let in_flight = machine.start_in_flight(&attempt);
+            let sent_before = placement.start_sent;
+            if let Some(start) = start_order(channel, &attempt, placement, in_flight) {
+                message.orders.push(start);
+                message.repeated.extend(sent_before.then_some((OrderEvent::StartRepeated, attempt)));
+            }
         }
         machine.orders_due = orders_remain;
-        self.forget_exited(name, channel, &mut message.orders);
+        self.forget_exited(name, channel, &mut message);
+        let sent_under = Authority { token: self.token, session: self.machines[name].session };
+        self.log_orders(now, name, sent_under, &message.repeated);
         message
     }
 
     /// Orders the worker to forget exited tasks whose starts can no longer run.
-    fn forget_exited(&self, name: &Name, channel: Channel, orders: &mut Vec<Order>) {
+    fn forget_exited(&mut self, name: &Name, channel: Channel, message: &mut MachineOrders) {
         let machine = &self.machines[name];
         let resolved = |attempt: &Attempt| channel == Channel::Report && !machine.may_still_start(attempt);
-        let forget = |(task, attempt): &Attempt| Order::Forget { task: task.clone(), attempt: *attempt };
-        let unexpected_attempts =
-            machine.unexpected_attempts.iter().filter(|(attempt, exited)| *exited && resolved(attempt));
-        let unexpected_attempts = unexpected_attempts.map(|(attempt, _)| forget(attempt));
-        orders.extend(unexpected_attempts.take(MAX_ORDERS_PER_MESSAGE.saturating_sub(orders.len())));
-        let durable = |(attempt, key): &(&Attempt, &TaskKey)| resolved(attempt) && self.records.is_durable(key);
-        let exited = machine.exited.iter().filter(durable).map(|(attempt, _)| forget(attempt));
-        orders.extend(exited.take(MAX_ORDERS_PER_MESSAGE.saturating_sub(orders.len())));
+        let unexpected = machine.unexpected_attempts.iter().filter(|(_, exited)| *exited).map(|(attempt, _)| attempt);
+        let durable = |(_, key): &(&Attempt, &TaskKey)| self.records.is_durable(key);
+        let exited = machine.exited.iter().filter(durable).map(|(attempt, _)| attempt);
+        let room = MAX_ORDERS_PER_MESSAGE.saturating_sub(message.orders.len());
+        let forgotten: Vec<Attempt> =
+            unexpected.chain(exited).filter(|attempt| resolved(attempt)).take(room).cloned().collect();
+        let machine = self.machines.get_mut(name).expect("known");
+        for attempt in forgotten {
+            message.orders.push(Order::Forget { task: attempt.0.clone(), attempt: attempt.1 });
+            if !machine.forgets_sent.insert(attempt.clone()) {
+                message.repeated.push((OrderEvent::ForgetRepeated, attempt));
+            }
+        }
     }
 
     /// Queues a direct call to a machine that needs orders, or the token, before its next report.
@@ -184,13 +201,13 @@
 }
 
 /// Returns the start order of a task that its machine has not reported yet, if it is to be sent now.
-fn start_order(channel: Channel, task: String, placement: &mut Placement, in_flight: bool) -> Option<Order> {
+fn start_order(channel: Channel, attempt: &Attempt, placement: &mut Placement, in_flight: bool) -> Option<Order> {
     if matches!(placement.stage, Stage::Planned | Stage::Inherited) {
         return None;
     }
     let due = !placement.start_sent || (channel == Channel::Report && !in_flight);
     due.then(|| {
         placement.start_sent = true;
-        Order::Start { task, attempt: placement.attempt }
+        Order::Start { task: attempt.0.clone(), attempt: attempt.1 }
     })
 }
--- a/crates/core/src/fleet/reports.rs
+++ b/crates/core/src/fleet/reports.rs
@@ -8,6 +8,7 @@
 
 use rushyoke_wire::worker::{Order, Orders, Report, TaskReport, TaskState};
 
+use super::order_log::{Authority, OrderEvent};
 use super::restarts::ReportedList;
 use super::stop_statistics::StopEvent;
 use super::stops::MachineOrders;
@@ -233,6 +234,7 @@
         let mut seen: BTreeSet<TaskKey> = BTreeSet::new();
         let mut unexpected_attempts = Vec::new();
         let mut listed: BTreeSet<Attempt> = BTreeSet::new();
+        let mut contradictions = Vec::new();
         for task in &report.tasks {
             let attempt: Attempt = (task.task.clone(), task.attempt);
             let key = parse_task(&task.task).map(|(id, index)| (Name::from(id), index));
@@ -241,14 +243,22 @@
                 self.apply_task_report(env, &key, task);
             } else if !self.machines[name].exited.contains_key(&attempt) {
                 unexpected_attempts.push((attempt.clone(), task.state == TaskState::Exited));
+                if task.state != TaskState::Exited {
+                    contradictions.push((OrderEvent::UnplacedAttemptAlive, attempt.clone()));
+                }
+            } else if task.state != TaskState::Exited {
+                contradictions.push((OrderEvent::EndedAttemptAlive, attempt.clone()));
             }
             listed.insert(attempt);
         }
+        let shown_by = Authority { token: report.token, session: report.session };
+        self.log_orders(env.steady(), name, shown_by, &contradictions);
         let machine = self.machines.get_mut(name).expect("reported");
         let must_stop = unexpected_attempts.iter().any(|(_, exited)| !exited);
         machine.unexpected_attempts = unexpected_attempts;
         machine.orders_due = true;
         machine.exited.retain(|attempt, _| listed.contains(attempt));
+        machine.forgets_sent.retain(|attempt| listed.contains(attempt));
         let missing: Vec<TaskKey> = machine.tasks.difference(&seen).cloned().collect();
         let has_stops = self.has_task_to_stop_now(&self.machines[name]);
         self.machines.get_mut(name).expect("reported").has_immediate_stops = has_stops;
--- a/crates/core/src/fleet/stops.rs
+++ b/crates/core/src/fleet/stops.rs
@@ -8,6 +8,7 @@
 
 use rushyoke_wire::worker::Order;
 
+use super::order_log::OrderEvent;
 use super::{Attempt, Channel, Machine};
 use crate::env::Env;
 use crate::jobs::{Name, Placement, Stage, StopRequest, TaskKey};
@@ -29,6 +30,8 @@
     pub orders: Vec<Order>,
     /// Approximate size of its stops.
     stop_bytes: usize,
+    /// Those of them that were sent before.
+    pub repeated: Vec<(OrderEvent, Attempt)>,
     /// Some stops did not fit into the message, so it must not renew the worker's lease.
     pub stops_omitted: bool,
 }
@@ -125,6 +128,9 @@
         due && message.try_add_stops([Order::Stop { task, attempt, grace_s: stop.grace_s }])
     };
     if added {
+        if stop.last_sent.is_some() {
+            message.repeated.push((OrderEvent::StopRepeated, (format!("{}/{}", key.0, key.1), placement.attempt)));
+        }
         stop.last_sent = Some(now);
     }
 }
--- a/crates/core/src/term.rs
+++ b/crates/core/src/term.rs
@@ -14,6 +14,7 @@
 use crate::facts::{Facts, Policy};
 use crate::fleet::direct_calls::CallReason;
 use crate::fleet::machine::Machine;
+use crate::fleet::order_log::OrderLog;
 use crate::fleet::stop_statistics::StopStatistics;
 use crate::fleet::survey::state::Survey;
 use crate::jobs::*;
@@ -137,6 +138,8 @@
     pub survey: Survey,
     /// Statistics of the stops of cancelled tasks, for the log.
     pub stop_statistics: StopStatistics,
+    /// Log lines on orders that are repeated, refused or contradicted.
+    pub order_log: OrderLog,
     /// The last report was rejected because this leader may no longer respond.
     pub refusing_reports: bool,
     /// Dependencies of the unfinished jobs.
@@ -201,6 +204,7 @@
             partitioned: false,
             survey: Survey::default(),
             stop_statistics: StopStatistics::default(),
+            order_log: OrderLog::default(),
             refusing_reports: false,
             dependencies: DependencyState::default(),
             balancer: balancer(facts, policy),
