--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -9,12 +9,12 @@
 use crate::simulation::Simulation;
 
 /// Returns a duration of whole seconds.
-pub fn secs(seconds: u64) -> Duration {
+pub const fn secs(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
 }
 
 /// Returns a duration of whole milliseconds.
-pub fn millis(milliseconds: u64) -> Duration {
+pub const fn millis(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
 }
 
--- a/crates/testkit/src/simulation.rs
+++ b/crates/testkit/src/simulation.rs
@@ -39,6 +39,8 @@
     Cloud { node: usize, incarnation: u64, call: CallId, op: CloudOp, reply: bool },
     /// A machine receives the orders of a direct call.
     Order { node: usize, incarnation: u64, call: CallId, machine: String, orders: Orders, reply: bool },
+    /// A machine receives a copy of the orders of a direct call that it has answered before.
+    OrderCopy { machine: String, orders: Orders },
     /// A node receives a worker's report. The `id` is 0 for a copy, whose response is dropped.
     Report { node: usize, machine: String, id: u64, report: Box<Report> },
     /// A worker receives the response to its report.
@@ -113,6 +115,16 @@
     pub partitioned_machines: BTreeSet<String>,
     /// Time at which direct calls arrive at these machines; their callers have given them up by then.
     pub delayed_orders_until: BTreeMap<String, Duration>,
+    /// Delays after which copies of each direct call that these machines answered arrive there again. Nobody waits
+    /// for the responses to the copies.
+    pub copied_orders_after: BTreeMap<String, Vec<Duration>>,
+    /// Whether direct calls that a worker has answered are recorded, to be delivered again.
+    pub record_orders: bool,
+    recorded_orders: Vec<(String, Orders)>,
+    /// Number of copies of direct calls that arrived at a worker.
+    pub order_copies: u64,
+    /// Number of those whose orders the worker executed.
+    pub executed_order_copies: u64,
     /// Time at which the reports of these machines arrive; the workers have given them up by then.
     pub delayed_reports_until: BTreeMap<String, Duration>,
     /// Machines that receive no message, while the messages they send arrive.
@@ -233,6 +245,11 @@
             partitioned_from_peers: BTreeSet::new(),
             partitioned_machines: BTreeSet::new(),
             delayed_orders_until: BTreeMap::new(),
+            copied_orders_after: BTreeMap::new(),
+            record_orders: false,
+            recorded_orders: Vec::new(),
+            order_copies: 0,
+            executed_order_copies: 0,
             delayed_reports_until: BTreeMap::new(),
             lost_inbound: BTreeSet::new(),
             duplicated_reports_after: BTreeMap::new(),
@@ -444,6 +461,7 @@
         self.partitioned_from_peers.clear();
         self.partitioned_machines.clear();
         self.delayed_orders_until.clear();
+        self.copied_orders_after.clear();
         self.delayed_reports_until.clear();
         self.lost_inbound.clear();
         self.duplicated_reports_after.clear();
--- a/crates/testkit/src/simulation/machine_faults.rs
+++ b/crates/testkit/src/simulation/machine_faults.rs
@@ -62,6 +62,19 @@
         }
     }
 
+    /// From now on, copies of each direct call that a machine answers arrive at it again after each of these delays.
+    pub fn copy_orders_after(&mut self, delays: &[Duration]) {
+        let copies = self.workers.keys().map(|machine| (machine.clone(), delays.to_vec()));
+        self.copied_orders_after = copies.collect();
+    }
+
+    /// Delivers copies of all recorded direct calls to their machines at once.
+    pub fn deliver_recorded_orders(&mut self) {
+        for (machine, orders) in self.recorded_orders.clone() {
+            self.deliver_order_copy(machine, orders);
+        }
+    }
+
     /// Ends all faults of a machine.
     pub fn clear_fault(&mut self, machine: &str) {
         self.interruptions.remove(machine);
@@ -70,6 +83,7 @@
         self.lost_reports.remove(machine);
         self.frozen_until.remove(machine);
         self.delayed_orders_until.remove(machine);
+        self.copied_orders_after.remove(machine);
         self.delayed_reports_until.remove(machine);
         self.partitioned_links.retain(|(_, partitioned)| partitioned != machine);
     }
--- a/crates/testkit/src/simulation/network.rs
+++ b/crates/testkit/src/simulation/network.rs
@@ -225,6 +225,7 @@
                 }
             }
             Event::Order { .. } => self.deliver_orders(event),
+            Event::OrderCopy { machine, orders } => self.deliver_order_copy(machine, orders),
             Event::Report { node, machine, id, report } => {
                 let unreachable = self.partitioned_links.contains(&(node, machine.clone()))
                     || self.partitioned_from_workers.contains(&node);
@@ -265,11 +266,32 @@
         let status = worker.handle_direct_call(now, &orders);
         let report = worker.report();
         if reply {
+            if self.record_orders {
+                self.recorded_orders.push((machine.clone(), orders.clone()));
+            }
+            for delay in self.copied_orders_after.get(&machine).cloned().unwrap_or_default() {
+                let copy = Event::OrderCopy { machine: machine.clone(), orders: orders.clone() };
+                self.schedule(now + delay, copy);
+            }
             let input = Box::new(Input::OrderResponse { call, outcome: Outcome::Responded((status, report)) });
             self.schedule(now + NETWORK_LATENCY, Event::ToNode { node, incarnation, input });
         }
     }
 
+    /// Delivers a copy of a direct call to its worker, unless the machine is gone. A frozen machine receives it when it
+    /// resumes.
+    pub(super) fn deliver_order_copy(&mut self, machine: String, orders: Orders) {
+        if let Some(until) = self.frozen_until.get(&machine).copied() {
+            self.schedule(until + NETWORK_LATENCY, Event::OrderCopy { machine, orders });
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(&machine) {
+            let status = worker.handle_direct_call(self.now, &orders);
+            self.order_copies += 1;
+            self.executed_order_copies += u64::from(status == 200);
+        }
+    }
+
     /// Delivers the response to a report, unless the worker has given the report up.
     fn deliver_report_response(&mut self, machine: &str, id: u64, response: &HttpResponse) {
         let now = self.now;
