A copy of an answered start is refused: workers see a higher token before they forget

What callers saw: a task ran on two machines at once, or a cancelled task ran again, and a team exceeded its limit. Cause: an answered call was taken to be over. A worker carries out whatever matches its token and session, unless it lists the attempt; after a forget, or a restart of the worker, nothing refused a copy of the call that had started the attempt. Change: the leader's tokens are its key's version and the revisions of its committed writes since, all lower than the key of any later leader. The response that makes a worker forget an attempt shows it a token above that of every direct call that started the attempt; an attempt that is missing counts as gone only above it, too. A restarted machine whose starts were uncertain is no longer released, since the higher token refuses them. No message between controllers and no record changes.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -4,9 +4,9 @@
 //! Keeps a task from running on two machines at once. A placement ends only after one of these:
 //! a newer report, from a worker that has seen this leader's token, in which the task is missing
 //! or has exited; a new session of the worker; the confirmed release of the machine; or the
-//! expiry of the worker's lease. A start that was sent by a direct call without a response may
-//! still run late, so the worker's entry for the exited task, which blocks that start, is kept
-//! until the order is resolved.
+//! expiry of the worker's lease. A start that was sent by a direct call may be carried out late or a
+//! second time. It is refused by the worker's entry for the attempt, and once that is to be forgotten,
+//! or is missing, by a higher token (`tokens`).
 
 pub(crate) mod direct_calls;
 mod images;
@@ -21,6 +21,7 @@
 mod stops;
 pub(crate) mod survey;
 mod tasks;
+mod tokens;
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
--- a/crates/core/src/fleet/direct_calls.rs
+++ b/crates/core/src/fleet/direct_calls.rs
@@ -1,4 +1,4 @@
-//! Direct calls to a machine: the one in flight, failed calls, and starts that may still run because a call failed.
+//! Direct calls to a machine: the one in flight, and failed calls.
 
 use std::time::{Duration, Instant};
 
@@ -7,6 +7,8 @@
 /// A direct call in flight.
 #[derive(Clone, Debug)]
 pub(super) struct DirectCall {
+    /// Token of the call.
+    pub(super) token: u64,
     /// Session of the worker when the call was sent.
     pub(super) session: u64,
     /// Session and sequence number of the newest message from the worker when the call was sent.
@@ -59,9 +61,4 @@
     pub(super) fn start_in_flight(&self, attempt: &Attempt) -> bool {
         self.direct_call.as_ref().is_some_and(|call| call.starts.contains(attempt))
     }
-
-    /// Whether a start that was sent by a direct call may still run.
-    pub(super) fn may_still_start(&self, attempt: &Attempt) -> bool {
-        self.unresolved_starts.contains(attempt) || self.start_in_flight(attempt)
-    }
 }
--- a/crates/core/src/fleet/liveness.rs
+++ b/crates/core/src/fleet/liveness.rs
@@ -253,7 +253,6 @@
         tracing::info!(machine = &**name, tasks = lost.len(), waiting = waiting.len(), "its lease has expired");
         let machine = self.machines.get_mut(name).expect("listed");
         machine.expired_session = Some(machine.session);
-        machine.unresolved_starts.clear();
         machine.exited.clear();
         for key in lost {
             self.note_displaced(&key, name);
--- a/crates/core/src/fleet/machine.rs
+++ b/crates/core/src/fleet/machine.rs
@@ -96,8 +96,15 @@
     pub(super) direct_call: Option<DirectCall>,
     /// Earliest time of the next direct call, after a failed or recent one.
     pub(super) next_call_at: Option<Instant>,
-    /// Starts sent by failed direct calls, which may still run.
-    pub(super) unresolved_starts: BTreeSet<Attempt>,
+    /// Token of the newest message to its worker, and at least the highest token that it has shown.
+    pub(super) token: u64,
+    /// Highest token that its worker has shown.
+    pub(super) shown_token: u64,
+    /// Starts sent by direct calls, each with the token of the last one. The calls may be carried out late or again until
+    /// the worker has shown a higher token.
+    pub(super) direct_starts: BTreeMap<Attempt, u64>,
+    /// Its worker must be shown a higher token before what it does not list is proven to be gone.
+    pub(super) token_raise_due: bool,
     /// Exited tasks that the worker still lists.
     pub(super) exited: BTreeMap<Attempt, TaskKey>,
     /// Listed attempts that the worker was ordered to forget.
@@ -181,7 +188,10 @@
             reclaimed_at: None,
             direct_call: None,
             next_call_at: None,
-            unresolved_starts: BTreeSet::new(),
+            token: 0,
+            shown_token: 0,
+            direct_starts: BTreeMap::new(),
+            token_raise_due: false,
             exited: BTreeMap::new(),
             forgets_sent: BTreeSet::new(),
             unexpected_attempts: Vec::new(),
--- a/crates/core/src/fleet/orders.rs
+++ b/crates/core/src/fleet/orders.rs
@@ -1,8 +1,8 @@
 //! Orders to workers, sent in responses to reports and in direct calls.
 //!
-//! Keeps a late start from running a task a second time: a start that was sent by a direct call without a response may
-//! still run. The worker's entry for the exited task, which blocks that start, is therefore kept (no `forget` order)
-//! until the order is resolved.
+//! Keeps a late start from running a task a second time: a direct call may be carried out late, or again after its
+//! response. The worker's entry for the exited task refuses the start until it is forgotten, and a `forget` order goes only
+//! with a token that refuses the call (`tokens`).
 
 use std::time::{Duration, Instant};
 
@@ -47,7 +47,7 @@
             Outcome::Responded((status, report)) if report.machine == **name => {
                 if status == 409 {
                     // None of the orders was executed or will be.
-                    let sent_under = Authority { token: self.token, session: call.session };
+                    let sent_under = Authority { token: call.token, session: call.session };
                     let worker = Authority { token: report.token, session: report.session };
                     self.log_refused_call(now, name, sent_under, worker, &call.starts, call.has_stops);
                 }
@@ -57,12 +57,9 @@
                 if (report.session, report.seq) < call.newest_message {
                     // The response is new, but its session and sequence number are older than those
                     // known before the call: the worker has restarted, and it lists all that it runs.
-                    // A start that got no response may still run there, so the machine is released.
-                    let unresolved = machine.unresolved_starts.len();
-                    tracing::info!(machine = &**name, unresolved, "its worker has restarted");
+                    let direct_starts = machine.direct_starts.len();
+                    tracing::info!(machine = &**name, direct_starts, "its worker has restarted");
                     machine.note_restart(now, env.facts.worker_lease);
-                    machine.responses_lost |= unresolved > 0;
-                    machine.releasing |= machine.responses_lost;
                 }
                 self.apply_report(env, name, &report, Channel::Direct);
                 self.repeat_stops(now, name, call.has_stops);
@@ -77,12 +74,8 @@
                     self.queue_direct_call(name);
                 }
             }
-            outcome => {
+            _ => {
                 machine.note_failed_call(now, DIRECT_CALL_RETRY_DELAY, MAX_BACKOFF_MULTIPLIER);
-                // Its starts may still run, unless the call is known not to have been made.
-                if !matches!(outcome, Outcome::NotExecuted) && machine.session == call.session {
-                    machine.unresolved_starts.extend(call.starts);
-                }
             }
         }
     }
@@ -118,15 +111,15 @@
         }
         machine.orders_due = orders_remain;
         self.forget_exited(name, channel, &mut message);
-        let sent_under = Authority { token: self.token, session: self.machines[name].session };
+        let sent_under = Authority { token: self.token_for(name), session: self.machines[name].session };
         self.log_orders(now, name, sent_under, &message.repeated);
         message
     }
 
-    /// Orders the worker to forget exited tasks whose starts can no longer run.
+    /// Orders the worker to forget exited tasks whose starts it refuses from then on.
     fn forget_exited(&mut self, name: &Name, channel: Channel, message: &mut MachineOrders) {
         let machine = &self.machines[name];
-        let resolved = |attempt: &Attempt| channel == Channel::Report && !machine.may_still_start(attempt);
+        let resolved = |attempt: &Attempt| channel == Channel::Report && machine.refuses_starts_of(attempt);
         let unexpected = machine.unexpected_attempts.iter().filter(|(_, exited)| *exited).map(|(attempt, _)| attempt);
         let durable = |(_, key): &(&Attempt, &TaskKey)| self.records.is_durable(key);
         let exited = machine.exited.iter().filter(durable).map(|(attempt, _)| attempt);
@@ -167,7 +160,7 @@
                 machine.call_postponed = true;
                 continue;
             }
-            let probe = machine.fenced_at.is_none() || machine.failed_calls > 0;
+            let probe = machine.fenced_at.is_none() || machine.failed_calls > 0 || machine.token_raise_due;
             let MachineOrders { orders, .. } = self.orders_for(now, &name, Channel::Direct);
             if orders.is_empty() && !probe {
                 continue;
@@ -181,6 +174,10 @@
         self.direct_call_started();
         let cancelled_stops = self.count_cancelled_stops(&orders);
         self.stop_statistics.record(StopEvent::SentInCall, cancelled_stops);
+        if self.machines[name].token_raise_due {
+            self.raise_token(name);
+        }
+        let token = self.token_for(name);
         let machine = self.machines.get_mut(name).expect("known");
         let starts = orders.iter().filter_map(|order| match order {
             Order::Start { task, attempt } => Some((task.clone(), *attempt)),
@@ -193,9 +190,10 @@
         // repeated, starts cannot.
         let maybe_unreachable = orders.is_empty() || machine.failed_calls > 0 || machine.suspect;
         let probe = starts.is_empty() && maybe_unreachable;
-        tracing::debug!(machine = &**name, token = self.token, session, orders = orders.len(), cancelled_stops, "call");
-        machine.direct_call = Some(DirectCall { session, newest_message, starts, has_stops, cancelled_stops });
-        let body = Orders { token: self.token, session: Some(session), orders };
+        machine.direct_starts.extend(starts.iter().map(|attempt| (attempt.clone(), token)));
+        tracing::debug!(machine = &**name, token, session, orders = orders.len(), cancelled_stops, "call");
+        machine.direct_call = Some(DirectCall { token, session, newest_message, starts, has_stops, cancelled_stops });
+        let body = Orders { token, session: Some(session), orders };
         env.call_worker(name.clone(), machine.addr.clone(), body, probe);
     }
 }
--- a/crates/core/src/fleet/reports.rs
+++ b/crates/core/src/fleet/reports.rs
@@ -39,6 +39,7 @@
         {
             // A delayed duplicate proves nothing and renews nothing: its worker may have died
             // since. Or the worker has restarted, which its response to a probe will show.
+            machine.token_raise_due |= !machine.direct_starts.is_empty();
             if may_call && machine.direct_call.is_none() && machine.next_call_at.is_none_or(|at| at <= now) {
                 machine.next_call_at = Some(now + STALE_REPORT_PROBE_INTERVAL);
                 self.probe(env, &name);
@@ -46,6 +47,9 @@
             return Some(HttpResponse::later(503, "an older report"));
         }
         let report_number = (report.session, report.seq);
+        if self.ready() {
+            self.raise_token(&name);
+        }
         let message = if self.ready() && self.may_predate_restart(&name, report.session) {
             self.confirm_by_call(env, &name, ReportedList::of(&report, &tasks));
             self.orders_for(now, &name, Channel::Report)
@@ -66,7 +70,8 @@
             return Some(HttpResponse::later(503, "its stops do not fit into an answer"));
         }
         self.note_response(now, &name, report_number, &message.orders);
-        Some(HttpResponse::json(200, &Orders { token: self.token, session: None, orders: message.orders }))
+        let token = self.token_for(&name);
+        Some(HttpResponse::json(200, &Orders { token, session: None, orders: message.orders }))
     }
 
     /// Notes a response to a report, which renews the worker's lease.
@@ -137,10 +142,12 @@
             && machine.seq < report.seq
             && machine.fenced_at.is_some()
             && report.token >= self.token
+            && machine.has_kept_token(report.token)
             && report.notice_s.is_none()
             && (machine.addr == report.addr || matches!(tasks, ReportedTasks::Digest(_)))
         {
             machine.seq = report.seq;
+            machine.note_shown_token(report.token);
             machine.note_alive(env.steady(), Channel::Report, env.facts.report_interval);
             return Ok(true);
         }
@@ -199,10 +206,11 @@
         }
         machine.session = report.session;
         machine.seq = report.seq;
-        if report.token < self.token {
+        if report.token < self.token || !machine.has_kept_token(report.token) {
             self.show_token(env, name, report, channel);
             return false;
         }
+        machine.note_shown_token(report.token);
         let was_fenced = machine.fenced_at.is_some();
         machine.fenced_at.get_or_insert(now);
         machine.unverified = false;
@@ -275,14 +283,18 @@
     }
 
     /// Handles tasks that are placed on the machine but not listed by its worker. A task that was only ordered to
-    /// start is ordered again. One that was listed before, or comes from a record, is proven to be gone.
+    /// start is ordered again. One that was listed before, or comes from a record, is proven to be gone if the worker
+    /// refuses all direct calls that start it.
     fn handle_missing_tasks(&mut self, env: &mut Env, name: &Name, missing: Vec<TaskKey>) {
         let now = env.steady();
         for key in missing {
             let placement = &self.jobs[&key.0].placements[&key.1];
-            let may_still_start =
-                self.machines[name].unresolved_starts.contains(&(format!("{}/{}", key.0, key.1), placement.attempt));
-            if !matches!(placement.stage, Stage::Planned | Stage::Ordered) && !may_still_start {
+            if matches!(placement.stage, Stage::Planned | Stage::Ordered) {
+                continue;
+            }
+            if self.machines[name].may_still_start(&(format!("{}/{}", key.0, key.1), placement.attempt)) {
+                self.request_token_raise(name);
+            } else {
                 tracing::debug!(job = &*key.0, task = key.1, machine = &**name, "task is missing from its machine");
                 self.clear_placement(env, &key, now);
             }
@@ -293,12 +305,17 @@
     fn handle_new_session(&mut self, env: &mut Env, name: &Name) {
         let now = env.steady();
         let machine = self.machines.get_mut(name).expect("reported");
-        machine.unresolved_starts.clear();
+        if !machine.may_predate_restart(machine.session) {
+            machine.direct_starts.clear();
+        }
         machine.exited.clear();
         machine.images.clear();
         tracing::info!(machine = &**name, session = machine.session, tasks = machine.tasks.len(), "new session");
         for key in machine.tasks.clone() {
-            if self.jobs[&key.0].placements[&key.1].start_sent {
+            let placement = &self.jobs[&key.0].placements[&key.1];
+            if self.machines[name].may_still_start(&(format!("{}/{}", key.0, key.1), placement.attempt)) {
+                self.request_token_raise(name);
+            } else if placement.start_sent {
                 self.note_displaced(&key, name);
                 self.clear_placement(env, &key, now);
             }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -333,7 +333,7 @@
         let Some(term) = &mut self.term else {
             return ReportOutcome::NotLeader(report);
         };
-        if report.token > term.token {
+        if report.token > term.newest_token {
             self.step_down("a worker has seen a higher token");
             return ReportOutcome::NotLeader(report);
         }
@@ -356,7 +356,7 @@
         };
         let Some(term) = &mut self.term else { return };
         if let Outcome::Responded((_, report)) = &outcome
-            && report.token > term.token
+            && report.token > term.newest_token
         {
             self.step_down("a worker has seen a higher token");
             return;
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -110,6 +110,7 @@
             || moves_due
             || self.zone_record_is_unwritten()
             || records.outcome_unknown
+            || records.revision_due
             || !records.changed_tasks.is_empty()
             || !records.keys_to_delete.is_empty();
         let interval =
@@ -206,7 +207,10 @@
         self.records.write_in_flight = false;
         self.records.tasks_in_flight.clear();
         match outcome {
-            Outcome::Responded(StoreResponse::Committed(version)) => self.write_committed(env, batch, version),
+            Outcome::Responded(StoreResponse::Committed(version)) => {
+                self.note_committed_revision(version);
+                self.write_committed(env, batch, version);
+            }
             Outcome::Responded(StoreResponse::ConditionsFailed(failed)) => {
                 if failed.iter().any(|key| key == LEADER_KEY) {
                     return true;
--- a/crates/core/src/records/log.rs
+++ b/crates/core/src/records/log.rs
@@ -76,7 +76,7 @@
         let records = &mut self.records;
         // Tasks of finished jobs need no record.
         ended.iter().for_each(|key| records.mark_written(key));
-        if due.is_empty() && !records.outcome_unknown && !other_records_unwritten {
+        if due.is_empty() && !records.outcome_unknown && !records.revision_due && !other_records_unwritten {
             return;
         }
         let jobs = &self.jobs;
--- a/crates/core/src/records/state.rs
+++ b/crates/core/src/records/state.rs
@@ -67,6 +67,8 @@
     /// Whether a transaction without a response may still be applied. The open segment is then read and
     /// written again, so that the late transaction fails.
     pub(super) outcome_unknown: bool,
+    /// A write is needed for its revision, even if nothing has changed.
+    pub revision_due: bool,
     /// Whether the open segment must be read because its version is uncertain.
     pub(super) reread_segment: bool,
     /// Jobs whose records must be read because their versions are uncertain.
--- a/crates/core/src/term.rs
+++ b/crates/core/src/term.rs
@@ -67,6 +67,8 @@
 pub(crate) struct Term {
     /// Fencing token of this leader.
     pub token: u64,
+    /// Highest token that this leader may issue: the revision of its newest committed write.
+    pub newest_token: u64,
     pub started_at: Instant,
     /// From this time on no earlier leader responds to any worker.
     pub predecessors_inactive_at: Instant,
@@ -115,6 +117,8 @@
     pub speculation: Speculation,
     /// Machines with orders that should not wait for the next report.
     pub machines_to_call: BTreeSet<(CallReason, Name)>,
+    /// Machines whose workers must be shown a higher token than any that this leader has so far.
+    pub machines_awaiting_revision: BTreeSet<Name>,
     /// Number of direct calls in flight.
     pub direct_calls_in_flight: usize,
     /// Number of direct calls that may be started before the next tick.
@@ -165,6 +169,7 @@
     pub fn new(token: u64, now: Instant, predecessors_inactive_at: Instant, facts: &Facts, policy: &Policy) -> Term {
         Term {
             token,
+            newest_token: token,
             started_at: now,
             predecessors_inactive_at,
             predecessors_known_inactive: false,
@@ -192,6 +197,7 @@
             renting: RentalState::default(),
             speculation: Speculation::default(),
             machines_to_call: BTreeSet::new(),
+            machines_awaiting_revision: BTreeSet::new(),
             direct_calls_in_flight: 0,
             direct_call_budget: (facts.max_direct_calls / INITIAL_CALL_DIVISOR).max(1),
             direct_calls_per_tick: (facts.max_direct_calls / INITIAL_CALL_DIVISOR).max(1),
--- a/crates/core/tests/late_copies.rs
+++ b/crates/core/tests/late_copies.rs
@@ -4,34 +4,71 @@
 
 use std::time::Duration;
 
-use rushyoke_core::Facts;
+use rushyoke_core::{Facts, Policy, Team};
 use rushyoke_testkit::{Simulation, Task, facts, job, job_id, millis, secs, service};
-use rushyoke_wire::worker::TaskState;
+use rushyoke_wire::job::{JobSpec, Priority};
+use rushyoke_wire::worker::{Cause, TaskState};
 
-/// Delays of the copies, from milliseconds to minutes.
-const COPY_DELAYS: [Duration; 8] =
-    [millis(10), millis(200), millis(700), millis(1500), secs(3), secs(8), secs(30), secs(150)];
+/// Delays of the copies after the attempts have ended, from milliseconds to minutes.
+const COPY_DELAYS: [Duration; 11] = [
+    millis(10),
+    millis(100),
+    millis(400),
+    millis(1000),
+    millis(1800),
+    millis(2600),
+    secs(4),
+    secs(8),
+    secs(25),
+    secs(70),
+    secs(180),
+];
 /// Duration of tasks that are not to end during a scenario, in seconds.
 const LONG_TASK_S: f64 = 2000.0;
 
-/// Runs a scenario with one copy of each call for each delay, and with several copies.
-fn for_each_delay(scenario: impl Fn(&[Duration])) {
-    for delay in COPY_DELAYS {
-        println!("one copy after {delay:?}");
-        scenario(&[delay]);
+/// How the first attempts of job 1 end.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Ending {
+    Failed,
+    Done,
+    Refused,
+    Preempted,
+    PreemptedWithCheckpoint,
+    Cancelled,
+}
+
+/// What happens besides, from the end of the attempts on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Disturbance {
+    Nothing,
+    /// The machines' next reports are lost.
+    ReportsLost,
+    LeaderRestartsAtOnce,
+    AnotherLeader,
+    TwoLeadersLater,
+    WorkersRestart,
+    WorkersRestartUnderAnotherLeader,
+}
+
+impl Disturbance {
+    /// Time from which on copies are delivered: a worker that restarts is reached again before.
+    fn copies_from(self) -> Duration {
+        match self {
+            Disturbance::WorkersRestart => secs(8),
+            Disturbance::WorkersRestartUnderAnotherLeader => secs(25),
+            _ => Duration::ZERO,
+        }
     }
-    println!("copies after {COPY_DELAYS:?}");
-    scenario(&COPY_DELAYS);
 }
 
-/// Returns a simulation with long tasks on machines that receive late copies, and an elected leader.
-fn simulation_with_copies(facts: Facts, machines: usize, delays: &[Duration]) -> Simulation {
-    let mut simulation = Simulation::with_facts(facts, machines, Default::default(), &["a", "b"]);
+/// Returns a simulation with long tasks whose direct calls with starts are recorded, and an elected leader.
+fn recording_simulation(facts: Facts, machines: usize) -> Simulation {
+    let mut simulation = Simulation::with_facts(facts, machines, Policy::default(), &["a", "b"]);
     simulation.cloud.capacity = machines as u32;
     simulation.task_duration_s = LONG_TASK_S;
     simulation.workers.values_mut().for_each(|worker| worker.task_duration_s = LONG_TASK_S);
     simulation.run(secs(6));
-    simulation.copy_orders_after(delays);
+    simulation.record_starts = true;
     simulation
 }
 
@@ -40,51 +77,227 @@
     simulation.workers.values_mut().for_each(|worker| worker.fails_all_tasks = fails);
 }
 
-/// Runs until the copies of all calls so far have arrived, and asserts that some arrived.
-fn run_until_copies_arrived(simulation: &mut Simulation, delays: &[Duration]) {
-    let longest = delays.iter().max().copied().unwrap_or_default();
-    simulation.copied_orders_after.clear();
-    simulation.run(longest + secs(5));
-    assert!(simulation.order_copies > 0, "no copy arrived");
+/// Returns the number of attempts that workers list as exited for this cause.
+fn exited(simulation: &Simulation, cause: Cause) -> usize {
+    simulation.workers.values().flat_map(|worker| &worker.tasks).filter(|task| task.cause == Some(cause)).count()
+}
+
+/// Submits job 1 and runs until its first attempts have ended.
+fn end_first_attempts(simulation: &mut Simulation, spec: JobSpec, ending: Ending) {
+    match ending {
+        Ending::Failed => {
+            let tasks = u64::from(spec.tasks);
+            fail_all_tasks(simulation, true);
+            simulation.submit(0, spec);
+            assert!(simulation.run_until(secs(8), |simulation| simulation.failed_tasks >= tasks));
+            fail_all_tasks(simulation, false);
+        }
+        Ending::Done => {
+            simulation.workers.values_mut().for_each(|worker| worker.task_duration_s = 2.0);
+            simulation.submit(0, spec);
+            assert!(simulation.run_until(secs(8), |simulation| exited(simulation, Cause::Done) > 0));
+        }
+        Ending::Refused => {
+            let refuse = |simulation: &mut Simulation, cause: Option<Cause>| {
+                simulation.workers.values_mut().for_each(|worker| worker.refuses_starts = cause)
+            };
+            refuse(simulation, Some(Cause::InsufficientResources));
+            simulation.submit(0, spec);
+            let refused = |simulation: &Simulation| exited(simulation, Cause::InsufficientResources) > 0;
+            assert!(simulation.run_until(secs(8), refused));
+            refuse(simulation, None);
+        }
+        Ending::Preempted | Ending::PreemptedWithCheckpoint => {
+            let cpus = simulation.workers.len() as u32 * 16;
+            let save_s = if ending == Ending::Preempted { 0.0 } else { 2.0 };
+            let victim = JobSpec {
+                priority: Priority::BestEffort,
+                team: "blue".into(),
+                checkpoint_interval_s: save_s * 2.0,
+                save_s,
+                ..job(1, cpus)
+            };
+            simulation.submit(0, victim);
+            assert!(simulation.run_until(secs(10), |simulation| simulation.started_tasks == u64::from(cpus)));
+            simulation.send_submission(0, service(2, 4));
+            assert!(simulation.run_until(secs(10), |simulation| exited(simulation, Cause::Stopped) > 0));
+        }
+        Ending::Cancelled => {
+            let tasks = u64::from(spec.tasks);
+            simulation.submit(0, spec);
+            assert!(simulation.run_until(secs(8), |simulation| simulation.started_tasks == tasks));
+            simulation.cancel_and_confirm(1, "wk-000001");
+        }
+    }
+}
+
+/// Runs until `time` after `start`.
+fn run_to(simulation: &mut Simulation, start: Duration, time: Duration) {
+    simulation.run((start + time).saturating_sub(simulation.now));
+}
+
+/// Crashes the leader, and starts it again after a pause.
+fn restart_leader(simulation: &mut Simulation, pause: Duration) {
+    let leader = simulation.leader().expect("a leader");
+    simulation.crash_node(leader);
+    simulation.run(pause);
+    simulation.start_node(leader);
+}
+
+/// Restarts all workers; their sessions and numbers begin anew.
+fn restart_workers(simulation: &mut Simulation) {
+    let machines: Vec<String> = simulation.workers.keys().cloned().collect();
+    machines.iter().for_each(|machine| simulation.restart_worker(machine));
 }
 
-/// Asserts that a job has this many running tasks, and that this many tasks were started in all.
-fn assert_running(simulation: &Simulation, number: u32, running: usize, started: u64) {
-    let tasks = simulation.running_tasks(&job_id(number));
-    assert_eq!((tasks.len(), simulation.started_tasks), (running, started), "{tasks:?}");
+/// Brings the disturbance about.
+fn disturb(simulation: &mut Simulation, disturbance: Disturbance) {
+    match disturbance {
+        Disturbance::Nothing => {}
+        Disturbance::ReportsLost => simulation.lost_reports = simulation.workers.keys().cloned().collect(),
+        Disturbance::LeaderRestartsAtOnce => restart_leader(simulation, millis(10)),
+        Disturbance::AnotherLeader => restart_leader(simulation, secs(4)),
+        Disturbance::TwoLeadersLater => (0..2).for_each(|_| restart_leader(simulation, secs(5))),
+        Disturbance::WorkersRestart => {
+            simulation.run(secs(3));
+            restart_workers(simulation);
+        }
+        Disturbance::WorkersRestartUnderAnotherLeader => {
+            restart_leader(simulation, secs(5));
+            simulation.run(secs(8));
+            restart_workers(simulation);
+        }
+    }
+}
+
+/// Ends the first attempts of job 1, delivers copies of all their starts after each of the delays, and asserts that these
+/// start nothing. The simulation asserts that no rule is broken meanwhile.
+fn check_copies(
+    simulation: &mut Simulation,
+    spec: JobSpec,
+    ending: Ending,
+    disturbance: Disturbance,
+    delays: &[Duration],
+) {
+    end_first_attempts(simulation, spec, ending);
+    let start = simulation.now;
+    simulation.record_starts = false;
+    // The cloud releases no machine, so that the copies find theirs.
+    simulation.cloud.outage = true;
+    disturb(simulation, disturbance);
+    for delay in delays.iter().filter(|delay| **delay >= disturbance.copies_from()) {
+        run_to(simulation, start, *delay);
+        simulation.deliver_recorded_starts();
+        assert!(simulation.order_copies > 0, "{ending:?}, {disturbance:?}, {delay:?}: no copy was delivered");
+        simulation.run(secs(1));
+        simulation.lost_reports.clear();
+    }
+    simulation.run(secs(6));
+    assert_eq!(simulation.starts_by_copies, 0, "{ending:?}, {disturbance:?}, copies after {delays:?}");
+}
+
+/// Checks one kind of disturbance with each kind of ending, with a single copy for each delay and with several.
+fn check_all_endings(disturbance: Disturbance) {
+    use Ending::*;
+    for ending in [Failed, Done, Refused, Preempted, PreemptedWithCheckpoint, Cancelled] {
+        let spec = if ending == Done { job(1, 2) } else { service(1, 2) };
+        let single_copies = COPY_DELAYS.iter().map(std::slice::from_ref);
+        for delays in single_copies.chain([COPY_DELAYS.as_slice()]) {
+            let mut simulation = recording_simulation(facts(0, 3), 2);
+            check_copies(&mut simulation, spec.clone(), ending, disturbance, delays);
+        }
+    }
 }
 
 #[test]
-fn a_copy_of_a_start_does_not_run_a_failed_task_a_second_time() {
-    for_each_delay(|delays| {
-        let mut simulation = simulation_with_copies(facts(0, 3), 2, delays);
-        fail_all_tasks(&mut simulation, true);
-        simulation.submit(0, service(1, 1));
-        assert!(simulation.run_until(secs(5), |simulation| simulation.failed_tasks == 1));
-        fail_all_tasks(&mut simulation, false);
-        simulation.run(secs(4));
-        run_until_copies_arrived(&mut simulation, delays);
-        assert_running(&simulation, 1, 1, 1);
-    });
+fn copies_of_starts_run_no_attempt_that_has_ended() {
+    check_all_endings(Disturbance::Nothing);
+}
+
+#[test]
+fn copies_of_starts_run_no_attempt_while_reports_are_lost() {
+    check_all_endings(Disturbance::ReportsLost);
 }
 
-/// Runs until a worker has forgotten all its tasks.
-fn run_until_forgotten(simulation: &mut Simulation, machine: &str) {
-    assert!(simulation.run_until(secs(10), |simulation| simulation.workers[machine].tasks.is_empty()));
+#[test]
+fn copies_of_starts_run_no_attempt_after_the_leader_was_back_at_once() {
+    check_all_endings(Disturbance::LeaderRestartsAtOnce);
+}
+
+#[test]
+fn copies_of_starts_of_earlier_leaders_run_no_attempt() {
+    check_all_endings(Disturbance::AnotherLeader);
+    check_all_endings(Disturbance::TwoLeadersLater);
+}
+
+#[test]
+fn copies_of_starts_run_no_attempt_on_a_worker_that_restarted() {
+    check_all_endings(Disturbance::WorkersRestart);
+    check_all_endings(Disturbance::WorkersRestartUnderAnotherLeader);
+}
+
+#[test]
+fn copies_of_starts_break_neither_limits_nor_zones() {
+    let team = |cpus| Team { cpus, cpus_max: cpus, gpus: 0.0, gpus_max: 0.0 };
+    let at_limit = Facts { teams: [("red".to_owned(), team(4.0))].into(), ..facts(0, 3) };
+    let specs = [service(1, 4), JobSpec { spread: true, ..service(1, 4) }, JobSpec { one_zone: true, ..service(1, 4) }];
+    for spec in specs {
+        for ending in [Ending::Failed, Ending::Refused, Ending::Cancelled] {
+            let mut simulation = recording_simulation(at_limit.clone(), 4);
+            check_copies(&mut simulation, spec.clone(), ending, Disturbance::Nothing, &COPY_DELAYS);
+        }
+    }
+}
+
+#[test]
+fn copies_of_starts_meet_a_new_attempt_on_the_same_machine() {
+    let mut simulation = recording_simulation(facts(0, 3), 1);
+    check_copies(&mut simulation, service(1, 3), Ending::Refused, Disturbance::Nothing, &COPY_DELAYS);
+    assert_eq!((simulation.running_tasks("wk-000001").len(), simulation.started_tasks), (3, 3));
+}
+
+#[test]
+fn copies_of_starts_run_no_task_twice_that_lost_its_worker() {
+    // The worker is back at once, in its first session, and knows no token; a notice moves its tasks elsewhere.
+    for delay in COPY_DELAYS {
+        let mut simulation = recording_simulation(facts(0, 3), 3);
+        simulation.submit(0, service(1, 3));
+        assert!(simulation.run_until(secs(8), |simulation| simulation.started_tasks == 3));
+        simulation.run(secs(20));
+        simulation.cloud.outage = true;
+        let (_, machine) = simulation.running_tasks("wk-000001")[0].clone();
+        simulation.restart_worker(&machine);
+        simulation.workers.get_mut(&machine).expect("the machine is up").notice_s = Some(200.0);
+        simulation.run(delay);
+        simulation.deliver_recorded_starts();
+        simulation.run(secs(30));
+        assert_eq!(simulation.running_tasks("wk-000001").len(), 3, "{delay:?}");
+    }
+}
+
+#[test]
+fn a_copy_of_a_start_does_not_run_a_failed_task_a_second_time() {
+    for delay in COPY_DELAYS {
+        let mut simulation = recording_simulation(facts(0, 3), 2);
+        simulation.copy_orders_after(&[delay]);
+        end_first_attempts(&mut simulation, service(1, 1), Ending::Failed);
+        simulation.run(secs(4));
+        simulation.copied_orders_after.clear();
+        simulation.run(delay + secs(5));
+        assert!(simulation.order_copies > 0, "no copy arrived");
+        assert_eq!((simulation.running_tasks("wk-000001").len(), simulation.started_tasks), (1, 1), "{delay:?}");
+    }
 }
 
 #[test]
 fn an_attempt_that_runs_again_after_its_end_was_reported_is_stopped() {
     let deployment = Facts { report_interval: secs(3), worker_lease: secs(28), cancel_limit: secs(48), ..facts(0, 3) };
     for delay in [millis(10), millis(100), millis(400), millis(900)] {
-        let mut simulation = simulation_with_copies(deployment.clone(), 1, &[]);
-        fail_all_tasks(&mut simulation, true);
-        simulation.submit(0, job(1, 2));
-        assert!(simulation.run_until(secs(5), |simulation| simulation.failed_tasks == 2));
+        let mut simulation = recording_simulation(deployment.clone(), 1);
+        end_first_attempts(&mut simulation, job(1, 2), Ending::Failed);
         let ended = simulation.workers["n-000000"].tasks[0].clone();
-        fail_all_tasks(&mut simulation, false);
-        simulation.cancel_and_confirm(1, "wk-000001");
-        run_until_forgotten(&mut simulation, "n-000000");
+        simulation.cancel_and_confirm(1, &job_id(1));
+        assert!(simulation.run_until(secs(10), |simulation| simulation.workers["n-000000"].tasks.is_empty()));
         // No report shows that the worker has forgotten the attempt before it runs again.
         simulation.lost_reports.insert("n-000000".into());
         simulation.run(delay);
--- a/crates/testkit/src/simulation.rs
+++ b/crates/testkit/src/simulation.rs
@@ -118,13 +118,13 @@
     /// Delays after which copies of each direct call that these machines answered arrive there again. Nobody waits
     /// for the responses to the copies.
     pub copied_orders_after: BTreeMap<String, Vec<Duration>>,
-    /// Whether direct calls that a worker has answered are recorded, to be delivered again.
-    pub record_orders: bool,
-    recorded_orders: Vec<(String, Orders)>,
+    /// Whether direct calls with starts that a worker has answered are recorded, to be delivered again.
+    pub record_starts: bool,
+    recorded_starts: Vec<(String, Orders)>,
     /// Number of copies of direct calls that arrived at a worker.
     pub order_copies: u64,
-    /// Number of those whose orders the worker executed.
-    pub executed_order_copies: u64,
+    /// Number of attempts that such copies started.
+    pub starts_by_copies: u64,
     /// Time at which the reports of these machines arrive; the workers have given them up by then.
     pub delayed_reports_until: BTreeMap<String, Duration>,
     /// Machines that receive no message, while the messages they send arrive.
@@ -246,10 +246,10 @@
             partitioned_machines: BTreeSet::new(),
             delayed_orders_until: BTreeMap::new(),
             copied_orders_after: BTreeMap::new(),
-            record_orders: false,
-            recorded_orders: Vec::new(),
+            record_starts: false,
+            recorded_starts: Vec::new(),
             order_copies: 0,
-            executed_order_copies: 0,
+            starts_by_copies: 0,
             delayed_reports_until: BTreeMap::new(),
             lost_inbound: BTreeSet::new(),
             duplicated_reports_after: BTreeMap::new(),
--- a/crates/testkit/src/simulation/machine_faults.rs
+++ b/crates/testkit/src/simulation/machine_faults.rs
@@ -68,9 +68,9 @@
         self.copied_orders_after = copies.collect();
     }
 
-    /// Delivers copies of all recorded direct calls to their machines at once.
-    pub fn deliver_recorded_orders(&mut self) {
-        for (machine, orders) in self.recorded_orders.clone() {
+    /// Delivers copies of all recorded direct calls with starts to their machines at once.
+    pub fn deliver_recorded_starts(&mut self) {
+        for (machine, orders) in self.recorded_starts.clone() {
             self.deliver_order_copy(machine, orders);
         }
     }
--- a/crates/testkit/src/simulation/network.rs
+++ b/crates/testkit/src/simulation/network.rs
@@ -4,7 +4,7 @@
 
 use rushyoke_core::{CallId, CloudOp, HttpResponse, Input, Outcome, Output, RequestId, StoreOp, StoreResponse};
 use rushyoke_wire::peer::{PeerResponse, RelayRequest, RelayResponse, decode};
-use rushyoke_wire::worker::{Orders, Report, ReportRedirect};
+use rushyoke_wire::worker::{Order, Orders, Report, ReportRedirect};
 
 use super::{Event, NETWORK_LATENCY, Requester, Simulation, Watch};
 
@@ -266,8 +266,8 @@
         let status = worker.handle_direct_call(now, &orders);
         let report = worker.report();
         if reply {
-            if self.record_orders {
-                self.recorded_orders.push((machine.clone(), orders.clone()));
+            if self.record_starts && orders.orders.iter().any(|order| matches!(order, Order::Start { .. })) {
+                self.recorded_starts.push((machine.clone(), orders.clone()));
             }
             for delay in self.copied_orders_after.get(&machine).cloned().unwrap_or_default() {
                 let copy = Event::OrderCopy { machine: machine.clone(), orders: orders.clone() };
@@ -286,9 +286,10 @@
             return;
         }
         if let Some(worker) = self.workers.get_mut(&machine) {
-            let status = worker.handle_direct_call(self.now, &orders);
+            let listed_before = worker.tasks.len();
+            worker.handle_direct_call(self.now, &orders);
             self.order_copies += 1;
-            self.executed_order_copies += u64::from(status == 200);
+            self.starts_by_copies += worker.tasks.len().saturating_sub(listed_before) as u64;
         }
     }
 
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -35,6 +35,10 @@
     seq: u64,
     /// The highest fencing token received.
     pub token: u64,
+    /// Whether it has seen a higher token that it has not reported yet.
+    token_is_news: bool,
+    /// When it last reported early because of a higher token.
+    token_reported_at: Option<Duration>,
     /// All tasks on the machine.
     pub tasks: Vec<Task>,
     /// Start of the lease: when the last report that got a response was sent, or when the session began.
@@ -68,6 +72,8 @@
             session: 1,
             seq: 0,
             token: 0,
+            token_is_news: false,
+            token_reported_at: None,
             tasks: Vec::new(),
             lease_start: now,
             node: 0,
@@ -122,7 +128,13 @@
     /// the lease has expired. Tasks for which `is_service` holds run until they are stopped. Returns whether
     /// anything changed.
     pub fn advance(&mut self, now: Duration, lease: Duration, is_service: impl Fn(&str) -> bool) -> bool {
-        let mut changed = false;
+        // A higher token counts as a change at most once per half of a lease.
+        let mut changed =
+            self.token_is_news && self.token_reported_at.is_none_or(|reported_at| now >= reported_at + lease / 2);
+        if changed {
+            self.token_is_news = false;
+            self.token_reported_at = Some(now);
+        }
         if now > self.lease_start + lease {
             self.tasks.clear();
             self.session += 1;
@@ -160,7 +172,7 @@
         if orders.token < self.token || session != self.session {
             return;
         }
-        self.token = orders.token;
+        self.note_token(orders.token);
         self.lease_start = self.lease_start.max(sent_at);
         self.execute_orders(now, &orders.orders);
     }
@@ -170,11 +182,16 @@
         if orders.token < self.token || orders.session != Some(self.session) {
             return 409;
         }
-        self.token = orders.token;
+        self.note_token(orders.token);
         self.execute_orders(now, &orders.orders);
         200
     }
 
+    fn note_token(&mut self, token: u64) {
+        self.token_is_news |= token > self.token;
+        self.token = token;
+    }
+
     /// Starts, stops and forgets tasks as ordered.
     fn execute_orders(&mut self, now: Duration, orders: &[Order]) {
         for order in orders {
