An attempt that is listed as alive although its end was reported is stopped

What callers saw: a task of a cancelled job ran for 54 s, until it was done, and the leader sent no order in all that time. Cause: once an attempt had ended, and until a report no longer listed it, what the worker said of it was set aside. It was forgotten, the report that would have shown that was lost, and when the worker listed it again as running it still counted as ended. Change: an attempt that is alive and not placed on the machine is stopped, whether its end was reported or not; the order to forget it still waits until its end is durable. Both cases are logged.

--- a/crates/core/src/fleet/order_log.rs
+++ b/crates/core/src/fleet/order_log.rs
@@ -25,9 +25,9 @@
     ForgetRepeated,
     /// The worker refused a direct call, because of its token or session.
     Refused,
-    /// The worker lists an attempt as alive whose end it had reported.
+    /// The worker lists an attempt as alive whose end it had reported. It is stopped.
     EndedAttemptAlive,
-    /// The worker lists an attempt as alive that is not placed on its machine.
+    /// The worker lists an attempt as alive that is not placed on its machine. It is stopped.
     UnplacedAttemptAlive,
 }
 
@@ -44,8 +44,8 @@
             OrderEvent::StopRepeated => "stop repeated: the attempt is still listed",
             OrderEvent::ForgetRepeated => "forget repeated: the ended attempt is still listed",
             OrderEvent::Refused => "direct orders refused by the worker",
-            OrderEvent::EndedAttemptAlive => "an attempt whose end was reported is alive",
-            OrderEvent::UnplacedAttemptAlive => "an attempt that is not placed on the machine is alive",
+            OrderEvent::EndedAttemptAlive => "an attempt whose end was reported is alive: stopping it",
+            OrderEvent::UnplacedAttemptAlive => "an attempt that is not placed on the machine is alive: stopping it",
         }
     }
 }
--- a/crates/core/src/fleet/reports.rs
+++ b/crates/core/src/fleet/reports.rs
@@ -249,13 +249,17 @@
             if let Some(key) = key.filter(|key| self.is_placed(key, name, task.attempt)) {
                 seen.insert(key.clone());
                 self.apply_task_report(env, &key, task);
-            } else if !self.machines[name].exited.contains_key(&attempt) {
-                unexpected_attempts.push((attempt.clone(), task.state == TaskState::Exited));
-                if task.state != TaskState::Exited {
-                    contradictions.push((OrderEvent::UnplacedAttemptAlive, attempt.clone()));
+            } else {
+                let has_ended = self.machines[name].exited.contains_key(&attempt);
+                let is_alive = task.state != TaskState::Exited;
+                if is_alive {
+                    let event =
+                        if has_ended { OrderEvent::EndedAttemptAlive } else { OrderEvent::UnplacedAttemptAlive };
+                    contradictions.push((event, attempt.clone()));
+                }
+                if is_alive || !has_ended {
+                    unexpected_attempts.push((attempt.clone(), !is_alive));
                 }
-            } else if task.state != TaskState::Exited {
-                contradictions.push((OrderEvent::EndedAttemptAlive, attempt.clone()));
             }
             listed.insert(attempt);
         }
