Late copies of direct calls in the random tests, after moves, restarts for speed and evacuations

Cause: the fakes delivered a direct call once, so no random test could find the fault. Scenarios for moved, restarted and evacuated tasks, for tokens beside leaders of an earlier version, and for the time until a restarted worker is shown the token (500 ms at most). A copy to a worker that has restarted and had no message since is withheld and counted: nothing that a controller sent before could refuse it.

--- a/crates/core/tests/balance/failures.rs
+++ b/crates/core/tests/balance/failures.rs
@@ -312,3 +312,16 @@
         assert_eq!(tasks_per_machine(&simulation, &[1, 2, 3]).values().sum::<usize>(), 64);
     }
 }
+
+#[test]
+fn copies_of_starts_run_no_task_that_was_moved() {
+    let mut simulation = skewed_fleet(4, 8, rebalancing_policy());
+    let mut history = TaskHistory::default();
+    for _ in 0..16 {
+        history.run(&mut simulation, &[1, 2, 3], secs(4));
+        simulation.deliver_recorded_starts();
+    }
+    assert!(history.move_counts().0 > 20 && simulation.order_copies > 0, "{:?}", history.move_counts());
+    check_recovery(&mut simulation, &mut history);
+    assert_eq!(simulation.starts_by_copies, 0);
+}
--- a/crates/core/tests/balance/support.rs
+++ b/crates/core/tests/balance/support.rs
@@ -88,6 +88,7 @@
     simulation.boot_time = secs(2);
     simulation.workers.values_mut().for_each(|worker| worker.task_duration_s = 300.0);
     simulation.cloud.capacity = full as u32;
+    simulation.record_starts = true;
     simulation.run(secs(6));
     assert_eq!(simulation.submit(0, service(1, 4)), Some(201));
     simulation.run(secs(3));
--- a/crates/core/tests/esplash.rs
+++ b/crates/core/tests/esplash.rs
@@ -115,3 +115,24 @@
     assert_eq!(simulation.job_state(0, "wk-000001"), Some(JobStatus::Done));
     assert!(simulation.started_tasks > 32 && simulation.started_tasks <= 32 + 8, "{} starts", simulation.started_tasks);
 }
+
+#[test]
+fn copies_of_starts_run_no_task_that_was_restarted_for_speed() {
+    let mut simulation = Simulation::new(4);
+    simulation.record_starts = true;
+    simulation.run(Duration::from_secs(6));
+    for (n, worker) in simulation.workers.values_mut().enumerate() {
+        worker.slowdown = 1.0 + 0.1 * n as f64;
+    }
+    simulation.workers.get_mut("n-000001").expect("the machine is up").slowdown = 20.0;
+    let mut spec = job(1, 32);
+    spec.cpus = 2.0;
+    simulation.submit(0, spec);
+    for _ in 0..40 {
+        simulation.run(Duration::from_secs(3));
+        simulation.deliver_recorded_starts();
+    }
+    assert_eq!(simulation.job_state(0, "wk-000001"), Some(JobStatus::Done));
+    assert!(simulation.started_tasks > 32 && simulation.order_copies > 0, "{} starts", simulation.started_tasks);
+    assert_eq!(simulation.starts_by_copies, 0);
+}
--- a/crates/core/tests/failover/evacuation.rs
+++ b/crates/core/tests/failover/evacuation.rs
@@ -34,6 +34,27 @@
     }
 }
 
+#[test]
+fn copies_of_starts_run_no_task_of_an_evacuated_zone() {
+    let mut simulation = busy_fleet(12, failover_on());
+    let zone = zone_without_leader(&simulation);
+    partition_zone(&mut simulation, zone);
+    run_until_zone_state(&mut simulation, zone, "lost", secs(7));
+    // The copies reach the machines of the zone, too, while nothing else does.
+    for _ in 0..10 {
+        simulation.run(secs(4));
+        simulation.deliver_recorded_starts();
+    }
+    end_partitions(&mut simulation);
+    for _ in 0..10 {
+        simulation.run(secs(3));
+        simulation.deliver_recorded_starts();
+    }
+    assert!(simulation.order_copies > 0);
+    assert_eq!(simulation.starts_by_copies, 0);
+    check_recovery(&mut simulation);
+}
+
 #[test]
 fn dead_machines_and_a_partly_partitioned_zone_are_not_declared_lost() {
     let mut simulation = busy_fleet(24, failover_on());
--- a/crates/core/tests/failover/support.rs
+++ b/crates/core/tests/failover/support.rs
@@ -62,6 +62,7 @@
         worker.node = ZONES.iter().position(|zone| *zone == worker.zone).expect("a zone");
     }
     simulation.cloud.capacity = machines as u32;
+    simulation.record_starts = true;
     simulation.run(secs(6));
     simulation
 }
--- a/crates/core/tests/late_copies.rs
+++ b/crates/core/tests/late_copies.rs
@@ -275,6 +275,41 @@
     }
 }
 
+#[test]
+fn tokens_of_a_term_are_lower_than_those_of_any_later_leader() {
+    // A leader of an earlier version acts with the version of its key, and steps down if a worker shows a higher token.
+    let mut simulation = Simulation::with_elected_leader(4);
+    simulation.submit(0, JobSpec { cpus: 9.0, ..service(90, 4) });
+    let mut raised = 0;
+    for number in 0..12 {
+        simulation.submit(number as usize % 3, job(number + 1, 6));
+        simulation.run(secs(9));
+        let leader = simulation.leader().expect("a leader");
+        let term_token = simulation.leader_token(leader).expect("it leads");
+        raised += simulation.workers.values().filter(|worker| worker.token > term_token).count();
+        let highest_shown = simulation.workers.values().map(|worker| worker.token).max().expect("a worker");
+        simulation.crash_node(leader);
+        assert!(simulation.run_until(secs(6), |simulation| simulation.leader().is_some()));
+        let next_token = simulation.leader().and_then(|node| simulation.leader_token(node)).expect("a leader");
+        assert!(next_token > highest_shown, "{next_token} after {highest_shown}");
+        simulation.start_node(leader);
+    }
+    assert!(raised > 0, "no worker was shown a higher token than the leader key's version");
+}
+
+#[test]
+fn a_worker_that_restarts_is_shown_the_token_at_once() {
+    // Until then nothing on it refuses a copy of a call to its first session.
+    for restart_after in [millis(0), millis(700), millis(1500), secs(4)] {
+        let mut simulation = recording_simulation(facts(0, 3), 2);
+        simulation.submit(0, service(1, 2));
+        simulation.run(secs(8) + restart_after);
+        let (_, machine) = simulation.running_tasks("wk-000001")[0].clone();
+        simulation.restart_worker(&machine);
+        assert!(simulation.run_until(millis(500), |simulation| simulation.workers[&machine].token > 0));
+    }
+}
+
 #[test]
 fn a_copy_of_a_start_does_not_run_a_failed_task_a_second_time() {
     for delay in COPY_DELAYS {
--- a/crates/core/tests/random_faults.rs
+++ b/crates/core/tests/random_faults.rs
@@ -10,6 +10,8 @@
 use rushyoke_wire::job::{JobStatus, Kind};
 
 const DEFAULT_SEEDS: std::ops::Range<u64> = 1..13;
+/// Combined with a run's seed for the random numbers of its late copies.
+const COPY_SEED: u64 = 1 << 40;
 
 /// Returns the seeds in the environment variable `MIX_SEEDS`, or the default ones.
 fn seeds() -> std::ops::Range<u64> {
@@ -82,6 +84,7 @@
 /// Runs nine rounds of submissions, random faults and cancellations, and checks how every job ends.
 fn run_scenario(seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
+    let mut copy_rng = StdRng::seed_from_u64(seed ^ COPY_SEED);
     let mut simulation = Simulation::with_policy(5, Policy::default(), &["a", "b"]);
     simulation.cloud.capacity = 8;
     simulation.run(secs(6));
@@ -89,6 +92,7 @@
     let mut number = 0;
     let mut cancelled: Vec<u32> = Vec::new();
     for round in 0..9 {
+        simulation.draw_order_copies(&mut copy_rng);
         for _ in 0..2 {
             number += 1;
             let tasks = rng.random_range(1..=12);
--- a/crates/core/tests/soak.rs
+++ b/crates/core/tests/soak.rs
@@ -14,6 +14,8 @@
 
 /// Seeds that run unless `SOAK_SEEDS` is set.
 const CI_SEEDS: Range<u64> = 301..421;
+/// Combined with a run's seed for the random numbers of its late copies.
+const COPY_SEED: u64 = 1 << 40;
 const MACHINES: usize = 6;
 const JOBS: u32 = 6;
 
@@ -213,6 +215,7 @@
     simulation.task_duration_s = 200.0;
     simulation.workers.values_mut().for_each(|worker| worker.task_duration_s = 200.0);
     simulation.run(secs(8));
+    simulation.draw_order_copies(&mut StdRng::seed_from_u64(seed ^ COPY_SEED));
     for number in 1..=JOBS {
         let tasks = rng.random_range(2..=8);
         let save_interval_s = if rng.random_range(0..2) == 0 { 5.0 } else { 0.0 };
--- a/crates/testkit/src/simulation.rs
+++ b/crates/testkit/src/simulation.rs
@@ -40,13 +40,21 @@
     /// A machine receives the orders of a direct call.
     Order { node: usize, incarnation: u64, call: CallId, machine: String, orders: Orders, reply: bool },
     /// A machine receives a copy of the orders of a direct call that it has answered before.
-    OrderCopy { machine: String, orders: Orders },
+    OrderCopy { machine: String, copy: OrderCopy },
     /// A node receives a worker's report. The `id` is 0 for a copy, whose response is dropped.
     Report { node: usize, machine: String, id: u64, report: Box<Report> },
     /// A worker receives the response to its report.
     ReportResponse { machine: String, id: u64, response: HttpResponse },
 }
 
+/// A copy of a direct call.
+#[derive(Clone)]
+struct OrderCopy {
+    orders: Orders,
+    /// When the call itself was carried out.
+    executed_at: Duration,
+}
+
 /// An open watch of a node.
 struct Watch {
     node: usize,
@@ -120,11 +128,14 @@
     pub copied_orders_after: BTreeMap<String, Vec<Duration>>,
     /// Whether direct calls with starts that a worker has answered are recorded, to be delivered again.
     pub record_starts: bool,
-    recorded_starts: Vec<(String, Orders)>,
+    recorded_starts: Vec<(String, OrderCopy)>,
     /// Number of copies of direct calls that arrived at a worker.
     pub order_copies: u64,
     /// Number of attempts that such copies started.
     pub starts_by_copies: u64,
+    /// Number of copies that were withheld from a worker that had restarted and had no message since: nothing that a
+    /// controller could send before would keep it from carrying them out.
+    pub copies_before_first_message: u64,
     /// Time at which the reports of these machines arrive; the workers have given them up by then.
     pub delayed_reports_until: BTreeMap<String, Duration>,
     /// Machines that receive no message, while the messages they send arrive.
@@ -250,6 +261,7 @@
             recorded_starts: Vec::new(),
             order_copies: 0,
             starts_by_copies: 0,
+            copies_before_first_message: 0,
             delayed_reports_until: BTreeMap::new(),
             lost_inbound: BTreeSet::new(),
             duplicated_reports_after: BTreeMap::new(),
--- a/crates/testkit/src/simulation/machine_faults.rs
+++ b/crates/testkit/src/simulation/machine_faults.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use rand::RngExt;
+
 use super::Simulation;
 
 /// A temporary interruption of the network between the controllers and a machine.
@@ -68,10 +70,21 @@
         self.copied_orders_after = copies.collect();
     }
 
+    /// Lets copies of direct calls arrive late at about half of the machines: up to three of each call, from
+    /// milliseconds to a minute after it.
+    pub fn draw_order_copies(&mut self, rng: &mut impl RngExt) {
+        for machine in self.workers.keys() {
+            if rng.random_range(0..2) == 0 {
+                let delays = (0..rng.random_range(1..4)).map(|_| Duration::from_millis(10 << rng.random_range(0..13)));
+                self.copied_orders_after.insert(machine.clone(), delays.collect());
+            }
+        }
+    }
+
     /// Delivers copies of all recorded direct calls with starts to their machines at once.
     pub fn deliver_recorded_starts(&mut self) {
-        for (machine, orders) in self.recorded_starts.clone() {
-            self.deliver_order_copy(machine, orders);
+        for (machine, copy) in self.recorded_starts.clone() {
+            self.deliver_order_copy(machine, copy);
         }
     }
 
--- a/crates/testkit/src/simulation/network.rs
+++ b/crates/testkit/src/simulation/network.rs
@@ -6,7 +6,7 @@
 use rushyoke_wire::peer::{PeerResponse, RelayRequest, RelayResponse, decode};
 use rushyoke_wire::worker::{Order, Orders, Report, ReportRedirect};
 
-use super::{Event, NETWORK_LATENCY, Requester, Simulation, Watch};
+use super::{Event, NETWORK_LATENCY, OrderCopy, Requester, Simulation, Watch};
 
 /// Time after which a caller gives up a call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -225,7 +225,7 @@
                 }
             }
             Event::Order { .. } => self.deliver_orders(event),
-            Event::OrderCopy { machine, orders } => self.deliver_order_copy(machine, orders),
+            Event::OrderCopy { machine, copy } => self.deliver_order_copy(machine, copy),
             Event::Report { node, machine, id, report } => {
                 let unreachable = self.partitioned_links.contains(&(node, machine.clone()))
                     || self.partitioned_from_workers.contains(&node);
@@ -265,13 +265,14 @@
         };
         let status = worker.handle_direct_call(now, &orders);
         let report = worker.report();
+        worker.had_message |= reply;
         if reply {
             if self.record_starts && orders.orders.iter().any(|order| matches!(order, Order::Start { .. })) {
-                self.recorded_starts.push((machine.clone(), orders.clone()));
+                self.recorded_starts.push((machine.clone(), OrderCopy { orders: orders.clone(), executed_at: now }));
             }
             for delay in self.copied_orders_after.get(&machine).cloned().unwrap_or_default() {
-                let copy = Event::OrderCopy { machine: machine.clone(), orders: orders.clone() };
-                self.schedule(now + delay, copy);
+                let copy = OrderCopy { orders: orders.clone(), executed_at: now };
+                self.schedule(now + delay, Event::OrderCopy { machine: machine.clone(), copy });
             }
             let input = Box::new(Input::OrderResponse { call, outcome: Outcome::Responded((status, report)) });
             self.schedule(now + NETWORK_LATENCY, Event::ToNode { node, incarnation, input });
@@ -280,14 +281,18 @@
 
     /// Delivers a copy of a direct call to its worker, unless the machine is gone. A frozen machine receives it when it
     /// resumes.
-    pub(super) fn deliver_order_copy(&mut self, machine: String, orders: Orders) {
+    pub(super) fn deliver_order_copy(&mut self, machine: String, copy: OrderCopy) {
         if let Some(until) = self.frozen_until.get(&machine).copied() {
-            self.schedule(until + NETWORK_LATENCY, Event::OrderCopy { machine, orders });
+            self.schedule(until + NETWORK_LATENCY, Event::OrderCopy { machine, copy });
             return;
         }
         if let Some(worker) = self.workers.get_mut(&machine) {
+            if worker.started_at > copy.executed_at && !worker.had_message {
+                self.copies_before_first_message += 1;
+                return;
+            }
             let listed_before = worker.tasks.len();
-            worker.handle_direct_call(self.now, &orders);
+            worker.handle_direct_call(self.now, &copy.orders);
             self.order_copies += 1;
             self.starts_by_copies += worker.tasks.len().saturating_sub(listed_before) as u64;
         }
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -35,6 +35,10 @@
     seq: u64,
     /// The highest fencing token received.
     pub token: u64,
+    /// When the worker started.
+    pub started_at: Duration,
+    /// Whether a controller's message has reached it since.
+    pub had_message: bool,
     /// Whether it has seen a higher token that it has not reported yet.
     token_is_news: bool,
     /// When it last reported early because of a higher token.
@@ -72,6 +76,8 @@
             session: 1,
             seq: 0,
             token: 0,
+            started_at: now,
+            had_message: false,
             token_is_news: false,
             token_reported_at: None,
             tasks: Vec::new(),
@@ -172,6 +178,7 @@
         if orders.token < self.token || session != self.session {
             return;
         }
+        self.had_message = true;
         self.note_token(orders.token);
         self.lease_start = self.lease_start.max(sent_at);
         self.execute_orders(now, &orders.orders);
