Attempts are a type with its orders, and the outcome of direct calls is handled in two steps

Cause: an attempt was a tuple of a name and a number, put together in six places; unexpected attempts were a tuple with a flag; the function for the outcome of a direct call did three things.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -8,6 +8,7 @@
 //! second time. It is refused by the worker's entry for the attempt, and once that is to be forgotten,
 //! or is missing, by a higher token (`tokens`).
 
+mod attempt;
 pub(crate) mod direct_calls;
 mod images;
 mod lease;
@@ -32,6 +33,7 @@
 use crate::env::Env;
 use crate::jobs::Name;
 use crate::term::Term;
+pub(crate) use attempt::{Attempt, UnexpectedAttempt};
 pub(crate) use machine::{Machine, Reservation};
 
 /// Longest time between two reports, as a multiple of the report interval. Workers vary the interval by up to a quarter.
@@ -48,9 +50,6 @@
 /// Least number of those names per present machine, since whole fleets are replaced.
 const REMOVED_NAMES_KEPT_PER_MACHINE: usize = 4;
 
-/// A task's full name (`job/index`) and its attempt.
-type Attempt = (String, u64);
-
 /// The tasks of a report, in the form in which they arrived.
 pub(crate) enum ReportedTasks<'a> {
     /// Unparsed JSON from the worker.
--- a/crates/core/src/fleet/machine.rs
+++ b/crates/core/src/fleet/machine.rs
@@ -11,7 +11,7 @@
 use super::direct_calls::DirectCall;
 use super::images::ImageCache;
 use super::restarts::ReportedList;
-use super::{Attempt, Channel, LATEST_REPORT_FACTOR, REPORT_DELAY_ALLOWANCE};
+use super::{Attempt, Channel, LATEST_REPORT_FACTOR, REPORT_DELAY_ALLOWANCE, UnexpectedAttempt};
 use crate::jobs::{Name, TaskKey};
 use crate::quota::Resources;
 
@@ -109,8 +109,8 @@
     pub(super) exited: BTreeMap<Attempt, TaskKey>,
     /// Listed attempts that the worker was ordered to forget.
     pub(super) forgets_sent: BTreeSet<Attempt>,
-    /// Attempts that its worker lists but that are not placed on the machine, and whether each has exited.
-    pub(super) unexpected_attempts: Vec<(Attempt, bool)>,
+    /// Attempts that its worker lists but that are not placed on the machine.
+    pub(super) unexpected_attempts: Vec<UnexpectedAttempt>,
     /// Images assumed to be cached on it.
     pub images: ImageCache,
     /// It is being released, or is about to be.
--- a/crates/core/src/fleet/order_log.rs
+++ b/crates/core/src/fleet/order_log.rs
@@ -5,7 +5,10 @@
 
 use std::time::{Duration, Instant};
 
+use rushyoke_wire::worker::Report;
+
 use super::Attempt;
+use super::direct_calls::DirectCall;
 use crate::jobs::Name;
 use crate::term::Term;
 
@@ -55,6 +58,8 @@
 pub(crate) struct OrderLog {
     window_started: Option<Instant>,
     lines: u32,
+    /// Events since the term began, by kind.
+    totals: [u64; KINDS],
     /// Events without a line since the last count was logged.
     omitted: [u64; KINDS],
 }
@@ -67,6 +72,7 @@
             self.window_started = Some(now);
             self.lines = 0;
         }
+        self.totals[event as usize] += 1;
         let admitted = self.lines < MAX_LINES_PER_WINDOW;
         self.lines += u32::from(admitted);
         self.omitted[event as usize] += u64::from(!admitted);
@@ -85,7 +91,7 @@
     }
 }
 
-/// The token and session under which an order was sent, or those that the worker showed when it refused.
+/// The token and session of a message to or from a worker.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Authority {
     pub token: u64,
@@ -101,36 +107,29 @@
         message: Authority,
         events: &[(OrderEvent, Attempt)],
     ) {
-        for (event, (task, attempt)) in events {
+        for (event, Attempt { task, number }) in events {
             if self.order_log.admit(now, *event) {
                 let Authority { token, session } = message;
-                let what = event.description();
-                tracing::info!(machine = &**machine, task, attempt, token, session, "{what}");
+                let (what, total) = (event.description(), self.order_log.totals[*event as usize]);
+                tracing::info!(machine = &**machine, task, attempt = number, token, session, total, "{what}");
             }
         }
     }
 
     /// Logs a direct call that the worker refused.
-    pub(super) fn log_refused_call(
-        &mut self,
-        now: Instant,
-        machine: &Name,
-        sent_under: Authority,
-        worker: Authority,
-        starts: &[Attempt],
-        has_stops: bool,
-    ) {
+    pub(super) fn log_refused_call(&mut self, now: Instant, machine: &Name, call: &DirectCall, report: &Report) {
         if self.order_log.admit(now, OrderEvent::Refused) {
-            let first_start = starts.first().map(|(task, attempt)| format!("{task}@{attempt}"));
+            let first_start = call.starts.first().map(|Attempt { task, number }| format!("{task}@{number}"));
             tracing::info!(
                 machine = &**machine,
-                token = sent_under.token,
-                session = sent_under.session,
-                worker_token = worker.token,
-                worker_session = worker.session,
-                starts = starts.len(),
+                token = call.token,
+                session = call.session,
+                worker_token = report.token,
+                worker_session = report.session,
+                starts = call.starts.len(),
                 first_start,
-                has_stops,
+                has_stops = call.has_stops,
+                total = self.order_log.totals[OrderEvent::Refused as usize],
                 "{}",
                 OrderEvent::Refused.description()
             );
--- a/crates/core/src/fleet/orders.rs
+++ b/crates/core/src/fleet/orders.rs
@@ -18,6 +18,8 @@
 use crate::jobs::*;
 use crate::term::Term;
 
+/// Status of the response to a direct call of which the worker executed nothing, because of its token or session.
+const STATUS_REFUSED: u16 = 409;
 /// Most orders in one message, not counting stops; the others go with the next message.
 const MAX_ORDERS_PER_MESSAGE: usize = 200;
 /// Delay of the next direct call after a failed one.
@@ -45,38 +47,39 @@
         self.stop_statistics.record(event, call.cancelled_stops);
         match outcome {
             Outcome::Responded((status, report)) if report.machine == **name => {
-                if status == 409 {
-                    // None of the orders was executed or will be.
-                    let sent_under = Authority { token: call.token, session: call.session };
-                    let worker = Authority { token: report.token, session: report.session };
-                    self.log_refused_call(now, name, sent_under, worker, &call.starts, call.has_stops);
-                }
-                let Some(machine) = self.machines.get_mut(name) else {
-                    return;
-                };
-                if (report.session, report.seq) < call.newest_message {
-                    // The response is new, but its session and sequence number are older than those
-                    // known before the call: the worker has restarted, and it lists all that it runs.
-                    let direct_starts = machine.direct_starts.len();
-                    tracing::info!(machine = &**name, direct_starts, "its worker has restarted");
-                    machine.note_restart(now, env.facts.worker_lease);
-                }
-                self.apply_report(env, name, &report, Channel::Direct);
-                self.repeat_stops(now, name, call.has_stops);
-                let Some(machine) = self.machines.get_mut(name) else {
-                    return;
-                };
-                if status == 409 && machine.fenced_at.is_some() {
-                    machine.next_call_at = Some(now + DIRECT_CALL_RETRY_DELAY / 4);
-                    machine.call_postponed = true;
-                } else if machine.fenced_at.is_none() || std::mem::take(&mut machine.call_postponed) {
-                    // This leader did not know the session and now does, or new orders came up meanwhile.
-                    self.queue_direct_call(name);
-                }
-            }
-            _ => {
-                machine.note_failed_call(now, DIRECT_CALL_RETRY_DELAY, MAX_BACKOFF_MULTIPLIER);
+                self.direct_call_responded(env, name, &call, status, &report);
             }
+            _ => machine.note_failed_call(now, DIRECT_CALL_RETRY_DELAY, MAX_BACKOFF_MULTIPLIER),
+        }
+    }
+
+    /// Applies the worker's response to a direct call, and arranges the next call if one is needed.
+    fn direct_call_responded(&mut self, env: &mut Env, name: &Name, call: &DirectCall, status: u16, report: &Report) {
+        let now = env.steady();
+        let refused = status == STATUS_REFUSED;
+        if refused {
+            self.log_refused_call(now, name, call, report);
+        }
+        if let Some(machine) = self.machines.get_mut(name)
+            && (report.session, report.seq) < call.newest_message
+        {
+            // The response is new, but its session and sequence number are older than those known before the call: the
+            // worker has restarted, and it lists all that it runs.
+            let direct_starts = machine.direct_starts.len();
+            tracing::info!(machine = &**name, direct_starts, "its worker has restarted");
+            machine.note_restart(now, env.facts.worker_lease);
+        }
+        self.apply_report(env, name, report, Channel::Direct);
+        self.repeat_stops(now, name, call.has_stops);
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        if refused && machine.fenced_at.is_some() {
+            machine.next_call_at = Some(now + DIRECT_CALL_RETRY_DELAY / 4);
+            machine.call_postponed = true;
+        } else if machine.fenced_at.is_none() || std::mem::take(&mut machine.call_postponed) {
+            // This leader did not know the session and now does, or new orders came up meanwhile.
+            self.queue_direct_call(name);
         }
     }
 
@@ -100,8 +103,7 @@
             {
                 continue;
             }
-            let task = format!("{}/{}", key.0, key.1);
-            let attempt = (task, placement.attempt);
+            let attempt = Attempt::of(key, placement);
             let in_flight = machine.start_in_flight(&attempt);
             let sent_before = placement.start_sent;
             if let Some(start) = start_order(channel, &attempt, placement, in_flight) {
@@ -120,7 +122,8 @@
     fn forget_exited(&mut self, name: &Name, channel: Channel, message: &mut MachineOrders) {
         let machine = &self.machines[name];
         let resolved = |attempt: &Attempt| channel == Channel::Report && machine.refuses_starts_of(attempt);
-        let unexpected = machine.unexpected_attempts.iter().filter(|(_, exited)| *exited).map(|(attempt, _)| attempt);
+        let unexpected = machine.unexpected_attempts.iter().filter(|unexpected| !unexpected.is_alive);
+        let unexpected = unexpected.map(|unexpected| &unexpected.attempt);
         let durable = |(_, key): &(&Attempt, &TaskKey)| self.records.is_durable(key);
         let exited = machine.exited.iter().filter(durable).map(|(attempt, _)| attempt);
         let room = MAX_ORDERS_PER_MESSAGE.saturating_sub(message.orders.len());
@@ -128,7 +131,7 @@
             unexpected.chain(exited).filter(|attempt| resolved(attempt)).take(room).cloned().collect();
         let machine = self.machines.get_mut(name).expect("known");
         for attempt in forgotten {
-            message.orders.push(Order::Forget { task: attempt.0.clone(), attempt: attempt.1 });
+            message.orders.push(attempt.forget());
             if !machine.forgets_sent.insert(attempt.clone()) {
                 message.repeated.push((OrderEvent::ForgetRepeated, attempt));
             }
@@ -180,7 +183,7 @@
         let token = self.token_for(name);
         let machine = self.machines.get_mut(name).expect("known");
         let starts = orders.iter().filter_map(|order| match order {
-            Order::Start { task, attempt } => Some((task.clone(), *attempt)),
+            Order::Start { task, attempt } => Some(Attempt { task: task.clone(), number: *attempt }),
             _ => None,
         });
         let session = machine.session;
@@ -206,6 +209,6 @@
     let due = !placement.start_sent || (channel == Channel::Report && !in_flight);
     due.then(|| {
         placement.start_sent = true;
-        Order::Start { task: attempt.0.clone(), attempt: attempt.1 }
+        attempt.start()
     })
 }
--- a/crates/core/src/fleet/reports.rs
+++ b/crates/core/src/fleet/reports.rs
@@ -13,7 +13,8 @@
 use super::stop_statistics::StopEvent;
 use super::stops::MachineOrders;
 use super::{
-    Attempt, Channel, Machine, RENEWED_LEASE_SHARE, ReportedTasks, STALE_REPORT_PROBE_INTERVAL, report_fencing_window,
+    Attempt, Channel, Machine, RENEWED_LEASE_SHARE, ReportedTasks, STALE_REPORT_PROBE_INTERVAL, UnexpectedAttempt,
+    report_fencing_window,
 };
 use crate::env::Env;
 use crate::io::*;
@@ -122,7 +123,7 @@
             let job = parse_task(&task.task).and_then(|(id, _)| self.jobs.get(id));
             task.state != TaskState::Exited && job.is_some_and(|job| job.cancelled)
         };
-        listed.iter().filter(cancelled).map(|task| (task.task.clone(), task.attempt)).collect()
+        listed.iter().filter(cancelled).map(Attempt::listed).collect()
     }
 
     /// Parses and applies a report's tasks only if they differ from those of the previous report.
@@ -227,7 +228,7 @@
     /// cancelled jobs.
     fn show_token(&mut self, env: &Env, name: &Name, report: &Report, channel: Channel) {
         let cancelled = self.attempts_of_cancelled_jobs(&report.tasks).into_iter();
-        let unexpected_attempts = cancelled.map(|attempt| (attempt, false)).collect();
+        let unexpected_attempts = cancelled.map(|attempt| UnexpectedAttempt { attempt, is_alive: true }).collect();
         self.machines.get_mut(name).expect("reported").unexpected_attempts = unexpected_attempts;
         let leading_for = env.steady().duration_since(self.started_at);
         let response_suffices =
@@ -242,31 +243,23 @@
         let mut seen: BTreeSet<TaskKey> = BTreeSet::new();
         let mut unexpected_attempts = Vec::new();
         let mut listed: BTreeSet<Attempt> = BTreeSet::new();
-        let mut contradictions = Vec::new();
         for task in &report.tasks {
-            let attempt: Attempt = (task.task.clone(), task.attempt);
+            let attempt = Attempt::listed(task);
             let key = parse_task(&task.task).map(|(id, index)| (Name::from(id), index));
             if let Some(key) = key.filter(|key| self.is_placed(key, name, task.attempt)) {
                 seen.insert(key.clone());
                 self.apply_task_report(env, &key, task);
             } else {
-                let has_ended = self.machines[name].exited.contains_key(&attempt);
                 let is_alive = task.state != TaskState::Exited;
-                if is_alive {
-                    let event =
-                        if has_ended { OrderEvent::EndedAttemptAlive } else { OrderEvent::UnplacedAttemptAlive };
-                    contradictions.push((event, attempt.clone()));
-                }
-                if is_alive || !has_ended {
-                    unexpected_attempts.push((attempt.clone(), !is_alive));
+                if is_alive || !self.machines[name].exited.contains_key(&attempt) {
+                    unexpected_attempts.push(UnexpectedAttempt { attempt: attempt.clone(), is_alive });
                 }
             }
             listed.insert(attempt);
         }
-        let shown_by = Authority { token: report.token, session: report.session };
-        self.log_orders(env.steady(), name, shown_by, &contradictions);
+        self.log_contradictions(env.steady(), name, report, &unexpected_attempts);
         let machine = self.machines.get_mut(name).expect("reported");
-        let must_stop = unexpected_attempts.iter().any(|(_, exited)| !exited);
+        let must_stop = unexpected_attempts.iter().any(|unexpected| unexpected.is_alive);
         machine.unexpected_attempts = unexpected_attempts;
         machine.orders_due = true;
         machine.exited.retain(|attempt, _| listed.contains(attempt));
@@ -280,6 +273,20 @@
         self.handle_missing_tasks(env, name, missing);
     }
 
+    /// Logs the attempts that a worker lists as alive although they have ended or are not placed on its machine.
+    fn log_contradictions(&mut self, now: Instant, name: &Name, report: &Report, unexpected: &[UnexpectedAttempt]) {
+        let exited = &self.machines[name].exited;
+        let alive = unexpected.iter().filter(|unexpected| unexpected.is_alive).map(|unexpected| &unexpected.attempt);
+        let events: Vec<(OrderEvent, Attempt)> = alive
+            .map(|attempt| match exited.contains_key(attempt) {
+                true => (OrderEvent::EndedAttemptAlive, attempt.clone()),
+                false => (OrderEvent::UnplacedAttemptAlive, attempt.clone()),
+            })
+            .collect();
+        let shown_by = Authority { token: report.token, session: report.session };
+        self.log_orders(now, name, shown_by, &events);
+    }
+
     /// Whether this attempt of the task is placed on the machine.
     fn is_placed(&self, key: &TaskKey, machine: &Name, attempt: u64) -> bool {
         let placement = self.jobs.get(&key.0).and_then(|job| job.placements.get(&key.1));
@@ -296,7 +303,7 @@
             if matches!(placement.stage, Stage::Planned | Stage::Ordered) {
                 continue;
             }
-            if self.machines[name].may_still_start(&(format!("{}/{}", key.0, key.1), placement.attempt)) {
+            if self.machines[name].may_still_start(&Attempt::of(&key, placement)) {
                 self.request_token_raise(name);
             } else {
                 tracing::debug!(job = &*key.0, task = key.1, machine = &**name, "task is missing from its machine");
@@ -317,7 +324,7 @@
         tracing::info!(machine = &**name, session = machine.session, tasks = machine.tasks.len(), "new session");
         for key in machine.tasks.clone() {
             let placement = &self.jobs[&key.0].placements[&key.1];
-            if self.machines[name].may_still_start(&(format!("{}/{}", key.0, key.1), placement.attempt)) {
+            if self.machines[name].may_still_start(&Attempt::of(&key, placement)) {
                 self.request_token_raise(name);
             } else if placement.start_sent {
                 self.note_displaced(&key, name);
--- a/crates/core/src/fleet/stops.rs
+++ b/crates/core/src/fleet/stops.rs
@@ -40,8 +40,8 @@
     /// Returns a message that stops these attempts at once.
     pub fn with_stops<'a>(attempts: impl IntoIterator<Item = &'a Attempt>) -> MachineOrders {
         let mut message = MachineOrders::default();
-        for (task, attempt) in attempts {
-            message.try_add_stops([Order::Stop { task: task.clone(), attempt: *attempt, grace_s: 0.0 }]);
+        for attempt in attempts {
+            message.try_add_stops([attempt.stop(0.0)]);
         }
         message
     }
@@ -65,8 +65,8 @@
         let Some(machine) = self.machines.get(name) else {
             return MachineOrders::default();
         };
-        let unexpected_attempts = machine.unexpected_attempts.iter().filter(|(_, exited)| !exited);
-        let mut message = MachineOrders::with_stops(unexpected_attempts.map(|(attempt, _)| attempt));
+        let alive = machine.unexpected_attempts.iter().filter(|unexpected| unexpected.is_alive);
+        let mut message = MachineOrders::with_stops(alive.map(|unexpected| &unexpected.attempt));
         if machine.fenced_at.is_some() && machine.orders_due {
             for key in &machine.tasks {
                 let placement =
@@ -107,29 +107,28 @@
                 placement.stage.is_reported() && placement.stop.is_some_and(|stop| stop.is_immediate())
             })
         };
-        machine.unexpected_attempts.iter().any(|(_, exited)| !exited) || machine.tasks.iter().any(must_end)
+        machine.unexpected_attempts.iter().any(|unexpected| unexpected.is_alive) || machine.tasks.iter().any(must_end)
     }
 }
 
 /// Adds the orders that are due now for a task that must leave its machine.
 fn add_stop(now: Instant, channel: Channel, key: &TaskKey, placement: &mut Placement, message: &mut MachineOrders) {
+    let attempt = Attempt::of(key, placement);
     let Some(stop) = placement.stop.as_mut().filter(|_| !matches!(placement.stage, Stage::Planned | Stage::Inherited))
     else {
         return;
     };
-    let (task, attempt) = (format!("{}/{}", key.0, key.1), placement.attempt);
     let added = if !placement.stage.is_reported() {
         // The start may have been lost or may arrive late. Starting and stopping the task at once
         // leaves an entry on the worker that keeps a late duplicate of the start from running.
-        let start = Order::Start { task: task.clone(), attempt };
-        channel == Channel::Report && message.try_add_stops([start, Order::Stop { task, attempt, grace_s: 0.0 }])
+        channel == Channel::Report && message.try_add_stops([attempt.start(), attempt.stop(0.0)])
     } else {
         let due = is_due(now, stop, placement.stage);
-        due && message.try_add_stops([Order::Stop { task, attempt, grace_s: stop.grace_s }])
+        due && message.try_add_stops([attempt.stop(stop.grace_s)])
     };
     if added {
         if stop.last_sent.is_some() {
-            message.repeated.push((OrderEvent::StopRepeated, (format!("{}/{}", key.0, key.1), placement.attempt)));
+            message.repeated.push((OrderEvent::StopRepeated, attempt));
         }
         stop.last_sent = Some(now);
     }
--- a/crates/core/src/fleet/tasks.rs
+++ b/crates/core/src/fleet/tasks.rs
@@ -6,6 +6,7 @@
 use rushyoke_wire::job::Kind;
 use rushyoke_wire::worker::{Cause, TaskReport, TaskState};
 
+use super::Attempt;
 use crate::env::Env;
 use crate::jobs::*;
 use crate::term::Term;
@@ -77,7 +78,7 @@
         tracing::debug!(job = &*key.0, task = key.1, machine = &*placement.machine, why = ?cause, "exited");
         self.clear_placement(env, key, retry_at);
         let machine = self.machines.get_mut(&placement.machine).expect("placed");
-        machine.exited.insert((format!("{}/{}", key.0, key.1), placement.attempt), key.clone());
+        machine.exited.insert(Attempt::of(key, &placement), key.clone());
         self.close_if_ended(&key.0);
     }
 
