Tokens are raised only to forget an attempt, not after every start by call

Cause: a response raised the token as long as starts by call were in mind. With 4,000 machines on loopback and tasks of 400 s, whose workers then report early, the leader got 5 to 10% more reports and took 8% more processor time.

--- a/crates/core/src/fleet/orders.rs
+++ b/crates/core/src/fleet/orders.rs
@@ -116,25 +116,29 @@
             }
         }
         machine.orders_due = orders_remain;
-        self.forget_exited(name, channel, &mut message);
+        if channel == Channel::Report {
+            self.forget_exited(name, &mut message);
+        }
         let sent_under = Authority { token: self.token_for(name), session: self.machines[name].session };
         self.log_orders(now, name, sent_under, &message.repeated);
         message
     }
 
     /// Orders the worker to forget exited tasks whose starts it refuses from then on.
-    fn forget_exited(&mut self, name: &Name, channel: Channel, message: &mut MachineOrders) {
+    fn forget_exited(&mut self, name: &Name, message: &mut MachineOrders) {
         let machine = &self.machines[name];
-        let resolved = |attempt: &Attempt| channel == Channel::Report && machine.refuses_starts_of(attempt);
         let unexpected = machine.unexpected_attempts.iter().filter(|unexpected| !unexpected.is_alive);
         let unexpected = unexpected.map(|unexpected| &unexpected.attempt);
         let durable = |(_, key): &(&Attempt, &TaskKey)| self.records.is_durable(key);
         let exited = machine.exited.iter().filter(durable).map(|(attempt, _)| attempt);
         let room = MAX_ORDERS_PER_MESSAGE.saturating_sub(message.orders.len());
-        let forgotten: Vec<Attempt> =
-            unexpected.chain(exited).filter(|attempt| resolved(attempt)).take(room).cloned().collect();
+        let mut forgettable: Vec<Attempt> = unexpected.chain(exited).take(room).cloned().collect();
+        if forgettable.iter().any(|attempt| !machine.refuses_starts_of(attempt)) {
+            self.raise_token(name);
+        }
         let machine = self.machines.get_mut(name).expect("known");
-        for attempt in forgotten {
+        forgettable.retain(|attempt| machine.refuses_starts_of(attempt));
+        for attempt in forgettable {
             message.orders.push(attempt.forget());
             if !machine.forgets_sent.insert(attempt.clone()) {
                 message.repeated.push((OrderEvent::ForgetRepeated, attempt));
--- a/crates/core/src/fleet/reports.rs
+++ b/crates/core/src/fleet/reports.rs
@@ -48,9 +48,6 @@
             return Some(HttpResponse::later(503, "an older report"));
         }
         let report_number = (report.session, report.seq);
-        if self.ready() {
-            self.raise_token(&name);
-        }
         let message = if self.ready() && self.may_predate_restart(&name, report.session) {
             self.confirm_by_call(env, &name, ReportedList::of(&report, &tasks));
             self.orders_for(now, &name, Channel::Report)
