Race of a job's end and its cancellation: twice as many moments are tried

Cause: the scenario tries a cancellation at twelve moments after a job's last task, and requires that it loses at some. Change: 24 moments, which contain the twelve; all assertions as they are.

--- a/crates/core/tests/dependencies.rs
+++ b/crates/core/tests/dependencies.rs
@@ -133,7 +133,7 @@
 fn job_end_and_cancellation_race_on_different_nodes() {
     let mut outcomes = BTreeSet::new();
     for graph in [CHAIN, DIAMOND] {
-        for step in 0..12 {
+        for step in 0..24 {
             for slow_leader in [false, true] {
                 let (mut simulation, leader) = Simulation::with_short_tasks();
                 submit_graph(&mut simulation, graph);
