The end of all injected faults stands with the faults; one fleet for both tests of slow machines

Change: clear_faults moves to machine_faults.rs as it is; the two scenarios share their fleet. No check changes.

--- a/crates/core/tests/esplash.rs
+++ b/crates/core/tests/esplash.rs
@@ -98,11 +98,12 @@
     assert_eq!((remaining_s(40.0, 30.0), remaining_s(40.0, 100.0)), (10.0, 60.0));
 }
 
-#[test]
-fn stragglers_on_a_slow_machine_are_restarted_elsewhere_only_once() {
+/// Returns a simulation in which 32 tasks of job 1 are about to run on four machines. Run times differ slightly between
+/// these, and one is twenty times slower.
+fn job_on_a_fleet_with_a_slow_machine() -> Simulation {
     let mut simulation = Simulation::new(4);
+    simulation.record_starts = true;
     simulation.run(Duration::from_secs(6));
-    // Run times differ slightly between machines; one machine is twenty times slower.
     for (n, worker) in simulation.workers.values_mut().enumerate() {
         worker.slowdown = 1.0 + 0.1 * n as f64;
     }
@@ -110,6 +111,12 @@
     let mut spec = job(1, 32);
     spec.cpus = 2.0;
     simulation.submit(0, spec);
+    simulation
+}
+
+#[test]
+fn stragglers_on_a_slow_machine_are_restarted_elsewhere_only_once() {
+    let mut simulation = job_on_a_fleet_with_a_slow_machine();
     // Without restarts, the slow machine's tasks would take 200 s.
     simulation.run(Duration::from_secs(120));
     assert_eq!(simulation.job_state(0, "wk-000001"), Some(JobStatus::Done));
@@ -118,16 +125,7 @@
 
 #[test]
 fn copies_of_starts_run_no_task_that_was_restarted_for_speed() {
-    let mut simulation = Simulation::new(4);
-    simulation.record_starts = true;
-    simulation.run(Duration::from_secs(6));
-    for (n, worker) in simulation.workers.values_mut().enumerate() {
-        worker.slowdown = 1.0 + 0.1 * n as f64;
-    }
-    simulation.workers.get_mut("n-000001").expect("the machine is up").slowdown = 20.0;
-    let mut spec = job(1, 32);
-    spec.cpus = 2.0;
-    simulation.submit(0, spec);
+    let mut simulation = job_on_a_fleet_with_a_slow_machine();
     for _ in 0..40 {
         simulation.run(Duration::from_secs(3));
         simulation.deliver_recorded_starts();
--- a/crates/testkit/src/simulation/machine_faults.rs
+++ b/crates/testkit/src/simulation/machine_faults.rs
@@ -1,4 +1,5 @@
-//! Fault injection for machines: the ways in which controllers lose contact with one, and its recovery.
+//! Fault injection: the ways in which controllers lose contact with a machine, late copies of calls, and the end of all
+//! injected faults.
 
 use std::time::Duration;
 
@@ -88,6 +89,42 @@
         }
     }
 
+    /// Ends the injected faults: lost, delayed and duplicated messages, frozen machines, load and outages.
+    pub fn clear_faults(&mut self) {
+        self.partitioned_from_store.clear();
+        self.partitioned_from_workers.clear();
+        self.partitioned_from_peers.clear();
+        self.partitioned_machines.clear();
+        self.delayed_orders_until.clear();
+        self.copied_orders_after.clear();
+        self.delayed_reports_until.clear();
+        self.lost_inbound.clear();
+        self.duplicated_reports_after.clear();
+        self.partitioned_links.clear();
+        self.nodes_without_updates.clear();
+        self.slow_txns_until.clear();
+        self.timed_out_txns_until.clear();
+        self.delayed_lists_until = None;
+        self.hung_watches.clear();
+        self.lost_txn_responses.clear();
+        self.delayed_responses_until.clear();
+        self.store_response_delay.clear();
+        self.interruptions.clear();
+        self.lost_reports.clear();
+        self.frozen_until.clear();
+        self.replay_reports_after = None;
+        self.recorded_reports.clear();
+        self.delayed_relay_responses_until = None;
+        self.renewals_to_lose = 0;
+        self.lose_rental_responses = false;
+        self.processor_load.clear();
+        self.cloud.outage = false;
+        if self.store.outage {
+            let now = self.now;
+            self.store.end_outage(now);
+        }
+    }
+
     /// Ends all faults of a machine.
     pub fn clear_fault(&mut self, machine: &str) {
         self.interruptions.remove(machine);
