A scenario for a worker that is in its first session again, and which mend each test holds

Change: a scenario that does so whatever the moments: responses are lost, the lease ends, the task moves, the worker restarts, and a copy of the first call arrives.

--- a/crates/core/tests/late_copies.rs
+++ b/crates/core/tests/late_copies.rs
@@ -275,6 +275,26 @@
     }
 }
 
+#[test]
+fn a_copy_of_a_start_to_the_first_session_runs_nothing_once_a_worker_is_in_it_again() {
+    // The worker gets no responses, so that its lease ends and its task moves; then it restarts.
+    let mut simulation = recording_simulation(facts(0, 3), 2);
+    simulation.submit(0, service(1, 1));
+    simulation.run(secs(4));
+    simulation.cloud.outage = true;
+    let (_, machine) = simulation.running_tasks("wk-000001")[0].clone();
+    simulation.lost_inbound.insert(machine.clone());
+    assert!(simulation.run_until(secs(20), |simulation| simulation.workers[&machine].session == 2));
+    simulation.run(secs(6));
+    assert_eq!((simulation.running_tasks("wk-000001").len(), simulation.started_tasks), (1, 2));
+    simulation.lost_inbound.clear();
+    simulation.restart_worker(&machine);
+    simulation.run(secs(3));
+    simulation.deliver_recorded_starts();
+    simulation.run(secs(5));
+    assert_eq!((simulation.order_copies, simulation.starts_by_copies), (2, 0));
+}
+
 #[test]
 fn tokens_of_a_term_are_lower_than_those_of_any_later_leader() {
     // A leader of an earlier version acts with the version of its key, and steps down if a worker shows a higher token.
