Review case 4: a machine that was back at once runs a late start, a task runs twice

Cause: a worker that restarted has its first session, no token and a lease of its own. The leader counts the lease from its last answer to the machine, takes it for over, and starts the task elsewhere; a start that was held back still matches.

--- a/review/rig-2/bed.rs
+++ b/review/rig-2/bed.rs
@@ -144,7 +144,7 @@
     }
 
     pub fn start_node(&self, n: usize) {
-        let log = std::env::var("REVIEW_LOGS").ok().and_then(|folder| {
+        let log = std::env::var("REVIEW_LOGS").ok().filter(|folder| !folder.is_empty()).and_then(|folder| {
             let path = PathBuf::from(folder).join(format!("{}.log", self.nodes[n].label));
             std::fs::OpenOptions::new().create(true).append(true).open(path).ok()
         });
--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -87,7 +87,7 @@
         "fragments" => fragments,
         "reports" => reports,
         "stale" => stale,
-        "sick" => sick,
+        "restart" => restart,
         "gpus" => gpus,
         _ => {
             eprintln!("no such case: {case}");
@@ -420,48 +420,75 @@
     end(&bed, code, &line)
 }
 
-/// A service is submitted while the one machine with room for it fails every task that it starts.
-fn sick(record: &str, trouble: bool) -> i32 {
+/// Machines lose the network, one of them stops and is back at once, and a start that was held back reaches it then.
+fn restart(record: &str, trouble: bool) -> i32 {
     let bed = start(herve(), record);
-    for yard in ["herve", "battice", "aubel"] {
-        bed.cloud.set_capacity("kruik16", yard, false, 7);
-        bed.cloud.set_capacity("kruik16", yard, true, 3);
+    for yard in ["aubel", "aubel", "aubel", "herve", "herve"] {
+        bed.cloud.add_running("kruik16", yard, 15.0);
     }
-    let machine = bed.cloud.add_running("kruik16", "herve", 15.0);
-    if !ready(&bed, 1) {
+    if !ready(&bed, 5) {
         return end(&bed, NOT_RUN, "not ready");
     }
-    let began = bed.world.now();
+    // Two machines of aubel and both of herve are filled; those of herve have room again after a while.
+    let fill =
+        |id, crew, yard: &str, run_s| Job { yard: Some(yard.into()), ..Job::array(id, crew, 32, 1.0, 2.8, run_s) };
+    let (long, short) = (fill(1, "labo", "aubel", 300.0), fill(2, "ronde-kantoor", "herve", 22.0));
+    if !bed.submit(&long) || !bed.submit(&short) {
+        return end(&bed, NOT_RUN, "a filling job was not accepted");
+    }
+    let filled = || bed.world.running(&long.id) == 32 && bed.world.running(&short.id) == 32;
+    if !bed.wait(20.0, filled) {
+        return end(&bed, NOT_RUN, "the filling jobs did not start");
+    }
+    // A short job on the machine that is left, so that the leader has a connection to it.
+    let filled_at = bed.world.now();
+    let first = Job { kit: "img-x".into(), size_gb: 0.001, ..Job::array(4, "ronde-kantoor", 1, 1.0, 2.8, 2.0) };
+    if !bed.submit(&first) || !bed.wait(10.0, || bed.world.done(&first.id) == 1) {
+        return end(&bed, NOT_RUN, "the short job did not run");
+    }
+    bed.sleep_until(filled_at + 14.0);
+    let aubel: Vec<_> = bed.cloud.workers().into_values().filter(|worker| worker.yard == "aubel").collect();
+    let Some(empty) = aubel.iter().find(|worker| worker.alive_loads() == 0).cloned() else {
+        return end(&bed, NOT_RUN, "no machine is empty");
+    };
+    // Right after a report of the empty machine was answered.
+    if !bed.wait(10.0, || empty.answered_s() < 0.1) {
+        return end(&bed, NOT_RUN, "the empty machine does not report");
+    }
+    let cut = bed.world.now();
     if trouble {
-        machine.set_sick(true);
+        aubel.iter().for_each(|worker| worker.set_cut(true));
     }
-    let service = Job::service(1, "ronde-kantoor", 1, 2.0, 4.3);
-    if !bed.submit(&service) {
-        return end(&bed, NOT_RUN, "the service was not accepted");
+    let job = Job { kit: "img-x".into(), size_gb: 0.001, ..Job::array(3, "ronde-kantoor", 1, 1.0, 2.8, 40.0) };
+    let task = format!("{}/0", job.id);
+    if !bed.submit(&job) {
+        return end(&bed, NOT_RUN, "the job was not accepted");
     }
-    bed.poll(&service.id);
-    let until = if trouble { last_second() } else { 60.0 };
-    let mut cured = !trouble;
-    while bed.world.now() < until {
-        std::thread::sleep(Duration::from_millis(200));
-        if !cured && bed.world.now() >= began + 60.0 {
-            machine.set_sick(false);
-            cured = true;
+    bed.poll(&job.id);
+    if trouble {
+        if !bed.wait(2.0, || empty.holds_start(&task)) {
+            return end(&bed, NOT_RUN, "no start is held back");
         }
+        bed.sleep_until(cut + 5.0);
+        empty.restart();
+        // The new worker's lease lasts for ten seconds from now, without any answer.
+        let elsewhere = bed.wait(8.5, || bed.world.running(&job.id) == 1);
+        // Not while the leader is calling the machine: its next call comes seconds after the last one.
+        let pause = || (0.9..1.4).contains(&empty.last_held_s());
+        if elsewhere && !bed.wait(cut + 14.0 - bed.world.now(), pause) {
+            return end(&bed, NOT_RUN, "the leader calls the machine all the time");
+        }
+        aubel.iter().for_each(|worker| worker.set_cut(false));
     }
+    std::thread::sleep(Duration::from_secs(8));
     note_machines(&bed);
-    let running = bed.world.running(&service.id);
-    let last = bed.world.runs_of(&service.id).iter().map(|run| run.started).fold(0.0, f64::max);
-    let available: usize =
-        ["herve", "battice", "aubel"].iter().map(|yard| bed.cloud.available("kruik16", yard, false)).sum();
-    let line = format!(
-        "the service: {running} of 1 replica runs; its last start was {:.0} s ago; {available} on-demand machines could be rented",
-        bed.world.now() - last
-    );
+    let runs = bed.world.runs_of(&job.id);
+    let twice = bed.world.inner.lock().unwrap().broken.iter().any(|line| line.contains(&task));
+    let line = format!("{} starts of one task; started on one machine while it ran on another: {twice}", runs.len());
     let code = match () {
-        _ if running == 1 => HELD,
-        _ if bed.world.now() - last > 60.0 => BROKEN,
-        _ => NOT_RUN,
+        _ if twice => BROKEN,
+        _ if runs.is_empty() => NOT_RUN,
+        _ => HELD,
     };
     end(&bed, code, &line)
 }
--- a/review/rig-2/http.rs
+++ b/review/rig-2/http.rs
@@ -11,6 +11,8 @@
     pub path: String,
     pub query: String,
     pub body: Vec<u8>,
+    /// When its connection was opened.
+    pub opened: Instant,
 }
 
 impl Request {
@@ -47,6 +49,7 @@
 }
 
 fn serve_connection(stream: TcpStream, handler: Handler) {
+    let opened = Instant::now();
     let _ = stream.set_nodelay(true);
     let Ok(mut writer) = stream.try_clone() else { return };
     let mut reader = BufReader::new(stream);
@@ -55,7 +58,7 @@
         let method = words.next().unwrap_or_default().to_owned();
         let target = words.next().unwrap_or_default();
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
-        let request = Request { method, path: path.to_owned(), query: query.to_owned(), body };
+        let request = Request { method, path: path.to_owned(), query: query.to_owned(), body, opened };
         match handler(request) {
             Answer::Reply(status, body) => {
                 let head = format!(
--- a/review/rig-2/worker.rs
+++ b/review/rig-2/worker.rs
@@ -2,7 +2,6 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -62,6 +61,8 @@
     changed: bool,
     baton_news: Option<Instant>,
     refused: u64,
+    /// When the last answer to a report was accepted.
+    answered: Option<Instant>,
     /// Largest report that was sent, in bytes.
     largest_report: usize,
 }
@@ -76,8 +77,14 @@
     state: Mutex<State>,
     wake: Condvar,
     dead: Mutex<bool>,
-    /// Whether the machine fails every task that it starts.
-    sick: AtomicBool,
+    /// Since when its network is interrupted, if it is: what it sends is lost, what comes is held back.
+    cut: Mutex<Option<Instant>>,
+    /// Calls that came while its network was interrupted: how many, and how many of them were delivered since.
+    held: Mutex<(u64, u64)>,
+    /// When a call last came while its network was interrupted, delivered later or not.
+    last_held: Mutex<Option<Instant>>,
+    /// Bodies of these calls.
+    held_bodies: Mutex<Vec<String>>,
 }
 
 impl Worker {
@@ -93,6 +100,7 @@
             changed: false,
             baton_news: None,
             refused: 0,
+            answered: None,
             largest_report: 0,
         };
         let worker = Arc::new(Worker {
@@ -105,13 +113,16 @@
             state: Mutex::new(state),
             wake: Condvar::new(),
             dead: Mutex::new(false),
-            sick: AtomicBool::new(false),
+            cut: Mutex::new(None),
+            held: Mutex::new((0, 0)),
+            last_held: Mutex::new(None),
+            held_bodies: Mutex::default(),
         });
         let (server, clock, reporter) = (worker.clone(), worker.clone(), worker.clone());
         serve(listener, Arc::new(move |request| server.handle(request)));
         std::thread::spawn(move || {
             while !clock.is_dead() {
-                std::thread::sleep(Duration::from_millis(20));
+                std::thread::sleep(Duration::from_millis(10));
                 clock.advance();
             }
         });
@@ -134,11 +145,55 @@
         self.wake.notify_all();
     }
 
-    /// Lets the machine fail every task that it starts, or work again.
-    pub fn set_sick(&self, sick: bool) {
-        self.sick.store(sick, Ordering::Relaxed);
-        let what = if sick { "fails every task that it starts" } else { "works again" };
-        self.site.world.note(&format!("TROUBLE machine {} {what}", self.name));
+    /// Interrupts the machine's network, or ends the interruption: calls that were held back arrive then, in order.
+    pub fn set_cut(&self, cut: bool) {
+        *self.cut.lock().unwrap() = cut.then(Instant::now);
+        let what = if cut { "is interrupted" } else { "is back" };
+        self.site.world.note(&format!("TROUBLE machine {}: its network {what}", self.name));
+    }
+
+    fn is_cut(&self) -> bool {
+        self.cut.lock().unwrap().is_some()
+    }
+
+    /// Whether a call that starts the task is held back.
+    pub fn holds_start(&self, load: &str) -> bool {
+        let name = format!("\"{load}\"");
+        self.held_bodies.lock().unwrap().iter().any(|body| body.contains("\"run\"") && body.contains(&name))
+    }
+
+    /// Seconds since a call last came while its network was interrupted.
+    pub fn last_held_s(&self) -> f64 {
+        self.last_held.lock().unwrap().map_or(f64::MAX, |at| at.elapsed().as_secs_f64())
+    }
+
+    /// Stops the machine with all that is on it. It is back at once, with a worker that begins anew.
+    pub fn restart(&self) {
+        let mut state = self.state.lock().unwrap();
+        for load in state.loads.drain(..) {
+            self.site.world.ended(&load.name, &self.name, "its machine stopped");
+        }
+        (state.shift, state.tick, state.baton) = (1, 0, 0);
+        state.images.clear();
+        state.lease_start = Instant::now();
+        state.baton_news = None;
+        drop(state);
+        self.site.world.note(&format!("TROUBLE machine {} stops and is back at once", self.name));
+    }
+
+    /// Holds a call back while the network is interrupted, and delivers it after those that came before it.
+    fn hold(&self, body: &[u8]) {
+        let turn = {
+            let mut held = self.held.lock().unwrap();
+            held.0 += 1;
+            held.0 - 1
+        };
+        let text = String::from_utf8_lossy(body).into_owned();
+        self.site.world.note(&format!("machine {}: a call is held back: {text}", self.name));
+        self.held_bodies.lock().unwrap().push(text);
+        while self.is_cut() || self.held.lock().unwrap().1 < turn {
+            std::thread::sleep(Duration::from_millis(2));
+        }
     }
 
     /// The highest token seen.
@@ -152,6 +207,11 @@
         (state.shift, state.refused, state.largest_report)
     }
 
+    /// Seconds since the last answer to a report was accepted.
+    pub fn answered_s(&self) -> f64 {
+        self.state.lock().unwrap().answered.map_or(f64::MAX, |at| at.elapsed().as_secs_f64())
+    }
+
     /// Number of tasks that have not exited.
     pub fn alive_loads(&self) -> usize {
         self.state.lock().unwrap().loads.iter().filter(|load| load.alive()).count()
@@ -190,6 +250,19 @@
     }
 
     fn handle(&self, request: Request) -> Answer {
+        let Some(since) = *self.cut.lock().unwrap() else { return self.answer(request) };
+        *self.last_held.lock().unwrap() = Some(Instant::now());
+        if request.opened >= since {
+            // An attempt to connect that was given up does not complete later.
+            return Answer::Hang;
+        }
+        self.hold(&request.body);
+        let answer = self.answer(request);
+        self.held.lock().unwrap().1 += 1;
+        answer
+    }
+
+    fn answer(&self, request: Request) -> Answer {
         if self.is_dead() {
             return Answer::Hang;
         }
@@ -337,10 +410,7 @@
                     if here.contains(&job.kit) {
                         changed = true;
                         world.started(&load.name, load.attempt, &self.name);
-                        if self.sick.load(Ordering::Relaxed) {
-                            (load.status, load.why) = ("exited", "error");
-                            world.ended(&load.name, &self.name, "error");
-                        } else if kept {
+                        if kept {
                             (load.status, load.why) = ("exited", "done");
                             world.ended(&load.name, &self.name, "done");
                         } else {
@@ -392,7 +462,14 @@
             if self.is_dead() {
                 return;
             }
-            let answer = connection.call(nodes[node].1, "POST", "/v1/report", &body, Duration::from_secs(4));
+            let answer = if self.is_cut() {
+                std::thread::sleep(Duration::from_secs(4));
+                None
+            } else {
+                connection.call(nodes[node].1, "POST", "/v1/report", &body, Duration::from_secs(4))
+            };
+            // What comes while the network is interrupted does not reach the worker.
+            let answer = answer.filter(|_| !self.is_cut());
             if self.is_dead() {
                 return;
             }
@@ -405,6 +482,7 @@
                     {
                         self.see_baton(&mut state, baton);
                         state.lease_start = state.lease_start.max(sent);
+                        state.answered = Some(Instant::now());
                         self.execute(&mut state, answer.get("orders").items());
                     }
                 }
