--- a/crates/core/src/fleet/direct_calls.rs
+++ b/crates/core/src/fleet/direct_calls.rs
@@ -57,6 +57,24 @@
         self.next_call_at = Some(now + retry_delay * self.failed_calls.min(max_backoff_multiplier));
     }
 
+    /// Notes that a direct call was sent that starts these attempts.
+    pub(super) fn note_starts_sent(&mut self, starts: &[Attempt], token: u64) {
+        let starts = starts.iter().map(|attempt| (attempt.clone(), token));
+        self.direct_starts.extend(starts.clone());
+        self.unanswered_starts.extend(starts);
+    }
+
+    /// Notes that a direct call was carried out or refused, or never will be: the starts in it do not arrive for the
+    /// first time any more.
+    pub(super) fn note_call_settled(&mut self, call: &DirectCall) {
+        self.unanswered_starts.retain(|attempt, _| !call.starts.contains(attempt));
+    }
+
+    /// Whether a direct call that starts the attempt got no response, and so may still be carried out for the first time.
+    pub(super) fn has_unanswered_start(&self, attempt: &Attempt) -> bool {
+        self.unanswered_starts.contains_key(attempt)
+    }
+
     /// Whether the direct call in flight starts this attempt.
     pub(super) fn start_in_flight(&self, attempt: &Attempt) -> bool {
         self.direct_call.as_ref().is_some_and(|call| call.starts.contains(attempt))
--- a/crates/core/src/fleet/liveness.rs
+++ b/crates/core/src/fleet/liveness.rs
@@ -8,7 +8,7 @@
 use super::direct_calls::CallReason;
 use super::lease::LeaseBounds;
 use super::survey::{ISOLATED_SAMPLE_SIZE, MIN_FAILING_FOR_SURVEY, SURVEY_SAMPLE_SIZE};
-use super::{LATEST_REPORT_FACTOR, Machine, report_fencing_window};
+use super::{Attempt, LATEST_REPORT_FACTOR, Machine, report_fencing_window};
 use crate::env::Env;
 use crate::failover::observe_machine;
 use crate::jobs::{Name, TaskKey};
@@ -23,6 +23,8 @@
 /// Time after which a worker that cannot reach a node tries the next one. A new leader that gets no
 /// reports, although its direct calls succeed, waits until all workers could have found it.
 const NODE_DISCOVERY_TIME: Duration = Duration::from_secs(5);
+/// Number of leases for which a machine may be silent while a task can only run elsewhere once it is released.
+const MAX_LEASES_WAITED_FOR: u32 = 2;
 /// Most machine names in one log line.
 const MAX_NAMES_LOGGED: usize = 3;
 
@@ -88,8 +90,10 @@
         let taking_over =
             now.duration_since(self.started_at) < report_fencing_window(env.facts.report_interval) + PROBE_TIMEOUT * 2;
         self.update_zone_states(env, std::mem::take(&mut findings.zones), taking_over);
-        if !keep_machines {
-            findings.unresponsive.iter().for_each(|name| self.release_unresponsive(env, name));
+        for name in findings.unresponsive {
+            if !keep_machines || self.is_waited_for_too_long(env, &name) {
+                self.release_unresponsive(env, &name);
+            }
         }
         self.probe_suspects(env);
         self.log_stops(env);
@@ -240,19 +244,24 @@
         }
     }
 
-    /// Ends the placements on a machine whose lease has expired, except those that must wait for a report.
+    /// Ends the placements on a machine whose lease has expired, except those that must wait for a message from its worker
+    /// or for the machine's release.
     fn handle_expired_lease(&mut self, env: &mut Env, name: &Name) {
         let now = env.steady();
         let machine = &self.machines[name];
-        let (waiting, lost): (Vec<TaskKey>, Vec<TaskKey>) =
-            machine.tasks.iter().cloned().partition(|key| self.needs_confirmed_stop(key, &machine.zone));
-        let already_noted = machine.expired_session == Some(machine.session);
+        let must_wait =
+            |key: &TaskKey| self.needs_confirmed_stop(key, &machine.zone) || self.start_may_arrive(machine, key);
+        let (waiting, lost): (Vec<TaskKey>, Vec<TaskKey>) = machine.tasks.iter().cloned().partition(must_wait);
+        let already_noted = machine.noted_expiry == Some(machine.session);
         if lost.is_empty() && already_noted {
             return;
         }
         tracing::info!(machine = &**name, tasks = lost.len(), waiting = waiting.len(), "its lease has expired");
         let machine = self.machines.get_mut(name).expect("listed");
-        machine.expired_session = Some(machine.session);
+        machine.noted_expiry = Some(machine.session);
+        if !lost.is_empty() {
+            machine.expired_session = Some(machine.session);
+        }
         machine.token_due |= !machine.direct_starts.is_empty();
         machine.exited.clear();
         for key in lost {
@@ -261,6 +270,24 @@
         }
     }
 
+    /// Whether a start of the task was sent to the machine by a direct call that got no response. If the worker has
+    /// restarted out of reach, it has a new lease and accepts the start whenever that arrives, so the expiry of the old
+    /// lease proves nothing about the task.
+    fn start_may_arrive(&self, machine: &Machine, key: &TaskKey) -> bool {
+        let placement = self.jobs.get(&key.0).and_then(|job| job.placements.get(&key.1));
+        placement.is_some_and(|placement| machine.has_unanswered_start(&Attempt::of(key, placement)))
+    }
+
+    /// Whether a machine is to be released, even if most machines are unresponsive at once: a start may still reach it, so
+    /// that its task has waited for its worker since the lease expired. Nothing else runs there any more.
+    fn is_waited_for_too_long(&self, env: &Env, name: &Name) -> bool {
+        let machine = &self.machines[name];
+        let now = env.steady();
+        now > self.lease_bounds(env).expires_at(machine)
+            && now.duration_since(machine.last_heard) > env.facts.worker_lease * MAX_LEASES_WAITED_FOR
+            && machine.tasks.iter().any(|key| self.start_may_arrive(machine, key))
+    }
+
     /// Returns the current bounds on the leases of all workers.
     pub(super) fn lease_bounds(&self, env: &Env) -> LeaseBounds {
         LeaseBounds {
--- a/crates/core/src/fleet/machine.rs
+++ b/crates/core/src/fleet/machine.rs
@@ -78,8 +78,10 @@
     pub(super) call_postponed: bool,
     /// Number of tasks placed on it that are replicas of services.
     pub(super) service_replicas: u32,
-    /// Session whose lease is certain to have expired.
+    /// Session whose lease is certain to have expired, so that placements have ended. Its reports are refused.
     pub(super) expired_session: Option<u64>,
+    /// Session whose lease was last noted to have expired, whether or not any placement ended with it.
+    pub(super) noted_expiry: Option<u64>,
     /// When it first showed this leader's token, which makes it ignore earlier leaders.
     pub(super) fenced_at: Option<Instant>,
     /// When its worker last showed that it is alive, by a report or a response to a direct call.
@@ -103,6 +105,10 @@
     /// Starts sent by direct calls, each with the token of the last one. The calls may be carried out late or again until
     /// the worker has shown a higher token.
     pub(super) direct_starts: BTreeMap<Attempt, u64>,
+    /// Starts of placed tasks sent by direct calls that got no response, each with the token of the call. They may be
+    /// carried out for the first time at any later moment, whatever token and session the worker has shown: one that
+    /// has restarted remembers neither.
+    pub(super) unanswered_starts: BTreeMap<Attempt, u64>,
     /// Its worker is to be shown the token by a direct call, since it has restarted, or a higher one before what it does
     /// not list is proven to be gone.
     pub(super) token_due: bool,
@@ -181,6 +187,7 @@
             call_postponed: false,
             service_replicas: 0,
             expired_session: None,
+            noted_expiry: None,
             fenced_at: None,
             last_heard: now,
             last_reported: now,
@@ -192,6 +199,7 @@
             token: 0,
             shown_token: 0,
             direct_starts: BTreeMap::new(),
+            unanswered_starts: BTreeMap::new(),
             token_due: false,
             exited: BTreeMap::new(),
             forgets_sent: BTreeSet::new(),
--- a/crates/core/src/fleet/orders.rs
+++ b/crates/core/src/fleet/orders.rs
@@ -47,8 +47,13 @@
         self.stop_statistics.record(event, call.cancelled_stops);
         match outcome {
             Outcome::Responded((status, report)) if report.machine == **name => {
+                machine.note_call_settled(&call);
                 self.direct_call_responded(env, name, &call, status, &report);
             }
+            Outcome::NotExecuted => {
+                machine.note_call_settled(&call);
+                machine.note_failed_call(now, DIRECT_CALL_RETRY_DELAY, MAX_BACKOFF_MULTIPLIER);
+            }
             _ => machine.note_failed_call(now, DIRECT_CALL_RETRY_DELAY, MAX_BACKOFF_MULTIPLIER),
         }
     }
@@ -201,7 +206,7 @@
         // repeated, starts cannot.
         let maybe_unreachable = orders.is_empty() || machine.failed_calls > 0 || machine.suspect;
         let probe = starts.is_empty() && maybe_unreachable;
-        machine.direct_starts.extend(starts.iter().map(|attempt| (attempt.clone(), token)));
+        machine.note_starts_sent(&starts, token);
         tracing::debug!(machine = &**name, token, session, orders = orders.len(), cancelled_stops, "call");
         machine.direct_call = Some(DirectCall { token, session, newest_message, starts, has_stops, cancelled_stops });
         let body = Orders { token, session: Some(session), orders };
--- a/crates/core/src/fleet/reports.rs
+++ b/crates/core/src/fleet/reports.rs
@@ -312,17 +312,22 @@
     }
 
     /// Handles a new session: the worker has stopped all tasks, and accepts no more orders of the old session. Their starts
-    /// are kept in mind, since a worker that restarts has its first session again.
+    /// are kept in mind, since a worker that restarts has its first session again. It may have done so since it sent this
+    /// report; so a start that has not arrived yet keeps its placement until the worker has shown a higher token again.
     fn handle_new_session(&mut self, env: &mut Env, name: &Name) {
         let now = env.steady();
         let machine = self.machines.get_mut(name).expect("reported");
         let may_repeat_sessions = machine.may_predate_restart(machine.session);
         machine.exited.clear();
         machine.images.clear();
+        machine.direct_starts.extend(machine.unanswered_starts.clone());
         tracing::info!(machine = &**name, session = machine.session, tasks = machine.tasks.len(), "new session");
         for key in machine.tasks.clone() {
             let placement = &self.jobs[&key.0].placements[&key.1];
-            if may_repeat_sessions && self.machines[name].may_still_start(&Attempt::of(&key, placement)) {
+            let attempt = Attempt::of(&key, placement);
+            let machine = &self.machines[name];
+            let may_arrive = machine.has_unanswered_start(&attempt);
+            if may_arrive || may_repeat_sessions && machine.may_still_start(&attempt) {
                 self.request_token_raise(name);
             } else if placement.start_sent {
                 self.note_displaced(&key, name);
--- a/crates/core/src/fleet/tasks.rs
+++ b/crates/core/src/fleet/tasks.rs
@@ -155,6 +155,7 @@
         self.quotas.sub(&job.spec);
         if let Some(machine) = self.machines.get_mut(&placement.machine) {
             machine.remove_task(key, &job.spec, now);
+            machine.unanswered_starts.remove(&Attempt::of(key, &placement));
         }
         self.records.mark_changed(key.clone(), None);
         self.note_placement_ended(now, key, retry_at > now);
--- a/crates/core/src/fleet/tokens.rs
+++ b/crates/core/src/fleet/tokens.rs
@@ -5,6 +5,10 @@
 //! before the absence of an attempt proves anything, it is shown a token that is higher than that of every call that
 //! started the attempt.
 //!
+//! A worker that restarts forgets its token and counts its sessions anew, so neither refuses a start that arrives for the
+//! first time after that. Such a start, of a call without a response, keeps its placement: an expired lease or a report
+//! does not end it, but the release of the machine or a higher token shown since does.
+//!
 //! The tokens of a term are the leader key's version and the revisions of the writes committed since. Each write has the
 //! key's version as a condition, so this node was the leader at that revision: the key of a later leader has a higher
 //! version, whichever program version that leader runs.
--- a/crates/core/tests/random_faults.rs
+++ b/crates/core/tests/random_faults.rs
@@ -12,6 +12,8 @@
 const DEFAULT_SEEDS: std::ops::Range<u64> = 1..13;
 /// Seed of a worker that expires its lease and restarts, so that it is in the session of an earlier call again.
 const REPEATED_SESSION_SEED: u64 = 31689;
+/// Seed of a start that is held up while its worker restarts, and arrives just before its lease counts as expired.
+const LATE_START_SEED: u64 = 122_934;
 /// Combined with a run's seed for the random numbers of its late copies.
 const COPY_SEED: u64 = 1 << 40;
 
@@ -165,6 +167,11 @@
     run_scenario(REPEATED_SESSION_SEED);
 }
 
+#[test]
+fn a_start_that_was_held_up_runs_no_task_twice_on_a_worker_that_restarted_meanwhile() {
+    run_scenario(LATE_START_SEED);
+}
+
 #[test]
 fn random_faults_break_no_rule_and_lose_no_job() {
     for seed in seeds() {
