A new leader learns which starts of the former one may still arrive

Cause: only the former leader knew that a start had no answer. The new one took the expired lease for its end.

Change: a placement keeps whether its start is unsent, unanswered or settled (StartState, in place of a flag and of a map for each machine). A segment and a page name the lowest attempt that is not settled (`unanswered_from`); a new leader takes that and all higher ones of the record for unanswered. The open segment is written again, with the next write or 0.5 s later, when starts in it are settled. Earlier versions ignore the field, and records without it are read as before.

--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -90,6 +90,8 @@
     pub tasks: Vec<(TaskKey, Option<u64>)>,
     /// Whether the last segment of the log is written.
     pub segment: bool,
+    /// Whether that segment was due to be written because of starts settled since the last time.
+    pub refresh: bool,
     /// Whether that segment contains new placements.
     pub new_placements: bool,
     /// Pages of tasks, by job and page number.
--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -229,7 +229,7 @@
         };
         let returning = failover.state(&zone) == ZoneState::Returning;
         let Some(job) = self.jobs.get_mut(&key.0).filter(|job| !job.cancelled) else { return };
-        if job.placements.get(&key.1).is_none_or(|placement| !placement.start_sent) {
+        if job.placements.get(&key.1).is_none_or(|placement| !placement.start.may_be_sent()) {
             return;
         }
         *job.zone_reruns.entry(key.1).or_default() += 1;
--- a/crates/core/src/fleet/direct_calls.rs
+++ b/crates/core/src/fleet/direct_calls.rs
@@ -3,6 +3,8 @@
 use std::time::{Duration, Instant};
 
 use super::{Attempt, Machine};
+use crate::jobs::{Name, Placement, StartState, TaskKey, parse_task};
+use crate::term::Term;
 
 /// A direct call in flight.
 #[derive(Clone, Debug)]
@@ -57,26 +59,40 @@
         self.next_call_at = Some(now + retry_delay * self.failed_calls.min(max_backoff_multiplier));
     }
 
-    /// Notes that a direct call was sent that starts these attempts.
-    pub(super) fn note_starts_sent(&mut self, starts: &[Attempt], token: u64) {
-        let starts = starts.iter().map(|attempt| (attempt.clone(), token));
-        self.direct_starts.extend(starts.clone());
-        self.unanswered_starts.extend(starts);
+    /// Whether the direct call in flight starts this attempt.
+    pub(super) fn start_in_flight(&self, attempt: &Attempt) -> bool {
+        self.direct_call.as_ref().is_some_and(|call| call.starts.contains(attempt))
     }
+}
 
-    /// Notes that a direct call was carried out or refused, or never will be: the starts in it do not arrive for the
-    /// first time any more.
-    pub(super) fn note_call_settled(&mut self, call: &DirectCall) {
-        self.unanswered_starts.retain(|attempt, _| !call.starts.contains(attempt));
+impl Term {
+    /// Notes that a direct call to the machine was sent that starts these attempts.
+    pub(super) fn note_starts_sent(&mut self, name: &Name, starts: &[Attempt], token: u64) {
+        let machine = self.machines.get_mut(name).expect("called");
+        machine.direct_starts.extend(starts.iter().map(|attempt| (attempt.clone(), token)));
+        for attempt in starts {
+            if let Some((_, placement)) = self.placement_of(attempt) {
+                placement.start = StartState::Unanswered { token };
+            }
+        }
     }
 
-    /// Whether a direct call that starts the attempt got no response, and so may still be carried out for the first time.
-    pub(super) fn has_unanswered_start(&self, attempt: &Attempt) -> bool {
-        self.unanswered_starts.contains_key(attempt)
+    /// Notes that a direct call was carried out or refused, or certainly never will be: the starts in it do not arrive for
+    /// the first time any more.
+    pub(super) fn note_starts_settled(&mut self, call: &DirectCall) {
+        for attempt in &call.starts {
+            if let Some((key, placement)) = self.placement_of(attempt) {
+                placement.start = StartState::Settled;
+                self.records.note_start_settled(&key);
+            }
+        }
     }
 
-    /// Whether the direct call in flight starts this attempt.
-    pub(super) fn start_in_flight(&self, attempt: &Attempt) -> bool {
-        self.direct_call.as_ref().is_some_and(|call| call.starts.contains(attempt))
+    /// Returns the placement of an attempt and its task, unless it has ended.
+    fn placement_of(&mut self, attempt: &Attempt) -> Option<(TaskKey, &mut Placement)> {
+        let (job, task) = parse_task(&attempt.task)?;
+        let (name, job) = self.jobs.get_key_value(job).map(|(name, _)| name.clone()).zip(self.jobs.get_mut(job))?;
+        let placement = job.placements.get_mut(&task).filter(|placement| placement.attempt == attempt.number)?;
+        Some(((name, task), placement))
     }
 }
--- a/crates/core/src/fleet/liveness.rs
+++ b/crates/core/src/fleet/liveness.rs
@@ -8,7 +8,7 @@
 use super::direct_calls::CallReason;
 use super::lease::LeaseBounds;
 use super::survey::{ISOLATED_SAMPLE_SIZE, MIN_FAILING_FOR_SURVEY, SURVEY_SAMPLE_SIZE};
-use super::{Attempt, LATEST_REPORT_FACTOR, Machine, report_fencing_window};
+use super::{LATEST_REPORT_FACTOR, Machine, report_fencing_window};
 use crate::env::Env;
 use crate::failover::observe_machine;
 use crate::jobs::{Name, TaskKey};
@@ -249,8 +249,7 @@
     fn handle_expired_lease(&mut self, env: &mut Env, name: &Name) {
         let now = env.steady();
         let machine = &self.machines[name];
-        let must_wait =
-            |key: &TaskKey| self.needs_confirmed_stop(key, &machine.zone) || self.start_may_arrive(machine, key);
+        let must_wait = |key: &TaskKey| self.needs_confirmed_stop(key, &machine.zone) || self.start_may_arrive(key);
         let (waiting, lost): (Vec<TaskKey>, Vec<TaskKey>) = machine.tasks.iter().cloned().partition(must_wait);
         let already_noted = machine.noted_expiry == Some(machine.session);
         if lost.is_empty() && already_noted {
@@ -270,12 +269,11 @@
         }
     }
 
-    /// Whether a start of the task was sent to the machine by a direct call that got no response. If the worker has
-    /// restarted out of reach, it has a new lease and accepts the start whenever that arrives, so the expiry of the old
-    /// lease proves nothing about the task.
-    fn start_may_arrive(&self, machine: &Machine, key: &TaskKey) -> bool {
+    /// Whether a start of the task may still arrive at its machine. If the worker has restarted out of reach, it has a new
+    /// lease and accepts the start whenever that comes, so the expiry of the old lease proves nothing about the task.
+    fn start_may_arrive(&self, key: &TaskKey) -> bool {
         let placement = self.jobs.get(&key.0).and_then(|job| job.placements.get(&key.1));
-        placement.is_some_and(|placement| machine.has_unanswered_start(&Attempt::of(key, placement)))
+        placement.is_some_and(|placement| placement.start.may_arrive())
     }
 
     /// Whether a machine is to be released, even if most machines are unresponsive at once: a start may still reach it, so
@@ -285,7 +283,7 @@
         let now = env.steady();
         now > self.lease_bounds(env).expires_at(machine)
             && now.duration_since(machine.last_heard) > env.facts.worker_lease * MAX_LEASES_WAITED_FOR
-            && machine.tasks.iter().any(|key| self.start_may_arrive(machine, key))
+            && machine.tasks.iter().any(|key| self.start_may_arrive(key))
     }
 
     /// Returns the current bounds on the leases of all workers.
--- a/crates/core/src/fleet/machine.rs
+++ b/crates/core/src/fleet/machine.rs
@@ -105,10 +105,6 @@
     /// Starts sent by direct calls, each with the token of the last one. The calls may be carried out late or again until
     /// the worker has shown a higher token.
     pub(super) direct_starts: BTreeMap<Attempt, u64>,
-    /// Starts of placed tasks sent by direct calls that got no response, each with the token of the call. They may be
-    /// carried out for the first time at any later moment, whatever token and session the worker has shown: one that
-    /// has restarted remembers neither.
-    pub(super) unanswered_starts: BTreeMap<Attempt, u64>,
     /// Its worker is to be shown the token by a direct call, since it has restarted, or a higher one before what it does
     /// not list is proven to be gone.
     pub(super) token_due: bool,
@@ -199,7 +195,6 @@
             token: 0,
             shown_token: 0,
             direct_starts: BTreeMap::new(),
-            unanswered_starts: BTreeMap::new(),
             token_due: false,
             exited: BTreeMap::new(),
             forgets_sent: BTreeSet::new(),
--- a/crates/core/src/fleet/orders.rs
+++ b/crates/core/src/fleet/orders.rs
@@ -45,16 +45,22 @@
             _ => StopEvent::Lost,
         };
         self.stop_statistics.record(event, call.cancelled_stops);
+        let may_arrive = match &outcome {
+            Outcome::Responded((_, report)) => report.machine != **name,
+            Outcome::NotExecuted => false,
+            Outcome::Unknown => true,
+        };
         match outcome {
-            Outcome::Responded((status, report)) if report.machine == **name => {
-                machine.note_call_settled(&call);
+            Outcome::Responded((status, report)) if !may_arrive => {
+                self.note_starts_settled(&call);
                 self.direct_call_responded(env, name, &call, status, &report);
             }
-            Outcome::NotExecuted => {
-                machine.note_call_settled(&call);
+            _ => {
                 machine.note_failed_call(now, DIRECT_CALL_RETRY_DELAY, MAX_BACKOFF_MULTIPLIER);
+                if !may_arrive {
+                    self.note_starts_settled(&call);
+                }
             }
-            _ => machine.note_failed_call(now, DIRECT_CALL_RETRY_DELAY, MAX_BACKOFF_MULTIPLIER),
         }
     }
 
@@ -114,9 +120,13 @@
             }
             let attempt = Attempt::of(key, placement);
             let in_flight = machine.start_in_flight(&attempt);
-            let sent_before = placement.start_sent;
+            let sent_before = placement.start.may_be_sent();
             if let Some(start) = start_order(channel, &attempt, placement, in_flight) {
                 message.orders.push(start);
+                if channel == Channel::Report && !sent_before {
+                    placement.start = StartState::Settled;
+                    self.records.note_start_settled(key);
+                }
                 message.repeated.extend(sent_before.then_some((OrderEvent::StartRepeated, attempt)));
             }
         }
@@ -201,12 +211,13 @@
         });
         let session = machine.session;
         let (newest_message, starts): (_, Vec<Attempt>) = ((session, machine.seq), starts.collect());
+        self.note_starts_sent(name, &starts, token);
+        let machine = self.machines.get_mut(name).expect("known");
         let has_stops = orders.iter().any(|order| matches!(order, Order::Stop { .. }));
         // A call to a worker that may be unreachable gets a short timeout, unless it carries starts: stops can be
         // repeated, starts cannot.
         let maybe_unreachable = orders.is_empty() || machine.failed_calls > 0 || machine.suspect;
         let probe = starts.is_empty() && maybe_unreachable;
-        machine.note_starts_sent(&starts, token);
         tracing::debug!(machine = &**name, token, session, orders = orders.len(), cancelled_stops, "call");
         machine.direct_call = Some(DirectCall { token, session, newest_message, starts, has_stops, cancelled_stops });
         let body = Orders { token, session: Some(session), orders };
@@ -215,13 +226,10 @@
 }
 
 /// Returns the start order of a task that its machine has not reported yet, if it is to be sent now.
-fn start_order(channel: Channel, attempt: &Attempt, placement: &mut Placement, in_flight: bool) -> Option<Order> {
+fn start_order(channel: Channel, attempt: &Attempt, placement: &Placement, in_flight: bool) -> Option<Order> {
     if matches!(placement.stage, Stage::Planned | Stage::Inherited) {
         return None;
     }
-    let due = !placement.start_sent || (channel == Channel::Report && !in_flight);
-    due.then(|| {
-        placement.start_sent = true;
-        attempt.start()
-    })
+    let due = !placement.start.may_be_sent() || (channel == Channel::Report && !in_flight);
+    due.then(|| attempt.start())
 }
--- a/crates/core/src/fleet/reports.rs
+++ b/crates/core/src/fleet/reports.rs
@@ -320,16 +320,17 @@
         let may_repeat_sessions = machine.may_predate_restart(machine.session);
         machine.exited.clear();
         machine.images.clear();
-        machine.direct_starts.extend(machine.unanswered_starts.clone());
         tracing::info!(machine = &**name, session = machine.session, tasks = machine.tasks.len(), "new session");
         for key in machine.tasks.clone() {
             let placement = &self.jobs[&key.0].placements[&key.1];
             let attempt = Attempt::of(&key, placement);
-            let machine = &self.machines[name];
-            let may_arrive = machine.has_unanswered_start(&attempt);
-            if may_arrive || may_repeat_sessions && machine.may_still_start(&attempt) {
+            let machine = self.machines.get_mut(name).expect("reported");
+            if let StartState::Unanswered { token } = placement.start {
+                machine.direct_starts.insert(attempt, token);
                 self.request_token_raise(name);
-            } else if placement.start_sent {
+            } else if may_repeat_sessions && machine.may_still_start(&attempt) {
+                self.request_token_raise(name);
+            } else if placement.start.may_be_sent() {
                 self.note_displaced(&key, name);
                 self.clear_placement(env, &key, now);
             }
--- a/crates/core/src/fleet/tasks.rs
+++ b/crates/core/src/fleet/tasks.rs
@@ -155,7 +155,6 @@
         self.quotas.sub(&job.spec);
         if let Some(machine) = self.machines.get_mut(&placement.machine) {
             machine.remove_task(key, &job.spec, now);
-            machine.unanswered_starts.remove(&Attempt::of(key, &placement));
         }
         self.records.mark_changed(key.clone(), None);
         self.note_placement_ended(now, key, retry_at > now);
@@ -169,7 +168,7 @@
         let Some(placement) = self.jobs.get_mut(job).and_then(|job| job.placements.get_mut(&task)) else {
             return;
         };
-        if !placement.start_sent {
+        if !placement.start.may_be_sent() {
             let now = env.steady();
             self.clear_placement(env, &(job.clone(), task), now);
             return;
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -77,6 +77,35 @@
     }
 }
 
+/// How far the start order of a placement has got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartState {
+    /// It was not sent.
+    Unsent,
+    /// A direct call with it has no response, or an earlier leader may have made such a call. It may be carried out for the
+    /// first time at any later moment, whatever token and session the worker has shown: one that has restarted remembers
+    /// neither.
+    Unanswered {
+        /// Token of the call, or 0 if an earlier leader may have made it.
+        token: u64,
+    },
+    /// It was sent and does not arrive for the first time any more: the direct call has its outcome, or it went in a
+    /// response to a report, which workers drop if it is late.
+    Settled,
+}
+
+impl StartState {
+    /// Whether this leader or an earlier one may have sent the start.
+    pub fn may_be_sent(self) -> bool {
+        self != StartState::Unsent
+    }
+
+    /// Whether a direct call with the start may still be carried out for the first time.
+    pub fn may_arrive(self) -> bool {
+        matches!(self, StartState::Unanswered { .. })
+    }
+}
+
 /// The machine and attempt that a task is assigned to. A task has at most one placement.
 #[derive(Clone, Debug)]
 pub struct Placement {
@@ -88,8 +117,21 @@
     pub running_since: Option<Instant>,
     /// Set while the task must stop.
     pub stop: Option<StopRequest>,
-    /// Whether this leader or an earlier one may have sent a start order to the machine.
-    pub start_sent: bool,
+    /// Whether its start was sent, and whether it may still arrive.
+    pub start: StartState,
+}
+
+impl Placement {
+    /// Returns the lowest attempt whose start may still be sent or arrive: of this placement, and of others of which `lowest`
+    /// is the lowest.
+    pub(crate) fn lowest_unanswered(&self, lowest: Option<u64>) -> Option<u64> {
+        match self.start {
+            StartState::Settled => lowest,
+            StartState::Unsent | StartState::Unanswered { .. } => {
+                Some(lowest.map_or(self.attempt, |lowest| lowest.min(self.attempt)))
+            }
+        }
+    }
 }
 
 /// An unfinished job and the state of its tasks.
--- a/crates/core/src/jobs/records.rs
+++ b/crates/core/src/jobs/records.rs
@@ -54,6 +54,11 @@
     /// Names and addresses of the machines that the placements refer to by index.
     pub machines: Vec<(String, String)>,
     pub jobs: Vec<ChangedTasks>,
+    /// The lowest attempt whose start may still be carried out for the first time: it had not been sent when this was
+    /// written, or a direct call with it had no response. Those of higher attempts may be, too. Earlier versions neither
+    /// write nor read it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub unanswered_from: Option<u64>,
 }
 
 /// The changed tasks of one job in a segment. Each task is in exactly one of `placements`, `done`
@@ -97,6 +102,9 @@
     /// Placed tasks: task number, index of the machine, attempt.
     #[serde(rename = "places")]
     pub placements: Vec<(u32, usize, u64)>,
+    /// As in [`SegmentRecord::unanswered_from`].
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub unanswered_from: Option<u64>,
 }
 
 /// Returns the key of a job's [`JobRecord`].
--- a/crates/core/src/jobs/restore.rs
+++ b/crates/core/src/jobs/restore.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use super::{ChangedTasks, Job, Name, PageRecord, Placement, Stage, TASKS_PER_PAGE};
+use super::{ChangedTasks, Job, Name, PageRecord, Placement, SegmentRecord, Stage, StartState, TASKS_PER_PAGE};
 
 impl Job {
     /// Returns the record of one page from the state in memory.
@@ -26,6 +26,7 @@
                 record.machines.len() - 1
             });
             record.placements.push((task - first, index, placement.attempt));
+            record.unanswered_from = placement.lowest_unanswered(record.unanswered_from);
         }
         record
     }
@@ -47,20 +48,14 @@
         self.zone_reruns.extend(record.zone_reruns.iter().map(|(t, count)| (first + t, *count)));
         for (task, index, attempt) in &record.placements {
             if let Some((machine, _)) = record.machines.get(*index) {
-                self.restore_placement(first + task, machine, *attempt, now);
+                self.restore_placement(first + task, machine, *attempt, record.unanswered_from, now);
             }
         }
     }
 
-    /// Restores the changed tasks of a log segment with the given version. Segments are restored in the
+    /// Restores the changed tasks of this job in a log segment with the given version. Segments are restored in the
     /// order of their versions. Tasks whose page record has a newer version are skipped.
-    pub fn restore_changes(
-        &mut self,
-        version: u64,
-        changed: &ChangedTasks,
-        machines: &[(String, String)],
-        now: Instant,
-    ) {
+    pub fn restore_changes(&mut self, version: u64, changed: &ChangedTasks, segment: &SegmentRecord, now: Instant) {
         let page_versions = self.page_versions.clone();
         let tasks = self.spec.tasks;
         let newer_than_page =
@@ -73,19 +68,28 @@
             self.placements.remove(task);
         }
         for (task, index, attempt) in changed.placements.iter().filter(|(t, ..)| newer_than_page(*t)) {
-            if let Some((machine, _)) = machines.get(*index) {
-                self.restore_placement(*task, machine, *attempt, now);
+            if let Some((machine, _)) = segment.machines.get(*index) {
+                self.restore_placement(*task, machine, *attempt, segment.unanswered_from, now);
             }
         }
         self.restarted.extend(changed.restarted.iter().copied().filter(|t| newer_than_page(*t)));
         self.zone_reruns.extend(changed.zone_reruns.iter().copied().filter(|(t, _)| newer_than_page(*t)));
     }
 
-    /// Restores a placement that an earlier leader recorded, unless the task is done.
-    fn restore_placement(&mut self, task: u32, machine: &str, attempt: u64, now: Instant) {
+    /// Restores a placement that an earlier leader recorded, unless the task is done. The starts of attempts from
+    /// `unanswered_from` on may still arrive.
+    fn restore_placement(
+        &mut self,
+        task: u32,
+        machine: &str,
+        attempt: u64,
+        unanswered_from: Option<u64>,
+        now: Instant,
+    ) {
         if task >= self.spec.tasks || self.is_done(task) {
             return;
         }
+        let may_arrive = unanswered_from.is_some_and(|from| attempt >= from);
         let placement = Placement {
             machine: Name::from(machine),
             attempt,
@@ -93,7 +97,7 @@
             placed_at: now,
             running_since: None,
             stop: None,
-            start_sent: true,
+            start: if may_arrive { StartState::Unanswered { token: 0 } } else { StartState::Settled },
         };
         self.placements.insert(task, placement);
     }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -165,7 +165,7 @@
             placed_at: now,
             running_since: None,
             stop: None,
-            start_sent: false,
+            start: StartState::Unsent,
         };
         job.placements.insert(task, placement);
         self.quotas.add(&job.spec);
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -111,6 +111,7 @@
             || self.zone_record_is_unwritten()
             || records.outcome_unknown
             || records.revision_due
+            || records.refresh_due
             || !records.changed_tasks.is_empty()
             || !records.keys_to_delete.is_empty();
         let interval =
@@ -246,6 +247,7 @@
             }
         }
         self.records.keys_to_delete.extend(batch.deleted_keys);
+        self.records.refresh_due |= batch.refresh;
         self.mark_moves_unwritten(&batch.moves);
         if batch.failover {
             self.zone_record_not_written();
--- a/crates/core/src/records/log.rs
+++ b/crates/core/src/records/log.rs
@@ -76,7 +76,8 @@
         let records = &mut self.records;
         // Tasks of finished jobs need no record.
         ended.iter().for_each(|key| records.mark_written(key));
-        if due.is_empty() && !records.outcome_unknown && !records.revision_due && !other_records_unwritten {
+        let rewrite_due = records.outcome_unknown || records.revision_due || records.refresh_due;
+        if due.is_empty() && !rewrite_due && !other_records_unwritten {
             return;
         }
         let jobs = &self.jobs;
@@ -130,6 +131,7 @@
         *txn = guarded.put(key, value.expect("records always encode"));
         records.open_segment.tasks = tasks;
         batch.segment = true;
+        batch.refresh = std::mem::take(&mut records.refresh_due);
         for (key, _) in &batch.tasks {
             records.mark_written(key);
             records.tasks_in_flight.insert(key.clone());
@@ -263,6 +265,7 @@
                 record.machines.len() - 1
             });
             changed.placements.push((*task, index, placement.attempt));
+            record.unanswered_from = placement.lowest_unanswered(record.unanswered_from);
         } else if job.is_done(*task) {
             changed.done.push(*task);
         } else {
--- a/crates/core/src/records/state.rs
+++ b/crates/core/src/records/state.rs
@@ -69,6 +69,8 @@
     pub(super) outcome_unknown: bool,
     /// A write is needed for its revision, even if nothing has changed.
     pub revision_due: bool,
+    /// Whether starts have been settled since the open segment, which contains their tasks, was written.
+    pub(super) refresh_due: bool,
     /// Whether the open segment must be read because its version is uncertain.
     pub(super) reread_segment: bool,
     /// Jobs whose records must be read because their versions are uncertain.
@@ -108,6 +110,12 @@
         !self.changed_tasks.contains(key) && !self.placement_pending(key) && !self.tasks_in_flight.contains(key)
     }
 
+    /// Notes that the start of a placed task is settled. The open segment is written again if it contains the task; a record
+    /// in an earlier segment stays as it is, so that the next leader waits longer than it would have to.
+    pub fn note_start_settled(&mut self, key: &TaskKey) {
+        self.refresh_due |= self.open_segment.tasks.contains(key);
+    }
+
     /// Queues a job's end to be written.
     pub fn queue_close(&mut self, job: &Name) {
         if self.queued_to_close.insert(job.clone()) {
--- a/crates/core/src/recover/load.rs
+++ b/crates/core/src/recover/load.rs
@@ -266,7 +266,7 @@
             let mut tasks: BTreeSet<(Name, u32)> = BTreeSet::new();
             for changed in &record.jobs {
                 if let Some(job) = self.jobs.get_mut(changed.job.as_str()) {
-                    job.restore_changes(version, changed, &record.machines, now);
+                    job.restore_changes(version, changed, &record, now);
                     let changed_tasks =
                         changed.placements.iter().map(|(t, ..)| t).chain(&changed.done).chain(&changed.waiting);
                     tasks.extend(changed_tasks.map(|task| (job.id.clone(), *task)));
--- a/crates/core/tests/late_starts.rs
+++ b/crates/core/tests/late_starts.rs
@@ -155,3 +155,21 @@
         check_runs_once(&mut simulation, &format!("restarted after {restart_after:?}, held for {held_for:?}"));
     }
 }
+
+#[test]
+fn a_new_leader_runs_no_task_twice_whose_start_by_the_former_leader_is_held_back() {
+    // Guards against tasks that run twice: the former leader alone knew that a start had no answer, and the new one took
+    // the lease of the machine, which it could not reach, for the end of it.
+    for restart_after in [secs(5), secs(20)] {
+        let (mut simulation, machine) = simulation_with_room_on_one_machine(2);
+        simulation.cloud.outage = true;
+        hold_back_start(&mut simulation, &machine, secs(30), service(1, 1));
+        let leader = simulation.leader().expect("a leader");
+        simulation.crash_node(leader);
+        simulation.run(secs(3));
+        simulation.start_node(leader);
+        simulation.run(restart_after);
+        simulation.restart_worker(&machine);
+        check_runs_once(&mut simulation, &format!("restarted after {restart_after:?}"));
+    }
+}
