Renting: markets and offers have types and a module of their own

Cause: the choice of what to rent was one loop of fifty lines over tuples of a cost, a number and a triple for the market.

Change: offers.rs with Market and Offer; rent_resources asks it for the cheapest market. No change of what is rented.

--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -4,6 +4,7 @@
 //! The name of a rental request contains the leader's fencing token, so names are never reused.
 
 mod demand;
+mod offers;
 mod plan;
 mod releases;
 pub(crate) mod renting;
@@ -13,7 +14,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use rushyoke_wire::cloud::{Listing, MachineType, Rental};
+use rushyoke_wire::cloud::{Listing, Rental};
 
 use crate::calls::{Purpose, RentCall};
 use crate::env::Env;
@@ -22,8 +23,8 @@
 use crate::jobs::Name;
 use crate::quota::Resources;
 use crate::term::Term;
+use offers::Market;
 use plan::shortfall;
-use renting::Market;
 use requirements::{Requirements, resources_of};
 
 /// Largest number of machines in one rental request.
@@ -55,23 +56,6 @@
 /// Largest number of unused replica moves that accumulate.
 const MAX_SAVED_MOVES: f64 = 8.0;
 
-/// Returns the number of machines of a type that provide the resources, not rounded up; infinite if the type lacks
-/// one of them.
-fn machines_needed(need: Resources, machine_type: &MachineType) -> f64 {
-    let ratio = |needed: f64, provided: f64| {
-        if needed <= 0.0 {
-            0.0
-        } else if provided > 0.0 {
-            needed / provided
-        } else {
-            f64::INFINITY
-        }
-    };
-    ratio(need.cpus, machine_type.cpus)
-        .max(ratio(need.gpus, machine_type.gpus))
-        .max(ratio(need.memory_gb, machine_type.memory_gb))
-}
-
 impl Term {
     /// Rents and releases machines; called once a second.
     pub fn rent_tick(&mut self, env: &mut Env) {
@@ -106,56 +90,36 @@
     /// a part each second would take minutes while jobs wait for their first task.
     fn rent_resources(&mut self, env: &mut Env, mut need: Resources, requirements: &Requirements) {
         let now = env.steady();
-        let spot = requirements.allows_spot();
         self.renting.no_capacity_until.retain(|_, until| *until > now);
         let mut machines_by_zone: BTreeMap<String, u32> = BTreeMap::new();
         for machine in self.machines.values() {
             *machines_by_zone.entry(machine.zone.clone()).or_default() += 1;
         }
         while !need.is_zero() && self.renting.remaining_rentals > 0 {
-            // Cost, number of machines and market of each offer.
-            let mut offers: Vec<(f64, f64, Market)> = Vec::new();
-            for machine_type in env.machine_types.iter() {
-                let count = machines_needed(need, machine_type);
-                if !count.is_finite() {
-                    continue;
-                }
-                let price = if spot { machine_type.spot_price.unwrap_or(f64::INFINITY) } else { machine_type.price };
-                for zone in machine_type.zones.iter().filter(|zone| requirements.admits(&machine_type.name, zone)) {
-                    let market = (machine_type.name.clone(), zone.clone(), spot);
-                    let no_capacity = self.renting.no_capacity_until.contains_key(&market);
-                    let unavailable = self.zone_is_unreachable(zone) || self.zone_is_closed(zone);
-                    if price.is_finite() && !no_capacity && !unavailable {
-                        offers.push((price * count, count, market));
-                    }
-                }
-            }
-            // At equal costs, the zone with the fewest machines comes first, so that no zone gets all of them.
-            let zone_machines = |market: &Market| machines_by_zone.get(&market.1).copied().unwrap_or(0);
-            offers.sort_by(|(cost, _, market), (other_cost, _, other_market)| {
-                cost.total_cmp(other_cost).then_with(|| zone_machines(market).cmp(&zone_machines(other_market)))
-            });
-            let Some((cost, count, (machine_type, zone, _))) = offers.first().cloned() else {
-                if spot {
+            let Some((market, count)) = self.cheapest_market(env, need, requirements, &machines_by_zone) else {
+                if requirements.allows_spot() {
                     self.rent_resources(env, need, &requirements.on_demand_only());
                 }
                 return;
             };
-            // The machines are spread over the offers with the same cost.
-            let equal_offers = offers.iter().filter(|(other_cost, _, _)| *other_cost <= cost).count() as u32;
-            let count = (count.ceil() as u32).max(1).div_ceil(equal_offers).min(MAX_MACHINES_PER_RENTAL);
-            self.renting.remaining_rentals -= 1;
-            self.renting.request_serial += 1;
-            let request = format!("r-{}-{}", self.token, self.renting.request_serial);
-            tracing::info!(request, kind = machine_type, zone, spot, count, "renting");
-            if let Some(machine_type) = env.machine_type(&machine_type) {
+            if let Some(machine_type) = env.machine_type(&market.machine_type) {
                 need = shortfall(need, resources_of(machine_type).scaled(f64::from(count)));
             }
-            *machines_by_zone.entry(zone.clone()).or_default() += count;
-            self.send_rental(env, Rental { request, machine_type, zone, spot, count });
+            *machines_by_zone.entry(market.zone.clone()).or_default() += count;
+            self.request_machines(env, market, count);
         }
     }
 
+    /// Sends a new rental request for machines of a market.
+    fn request_machines(&mut self, env: &mut Env, market: Market, count: u32) {
+        self.renting.remaining_rentals -= 1;
+        self.renting.request_serial += 1;
+        let request = format!("r-{}-{}", self.token, self.renting.request_serial);
+        let Market { machine_type, zone, spot } = market;
+        tracing::info!(request, kind = machine_type, zone, spot, count, "renting");
+        self.send_rental(env, Rental { request, machine_type, zone, spot, count });
+    }
+
     /// Sends a rental request and tracks it until the cloud responds.
     fn send_rental(&mut self, env: &mut Env, rental: Rental) {
         self.renting.open_rentals.push((rental.clone(), env.steady()));
@@ -203,7 +167,7 @@
         let open_before = self.renting.open_rentals.len();
         self.renting.open_rentals.retain(|(open, _)| open.request != rental.request);
         let already_handled = self.renting.open_rentals.len() == open_before;
-        let market = (rental.machine_type.clone(), rental.zone.clone(), rental.spot);
+        let market = Market { machine_type: rental.machine_type.clone(), zone: rental.zone.clone(), spot: rental.spot };
         match outcome {
             Outcome::Responded(CloudResponse::Rented(_)) if already_handled => {}
             Outcome::Responded(CloudResponse::Rented(names)) => {
--- a/crates/core/src/rent/renting.rs
+++ b/crates/core/src/rent/renting.rs
@@ -6,15 +6,13 @@
 use rushyoke_wire::cloud::Rental;
 use rushyoke_wire::job::{JobSpec, Kind, Priority};
 
+use super::offers::Market;
 use crate::env::Env;
 use crate::jobs::Name;
 
 /// Weight of a new job in the moving average of service sizes.
 const SERVICE_SIZE_WEIGHT: f64 = 0.2;
 
-/// Machine type, zone and whether the machines are spot machines. The cloud has a price and a capacity per market.
-pub(super) type Market = (String, String, bool);
-
 /// Rentals and releases of a term.
 #[derive(Default)]
 pub(crate) struct RentalState {
