--- a/crates/core/tests/balance/bursts.rs
+++ b/crates/core/tests/balance/bursts.rs
@@ -114,8 +114,7 @@
         // The other team's job exceeds its guaranteed quota, so nothing is preempted for it.
         facts.teams.get_mut("blue").expect("a team").cpus = 1.0;
         let mut simulation = Simulation::with_facts(facts, 12, policy, &ZONES);
-        simulation.task_duration_s = 100.0;
-        simulation.workers.values_mut().for_each(|worker| worker.task_duration_s = 100.0);
+        simulation.set_task_duration(100.0);
         simulation.cloud.capacity = 12;
         simulation.run(secs(6));
         // A job much larger than the fleet, and a little later a few tasks of another team.
--- a/crates/core/tests/combined_faults.rs
+++ b/crates/core/tests/combined_faults.rs
@@ -11,8 +11,7 @@
 /// run on machines of two zones, and the current leader.
 fn running_jobs(machines: usize) -> (Simulation, usize) {
     let mut simulation = Simulation::with_policy(machines, Policy::default(), &["a", "b"]);
-    simulation.task_duration_s = 40.0;
-    simulation.workers.values_mut().for_each(|worker| worker.task_duration_s = 40.0);
+    simulation.set_task_duration(40.0);
     simulation.run(secs(6));
     simulation.submit(0, service(1, 4));
     simulation.submit(1, service(2, 4));
@@ -146,9 +145,7 @@
     for _ in 0..3 {
         simulation.run(secs(3));
         let leader = simulation.leader().expect("a leader");
-        simulation.crash_node(leader);
-        simulation.run(secs(6));
-        simulation.start_node(leader);
+        simulation.restart_node(leader, secs(6));
         for number in 4..8 {
             (0..3).for_each(|node| simulation.send_status_request(node, &format!("wk-{number:06}")));
         }
@@ -214,9 +211,7 @@
     (1..5).for_each(|id| simulation.send_submission(next_node(leader), service(id, 12)));
     simulation.run(secs(4));
     assert!(simulation.workers.len() > 1, "no machine booted");
-    simulation.crash_node(leader);
-    simulation.run(millis(700));
-    simulation.start_node(leader);
+    simulation.restart_node(leader, millis(700));
     simulation.run(secs(15));
     assert!(simulation.terms.len() > 1, "no new term began");
     check_recovery(&mut simulation);
@@ -289,9 +284,7 @@
         }
         simulation.run(secs(1));
         let leader = simulation.leader().unwrap_or(round as usize % 3);
-        simulation.crash_node(leader);
-        simulation.run(millis(if round % 2 == 0 { 300 } else { 4000 }));
-        simulation.start_node(leader);
+        simulation.restart_node(leader, millis(if round % 2 == 0 { 300 } else { 4000 }));
         simulation.run(secs(3));
         if simulation.store.outage {
             let now = simulation.now;
@@ -366,9 +359,7 @@
         simulation.workers.remove(machine);
         simulation.cloud.machines.remove(machine);
     }
-    simulation.crash_node(leader);
-    simulation.run(secs(2));
-    simulation.start_node(leader);
+    simulation.restart_node(leader, secs(2));
     simulation.run(secs(60));
     check_recovery(&mut simulation);
     assert_eq!(simulation.job_state(0, "wk-000004"), Some(JobStatus::Done));
--- a/crates/core/tests/dependencies.rs
+++ b/crates/core/tests/dependencies.rs
@@ -28,15 +28,6 @@
     simulation.store.rows.get(&format!("job/{}", job_id(number))).is_some_and(|row| row.0["state"] == "done")
 }
 
-/// Runs until the condition holds; panics after `timeout`.
-fn run_until(simulation: &mut Simulation, timeout: Duration, mut condition: impl FnMut(&Simulation) -> bool) {
-    let deadline = simulation.now + timeout;
-    while !condition(simulation) {
-        assert!(simulation.now < deadline, "the condition did not hold within {timeout:?}");
-        simulation.run(millis(10));
-    }
-}
-
 /// Whether no task of these jobs runs.
 fn none_running(simulation: &Simulation, jobs: std::ops::RangeInclusive<u32>) -> bool {
     jobs.into_iter().all(|number| simulation.running_tasks(&job_id(number)).is_empty())
@@ -48,12 +39,10 @@
         for delay_ms in [0, 10, 30, 60, 120] {
             let (mut simulation, leader) = Simulation::with_short_tasks();
             submit_graph(&mut simulation, graph);
-            run_until(&mut simulation, secs(30), |simulation| is_recorded_done(simulation, 1));
+            assert!(simulation.run_until(secs(30), |simulation| is_recorded_done(simulation, 1)));
             simulation.run(millis(delay_ms));
             assert!(none_running(&simulation, 2..=3), "{delay_ms} ms: a dependent started before the crash");
-            simulation.crash_node(leader);
-            simulation.run(secs(6));
-            simulation.start_node(leader);
+            simulation.restart_node(leader, secs(6));
             simulation.run(secs(40));
             assert!(simulation.terms.len() > 1, "{delay_ms} ms: no other node led");
             assert_eq!(simulation.job_states(leader, 1..=4), all_in_state(JobStatus::Done, 4), "{delay_ms} ms");
@@ -67,7 +56,7 @@
         for late in [false, true] {
             let (mut simulation, leader) = Simulation::with_short_tasks();
             submit_graph(&mut simulation, graph);
-            run_until(&mut simulation, secs(30), |simulation| simulation.checker.finished_tasks(&job_id(1)) == 3);
+            assert!(simulation.run_until(secs(30), |simulation| simulation.checker.finished_tasks(&job_id(1)) == 3));
             if late {
                 simulation.timed_out_txns_until.insert(leader, simulation.now + secs(4));
             } else {
@@ -137,7 +126,9 @@
             for slow_leader in [false, true] {
                 let (mut simulation, leader) = Simulation::with_short_tasks();
                 submit_graph(&mut simulation, graph);
-                run_until(&mut simulation, secs(30), |simulation| simulation.checker.finished_tasks(&job_id(1)) == 3);
+                assert!(
+                    simulation.run_until(secs(30), |simulation| simulation.checker.finished_tasks(&job_id(1)) == 3)
+                );
                 if slow_leader {
                     // The leader's transaction is in flight while the other node's is carried out.
                     simulation.slow_txns_until.insert(leader, simulation.now + millis(1200));
@@ -170,8 +161,7 @@
 fn fleet_with_large_values() -> Simulation {
     let mut simulation = Simulation::with_elected_leader(6);
     simulation.steps_per_check = 3;
-    simulation.workers.values_mut().for_each(|worker| worker.task_duration_s = 12.0);
-    simulation.task_duration_s = 12.0;
+    simulation.set_task_duration(12.0);
     assert_eq!(simulation.submit(0, service(90, 14)), Some(201));
     (1..4).for_each(|number| assert_eq!(simulation.submit(0, wide_array(number)), Some(201)));
     assert_eq!(simulation.submit(1, dependent_job(4, 2, &[1, 2, 3])), Some(201));
@@ -202,9 +192,7 @@
 fn roll_out_lower_limits(simulation: &mut Simulation, pause: Duration) {
     for node in 0..3 {
         simulation.facts_overrides.insert(node, lower_limits());
-        simulation.crash_node(node);
-        simulation.run(millis(600));
-        simulation.start_node(node);
+        simulation.restart_node(node, millis(600));
         simulation.run(pause);
     }
 }
@@ -244,9 +232,7 @@
     assert_eq!(simulation.submit(0, dependent_job(6, 1, &[5])), Some(201));
     // Nodes with the old settings restart once more before the rollout, and lead in between.
     for node in [0, 1] {
-        simulation.crash_node(node);
-        simulation.run(millis(200));
-        simulation.start_node(node);
+        simulation.restart_node(node, millis(200));
         simulation.run(secs(2));
     }
     roll_out_lower_limits(&mut simulation, millis(100));
@@ -324,7 +310,7 @@
     (0..3).filter(|other| *other != node).for_each(|other| simulation.crash_node(other));
     for queried in [node, leader] {
         simulation.start_node(queried);
-        run_until(&mut simulation, secs(25), |simulation| simulation.leader_token(queried).is_none());
+        assert!(simulation.run_until(secs(25), |simulation| simulation.leader_token(queried).is_none()));
         for number in [400, 399, 300, 2000, 401, 1234] {
             let mut queries = 0;
             while simulation.job_state(queried, &job_id(number)) != Some(JobStatus::Cancelled) {
@@ -401,9 +387,8 @@
         assert_eq!(simulation.submit(node, dependent_job(902, 2, &too_many)), Some(400), "node {node}");
         assert_eq!(simulation.submit(node, dependent_job(903, 2, &[400, 401])), Some(422), "node {node}");
     }
-    run_until(&mut simulation, secs(200), |simulation| {
-        is_recorded_done(simulation, 501) && is_recorded_done(simulation, 500)
-    });
+    let both_done = |simulation: &Simulation| is_recorded_done(simulation, 501) && is_recorded_done(simulation, 500);
+    assert!(simulation.run_until(secs(200), both_done));
     assert_eq!(simulation.checker.checked_dependencies, 2 * 460, "the order of all starts must be checked");
     for node in 0..3 {
         assert_eq!(simulation.submit(node, dependent_job(501, 2, &dependencies)), Some(200));
@@ -436,9 +421,7 @@
     simulation.run(secs(12));
     for node in 0..3 {
         simulation.facts_overrides.insert(node, lower_limits());
-        simulation.crash_node(node);
-        simulation.run(millis(100));
-        simulation.start_node(node);
+        simulation.restart_node(node, millis(100));
     }
     simulation.run(secs(6));
     for node in 0..3 {
@@ -486,9 +469,7 @@
             // The last job of the pipeline is submitted while the others wait, or under another leader.
             let restart_leader = |simulation: &mut Simulation| {
                 let leader = simulation.leader().expect("a leader");
-                simulation.crash_node(leader);
-                simulation.run(secs(4));
-                simulation.start_node(leader);
+                simulation.restart_node(leader, secs(4));
                 simulation.run(secs(2));
             };
             if leader_crashes {
--- a/crates/core/tests/failover/returns.rs
+++ b/crates/core/tests/failover/returns.rs
@@ -150,9 +150,7 @@
     );
     simulation.run(secs(10));
     let leader = simulation.leader().expect("a leader");
-    simulation.crash_node(leader);
-    simulation.run(secs(5));
-    simulation.start_node(leader);
+    simulation.restart_node(leader, secs(5));
     let failed_before = simulation.failed_tasks;
     end_partitions(&mut simulation);
     simulation.run(secs(12));
--- a/crates/core/tests/failover/support.rs
+++ b/crates/core/tests/failover/support.rs
@@ -55,8 +55,7 @@
 /// Like [`fleet`], with the given facts.
 fn fleet_of_deployment(facts: Facts, machines: usize, policy: Policy) -> Simulation {
     let mut simulation = Simulation::with_facts(facts, machines, policy, &ZONES);
-    simulation.task_duration_s = 300.0;
-    simulation.workers.values_mut().for_each(|worker| worker.task_duration_s = 300.0);
+    simulation.set_task_duration(300.0);
     // Workers report to the controller in their zone.
     for worker in simulation.workers.values_mut() {
         worker.node = ZONES.iter().position(|zone| *zone == worker.zone).expect("a zone");
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -96,9 +96,7 @@
         simulation.partitioned_machines.extend(partitioned.iter().cloned());
         if leader_crashes {
             let leader = simulation.leader().expect("a leader");
-            simulation.crash_node(leader);
-            simulation.run(secs(1));
-            simulation.start_node(leader);
+            simulation.restart_node(leader, secs(1));
         }
         // All lost replicas run elsewhere, on machines that were prepared in the meantime.
         simulation.run(secs(24));
@@ -139,8 +137,7 @@
 fn takeover_with_a_third_of_the_fleet_partitioned_recovers_services_first() {
     let facts = large_deployment(6_000.0, 14_000.0);
     let mut simulation = Simulation::with_facts(facts, 1900, Policy::default(), &ZONES);
-    simulation.workers.values_mut().for_each(|worker| worker.task_duration_s = 300.0);
-    simulation.task_duration_s = 300.0;
+    simulation.set_task_duration(300.0);
     simulation.steps_per_check = 20;
     simulation.cloud.capacity = 2400;
     simulation.run(secs(8));
@@ -278,9 +275,7 @@
     // The leader crashes: nothing is stopped, and its successor takes over all running tasks.
     let started = simulation.started_tasks;
     let leader = simulation.leader().expect("a leader");
-    simulation.crash_node(leader);
-    simulation.run(secs(12));
-    simulation.start_node(leader);
+    simulation.restart_node(leader, secs(12));
     assert!(simulation.leader().is_some_and(|node| node != leader));
     simulation.run(secs(16));
     assert_eq!(
--- a/crates/core/tests/late_copies.rs
+++ b/crates/core/tests/late_copies.rs
@@ -65,8 +65,7 @@
 fn recording_simulation(facts: Facts, machines: usize) -> Simulation {
     let mut simulation = Simulation::with_facts(facts, machines, Policy::default(), &["a", "b"]);
     simulation.cloud.capacity = machines as u32;
-    simulation.task_duration_s = LONG_TASK_S;
-    simulation.workers.values_mut().for_each(|worker| worker.task_duration_s = LONG_TASK_S);
+    simulation.set_task_duration(LONG_TASK_S);
     simulation.run(secs(6));
     simulation.record_starts = true;
     simulation
@@ -139,9 +138,7 @@
 /// Crashes the leader, and starts it again after a pause.
 fn restart_leader(simulation: &mut Simulation, pause: Duration) {
     let leader = simulation.leader().expect("a leader");
-    simulation.crash_node(leader);
-    simulation.run(pause);
-    simulation.start_node(leader);
+    simulation.restart_node(leader, pause);
 }
 
 /// Restarts all workers; their sessions and numbers begin anew.
--- a/crates/core/tests/late_starts.rs
+++ b/crates/core/tests/late_starts.rs
@@ -29,8 +29,7 @@
     let machine = simulation.workers.keys().find(has_room).expect("a machine has room").clone();
     simulation.run_until_reported(&machine);
     // The tasks that start from now on do not end during a scenario.
-    simulation.task_duration_s = LONG_TASK_S;
-    simulation.workers.values_mut().for_each(|worker| worker.task_duration_s = LONG_TASK_S);
+    simulation.set_task_duration(LONG_TASK_S);
     (simulation, machine)
 }
 
@@ -165,9 +164,7 @@
         simulation.cloud.outage = true;
         hold_back_start(&mut simulation, &machine, secs(30), service(1, 1));
         let leader = simulation.leader().expect("a leader");
-        simulation.crash_node(leader);
-        simulation.run(secs(3));
-        simulation.start_node(leader);
+        simulation.restart_node(leader, secs(3));
         simulation.run(restart_after);
         simulation.restart_worker(&machine);
         check_runs_once(&mut simulation, &format!("restarted after {restart_after:?}"));
--- a/crates/core/tests/limits.rs
+++ b/crates/core/tests/limits.rs
@@ -41,9 +41,7 @@
     assert!(simulation.cancel(1, &job_id(4)).is_some());
     for _ in 0..4 {
         let leader = simulation.leader().expect("a leader");
-        simulation.crash_node(leader);
-        simulation.run(secs(6));
-        simulation.start_node(leader);
+        simulation.restart_node(leader, secs(6));
         simulation.run(secs(25));
     }
     simulation.run(secs(60));
@@ -101,8 +99,7 @@
         let facts = Facts { teams: BTreeMap::from([("red".into(), team.clone())]), ..facts(0, 3) };
         let mut simulation =
             Simulation::with_facts(facts, 12, Policy { service_reserve: 0.0, ..Policy::default() }, &["a"]);
-        simulation.task_duration_s = 300.0;
-        simulation.workers.values_mut().for_each(|worker| worker.task_duration_s = 300.0);
+        simulation.set_task_duration(300.0);
         simulation.run(secs(6));
         assert_eq!(simulation.submit(0, JobSpec { spot: false, ..job(1, tasks) }), Some(201));
         simulation.run(secs(8));
--- a/crates/core/tests/pipelines.rs
+++ b/crates/core/tests/pipelines.rs
@@ -44,14 +44,10 @@
         let (mut simulation, leader) = Simulation::with_short_tasks();
         submit_diamond(&mut simulation);
         simulation.run(millis(delay_ms));
-        simulation.crash_node(leader);
-        simulation.run(secs(5));
-        simulation.start_node(leader);
+        simulation.restart_node(leader, secs(5));
         simulation.run(secs(4));
         let next = simulation.leader().expect("a leader");
-        simulation.crash_node(next);
-        simulation.run(millis(300));
-        simulation.start_node(next);
+        simulation.restart_node(next, millis(300));
         simulation.run(secs(35));
         assert!(simulation.terms.len() > 2, "{delay_ms} ms: the leader did not change twice");
         assert_eq!(simulation.job_states(leader, 1..=5), all_in_state(JobStatus::Done, 5), "{delay_ms} ms");
--- a/crates/core/tests/random_faults.rs
+++ b/crates/core/tests/random_faults.rs
@@ -121,9 +121,7 @@
         let node = rng.random_range(0..3);
         let crashed = if rng.random_range(0..2) == 0 { simulation.leader().unwrap_or(node) } else { node };
         if rng.random_range(0..3) > 0 {
-            simulation.crash_node(crashed);
-            simulation.run(Duration::from_millis(rng.random_range(50..2550)));
-            simulation.start_node(crashed);
+            simulation.restart_node(crashed, Duration::from_millis(rng.random_range(50..2550)));
         }
         query_and_resubmit(&mut simulation, &mut rng, number);
         simulation.run(secs(rng.random_range(1..4)));
--- a/crates/core/tests/soak.rs
+++ b/crates/core/tests/soak.rs
@@ -212,8 +212,7 @@
     let mut rng = StdRng::seed_from_u64(seed);
     let facts = facts_of_deployments()[seed as usize % 4].clone();
     let mut simulation = Simulation::with_facts(facts.clone(), MACHINES, policy_for_seed(seed), &["a", "b"]);
-    simulation.task_duration_s = 200.0;
-    simulation.workers.values_mut().for_each(|worker| worker.task_duration_s = 200.0);
+    simulation.set_task_duration(200.0);
     simulation.run(secs(8));
     simulation.draw_order_copies(&mut StdRng::seed_from_u64(seed ^ COPY_SEED));
     for number in 1..=JOBS {
--- a/crates/core/tests/takeovers.rs
+++ b/crates/core/tests/takeovers.rs
@@ -341,9 +341,7 @@
     simulation.cloud.outage = true;
     simulation.partitioned_machines.insert(machine);
     simulation.peers_without_promise = (0..3).collect();
-    simulation.crash_node(leader);
-    simulation.run(secs(3));
-    simulation.start_node(leader);
+    simulation.restart_node(leader, secs(3));
     simulation.run(secs(20));
     assert_eq!(simulation.started_tasks, 4, "it did not wait until an earlier leader must have stopped");
     simulation.run(secs(15));
--- a/crates/core/tests/user_responses.rs
+++ b/crates/core/tests/user_responses.rs
@@ -189,9 +189,7 @@
         assert_eq!(simulation.submit(round, job(1, 2)), Some(200));
         simulation.delayed_responses_until.insert(round, simulation.now + millis(600));
         let leader = simulation.leader().expect("a leader");
-        simulation.crash_node(leader);
-        simulation.run(millis(500));
-        simulation.start_node(leader);
+        simulation.restart_node(leader, millis(500));
         simulation.run(secs(6));
     }
     simulation.run(secs(10));
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -45,8 +45,7 @@
     /// leader's number.
     pub fn with_short_tasks() -> (Simulation, usize) {
         let mut simulation = Simulation::new(3);
-        simulation.task_duration_s = 4.0;
-        simulation.workers.values_mut().for_each(|worker| worker.task_duration_s = 4.0);
+        simulation.set_task_duration(4.0);
         simulation.run(secs(6));
         let leader = simulation.leader().expect("a leader");
         (simulation, leader)
@@ -63,6 +62,19 @@
         assert_eq!(state, Some(JobStatus::Cancelled), "{id} at node {node}");
     }
 
+    /// Crashes a node, and starts it again after a pause.
+    pub fn restart_node(&mut self, node: usize, pause: Duration) {
+        self.crash_node(node);
+        self.run(pause);
+        self.start_node(node);
+    }
+
+    /// Sets the duration of tasks that start from now on, in seconds, on all machines and on those that boot later.
+    pub fn set_task_duration(&mut self, seconds: f64) {
+        self.task_duration_s = seconds;
+        self.workers.values_mut().for_each(|worker| worker.task_duration_s = seconds);
+    }
+
     /// Runs until the machine's worker has just got the response to a report, or given the report up.
     pub fn run_until_reported(&mut self, machine: &str) {
         for reporting in [true, false] {
